--- /dev/null
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <poplardeal/base/failure.h>
+#include <poplardeal/base/ids.h>
+#include <poplardeal/base/time.h>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poplardeal {
+
+/// What the replicated state machine must offer. Called from the main thread only, in log order.
+class state_machine {
+public:
+    virtual ~state_machine() = default;
+
+    /// Applies one committed payload and returns the answer for the proposer.
+    virtual std::string apply(std::uint64_t index, std::string_view payload) = 0;
+    virtual std::string takeSnapshot() const = 0;
+    virtual result<void> installSnapshot(std::string_view) = 0;
+};
+
+/// How replicas reach one another and the loop. The functions must not block.
+struct replica_environment {
+    /// Sends an encoded message to another replica; loss is allowed.
+    std::function<void(replica_id, std::string)> send;
+    /// Runs a function on the main thread soon. Called from the disk thread.
+    std::function<void(std::function<void()>)> post;
+};
+
+struct replica_options {
+    replica_id self;
+    std::vector<replica_id> voters; ///< First membership, the same on every replica.
+    std::filesystem::path dataFolder;
+    duration heartbeatInterval { std::chrono::milliseconds(150) };
+    duration electionTimeout { std::chrono::milliseconds(700) }; ///< Lower bound; the upper bound is twice it.
+    std::uint64_t seed { 0 };
+    std::uint64_t snapshotEvery { 10000 }; ///< Entries between snapshots.
+};
+
+/// One member of the control group: the Raft node joined to its store and to a state machine.
+///
+///     auto opened = replica::open(options, environment, machine, now);
+///     opened.value()->propose(payload, now, [](result<std::string> answer) { ... });
+class replica {
+public:
+    /// `locked` if another process holds the data folder, `corrupt` with file and offset if the log is damaged.
+    static result<std::unique_ptr<replica>> open(replica_options, replica_environment, state_machine&, instant now);
+    ~replica();
+
+    /// Call at least every `heartbeatInterval / 2`.
+    void tick(instant now);
+    void receive(replica_id from, std::string_view message, instant now);
+
+    /// Answers with the state machine's answer once the entry is committed and applied here. `not_leader`: the entry
+    /// was not and will not be appended. `unavailable`: it may still be committed (leadership was lost meanwhile).
+    void propose(std::string payload, instant now, std::function<void(result<std::string>)> done);
+
+    bool isLeader() const;
+    /// True while no other replica can be leader: a quorum has answered within the lease and all committed entries of
+    /// earlier terms have been applied here.
+    bool holdsLeaderLease(instant now) const;
+    std::optional<replica_id> leader() const;
+    std::uint64_t term() const;
+    std::uint64_t commitIndex() const;
+    std::uint64_t appliedIndex() const;
+
+    /// Hands leadership to the most advanced follower, for a planned stop. Returns false if this is not the leader.
+    bool transferLeadership(instant now);
+
+private:
+    struct impl;
+    explicit replica(std::unique_ptr<impl>);
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/wire/include/poplardeal/wire/address.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <poplardeal/base/failure.h>
+#include <string>
+#include <string_view>
+
+namespace poplardeal {
+
+/// An IP number and a TCP port. Host names are not taken.
+struct address {
+    std::string ip;
+    std::uint16_t port { 0 };
+
+    friend auto operator<=>(const address&, const address&) = default;
+};
+
+/// Reads "127.0.0.1:7001" or "[::1]:7001".
+result<address> parseAddress(std::string_view);
+std::string toString(const address&);
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/wire/include/poplardeal/wire/event_loop.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <poplardeal/base/time.h>
+
+namespace poplardeal {
+
+/// The main loop of a process. All tasks run on its thread; other threads may only call `post`.
+class event_loop {
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    void run();
+    void quit();
+
+    /// Runs a function on the loop's thread soon. Safe from any thread.
+    void post(std::function<void()>);
+
+    /// A timer that ends when its handle is destroyed.
+    class timer {
+    public:
+        timer();
+        ~timer();
+        timer(timer&&) noexcept;
+        timer& operator=(timer&&) noexcept;
+        void cancel();
+
+    private:
+        friend class event_loop;
+        struct impl;
+        std::unique_ptr<impl> m_impl;
+    };
+    [[nodiscard]] timer after(duration, std::function<void()>);
+    [[nodiscard]] timer every(duration, std::function<void()>);
+
+    /// Calls the function on the loop's thread when the process gets SIGTERM or SIGINT.
+    void onTerminate(std::function<void()>);
+
+    /// Monotonic clock of this machine; for leases and timeouts.
+    instant now() const;
+    /// Wall clock, from 1970-01-01 UTC; for records only.
+    instant wallClock() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace poplardeal
