--- a/packages/wire/include/poplardeal/wire/event_loop.h
+++ b/packages/wire/include/poplardeal/wire/event_loop.h
@@ -6,7 +6,12 @@
 
 namespace poplardeal {
 
-/// The main loop of a process. All tasks run on its thread; other threads may only call `post`.
+namespace detail {
+    struct loop_access;
+}
+
+/// The main loop of a process. All tasks run on its thread; other threads may only call `post`. Channels, servers and
+/// clients must be destroyed before their loop, and a loop on the thread that made it.
 class event_loop {
 public:
     event_loop();
@@ -46,6 +51,7 @@
     instant wallClock() const;
 
 private:
+    friend struct detail::loop_access;
     struct impl;
     std::unique_ptr<impl> m_impl;
 };
--- a/packages/wire/include/poplardeal/wire/frame.h
+++ b/packages/wire/include/poplardeal/wire/frame.h
@@ -52,8 +52,12 @@
 /// Bodies of `request` and `response` hold up to 16 MiB of payload.
 inline constexpr std::size_t maxRequestBody = 17 * 1024 * 1024;
 
+/// Largest body of a frame of this kind, in bytes.
+std::size_t maxFrameBody(frame_kind);
+
 /// Header (little endian): length of the body 4, kind 2, flags 2 (zero), correlation 8, logical clock 8, checksum 4
-/// bytes.
+/// bytes. The checksum covers the body and the header fields before it, because a wrong correlation would hand an
+/// answer to another asker. The body is at most `maxFrameBody(kind)` long.
 std::string encodeFrame(const frame&);
 
 /// Cuts a stream of bytes into frames.
