--- a/packages/wire/include/poplardeal/wire/channel.h
+++ b/packages/wire/include/poplardeal/wire/channel.h
@@ -34,7 +34,7 @@
     std::uint64_t bytesTransferred() const;
     address peer() const;
 
-    static constexpr std::size_t maxQueuedBytes = 64 * 1024 * 1024;
+    static constexpr std::size_t maxQueuedBytes = std::size_t { 64 } * 1024 * 1024;
 
 private:
     std::unique_ptr<impl> m_impl;
--- a/packages/wire/include/poplardeal/wire/frame.h
+++ b/packages/wire/include/poplardeal/wire/frame.h
@@ -48,9 +48,9 @@
 };
 
 inline constexpr std::size_t frameHeaderSize = 28;
-inline constexpr std::size_t maxControlBody = 1024 * 1024;
+inline constexpr std::size_t maxControlBody = std::size_t { 1024 } * 1024;
 /// Bodies of `request` and `response` hold up to 16 MiB of payload.
-inline constexpr std::size_t maxRequestBody = 17 * 1024 * 1024;
+inline constexpr std::size_t maxRequestBody = std::size_t { 17 } * 1024 * 1024;
 
 /// Largest body of a frame of this kind, in bytes.
 std::size_t maxFrameBody(frame_kind);
--- a/packages/wire/include/poplardeal/wire/http.h
+++ b/packages/wire/include/poplardeal/wire/http.h
@@ -29,10 +29,14 @@
 };
 
 /// Answers one request, once; may be kept and called later, from the loop's thread. Answering after the peer has gone
-/// is harmless.
+/// is harmless. A request whose responder is destroyed unanswered gets status 500.
 using http_responder = std::function<void(http_response)>;
 
-/// An HTTP/1.1 server on libsoup.
+/// An HTTP/1.1 server on libsoup. Request bodies need Content-Length (411 otherwise), headers over 32 KiB are answered
+/// 431, and connections idle for 60 s are closed.
+///
+///     auto server = http_server::open(loop, address { "127.0.0.1", 0 }, 65536,
+///         [](http_request request, http_responder respond) { respond({ 200, {}, "seen " + request.path }); });
 class http_server {
 public:
     /// `maxBody` in bytes: larger requests are answered 413 and never reach the handler.
@@ -41,7 +45,7 @@
     ~http_server();
 
     address local() const;
-    /// Stops taking connections; requests in flight go on.
+    /// Stops taking connections; requests in flight go on, and their responses close the connection.
     void stopListening();
     /// Requests handed to the handler and not yet answered to the last byte.
     std::size_t inFlight() const;
@@ -55,12 +59,23 @@
 /// Why a request got no whole answer, and whether the server may have run it.
 struct http_failure {
     failure cause;
-    run_verdict verdict { run_verdict::may_have_run }; ///< `not_run` only if no connection was made.
+    /// `not_run` only if no byte of the request was sent.
+    run_verdict verdict { run_verdict::may_have_run };
 };
 
 using http_result = boost::outcome_v2::basic_result<http_response, http_failure, boost::outcome_v2::policy::terminate>;
 
-/// An HTTP/1.1 client on libsoup that keeps connections. It never repeats a request by itself.
+/// Which connection a request is sent on.
+enum class connection_use {
+    /// A kept one if there is one. The server may be closing it at that moment, and then the request ends with
+    /// `may_have_run`; for requests that the caller may repeat.
+    kept,
+    /// A new one: if the server is gone, this is known before the request is sent.
+    fresh,
+};
+
+/// An HTTP/1.1 client on libsoup that keeps connections. It never repeats a request and follows no redirect. Requests
+/// under way when it is destroyed end without a call of `done`.
 class http_client {
 public:
     /// `maxConnections` to one server at the same time.
@@ -69,7 +84,14 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
+    /// Calls `done` once, never from within `send`; a failure has code `timed_out`, `unavailable`, `too_large` or
+    /// `invalid_argument`. GET, HEAD and OPTIONS requests without `idempotency-key` use a kept connection, others a
+    /// fresh one.
     void send(const address& server, http_request, duration timeout, std::function<void(http_result)> done);
+    void send(
+        const address& server, http_request, duration timeout, connection_use, std::function<void(http_result)> done);
+
+    static constexpr std::size_t maxResponseBody = std::size_t { 16 } * 1024 * 1024;
 
 private:
     struct impl;
--- /dev/null
+++ b/packages/wire/src/acceptor.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "gobject_ptr.h"
+#include <functional>
+#include <poplardeal/base/failure.h>
+#include <poplardeal/wire/address.h>
+#include <poplardeal/wire/event_loop.h>
+
+namespace poplardeal::detail {
+
+/// A listening socket. Gives each accepted connection to its handler, which must not destroy the acceptor.
+class acceptor {
+public:
+    using handler = std::function<void(object_ptr<GSocketConnection>)>;
+
+    /// `io_error` if the address cannot be bound.
+    static result<std::unique_ptr<acceptor>> open(event_loop&, const address&, handler);
+    ~acceptor();
+    acceptor(const acceptor&) = delete;
+    acceptor& operator=(const acceptor&) = delete;
+
+    address local() const;
+
+private:
+    acceptor(event_loop&, object_ptr<GSocket>, handler);
+
+    static gboolean onReadable(GSocket*, GIOCondition, gpointer self);
+    void watch();
+    void unwatch();
+    void acceptOne();
+
+    event_loop& m_loop;
+    object_ptr<GSocket> m_socket;
+    handler m_accept;
+    GSource* m_source { nullptr };
+    event_loop::timer m_resume;
+};
+
+} // namespace poplardeal::detail
--- a/packages/wire/src/channel_impl.h
+++ b/packages/wire/src/channel_impl.h
@@ -50,7 +50,7 @@
     void closeWhenIdle();
     void dropHandlers();
 
-    static constexpr std::size_t readSize = 64 * 1024;
+    static constexpr std::size_t readSize = std::size_t { 64 } * 1024;
     static constexpr duration lingerTime = std::chrono::seconds(2);
 
     event_loop& m_loop;
--- /dev/null
+++ b/packages/wire/src/closing_stream.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "gobject_ptr.h"
+#include <poplardeal/wire/event_loop.h>
+#include <string>
+
+namespace poplardeal::detail {
+
+/// Sends `last` on a stream over `socket`, shuts the sending half, discards what the peer still sends for at most 2 s,
+/// and closes. Closing a socket with unread bytes at once would reset the connection, and the peer might never see
+/// `last`.
+void sendAndClose(event_loop&, object_ptr<GIOStream>, object_ptr<GSocket> socket, std::string last);
+
+} // namespace poplardeal::detail
--- a/packages/wire/src/event_loop.cpp
+++ b/packages/wire/src/event_loop.cpp
@@ -147,9 +147,10 @@
 
 void event_loop::onTerminate(std::function<void()> function)
 {
+    const auto shared = std::make_shared<std::function<void()>>(std::move(function));
     for (const int signal : { SIGTERM, SIGINT }) {
         auto* source = g_unix_signal_source_new(signal);
-        detail::attach(*this, source, detail::runAgain, function);
+        detail::attach(*this, source, detail::runAgain, [shared] { (*shared)(); });
         m_impl->signals.push_back(source);
     }
 }
--- a/packages/wire/tests/channel_test.cpp
+++ b/packages/wire/tests/channel_test.cpp
@@ -1,10 +1,8 @@
 #include "loop_fixture.h"
+#include "raw_socket.h"
 #include "reconnect_delay.h"
-#include <arpa/inet.h>
 #include <optional>
 #include <poplardeal/wire/channel.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace poplardeal;
 
@@ -48,18 +46,6 @@
         client->start();
         BOOST_REQUIRE(runUntil([this] { return client->isUp() && accepted; }));
     }
-
-    /// A plain socket, to send what a channel never would.
-    int connectRaw() const
-    {
-        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in target {};
-        target.sin_family = AF_INET;
-        target.sin_port = htons(server->local().port);
-        inet_pton(AF_INET, loopback, &target.sin_addr);
-        BOOST_REQUIRE(::connect(socket, reinterpret_cast<sockaddr*>(&target), sizeof target) == 0);
-        return socket;
-    }
 };
 
 frame numbered(std::uint64_t number, std::size_t size = 10)
@@ -108,7 +94,7 @@
 // Guards against unbounded memory towards a peer that does not read.
 BOOST_AUTO_TEST_CASE(full_queue_refuses_frames)
 {
-    const int peer = connectRaw();
+    auto peer = raw_socket::connectTo(server->local());
     BOOST_REQUIRE(runUntil([this] { return accepted != nullptr; }));
     std::size_t taken = 0;
     while (taken < 10 && accepted->send(numbered(taken, 16 * 1024 * 1024)))
@@ -116,23 +102,21 @@
     BOOST_TEST(taken == 3);
     BOOST_TEST(accepted->send(numbered(99)));
     BOOST_TEST(!accepted->send({ frame_kind::announce, 0, std::string(maxControlBody + 1, 'x') }));
-    ::close(peer);
 }
 
 // Guards against a corrupt peer that is listened to any further, and against a handler that runs after the channel.
 BOOST_AUTO_TEST_CASE(corrupt_peer_is_closed_with_the_reason)
 {
-    const int peer = connectRaw();
+    auto peer = raw_socket::connectTo(server->local());
     auto bytes = encodeFrame(numbered(1)) + encodeFrame(numbered(2)) + encodeFrame(numbered(3));
     bytes[frameHeaderSize + 10 + frameHeaderSize] = 'x';
-    BOOST_REQUIRE(::send(peer, bytes.data(), bytes.size(), 0) == static_cast<ssize_t>(bytes.size()));
+    peer.send(bytes);
     BOOST_REQUIRE(runUntil([this] { return !closedAtServer.empty(); }));
     BOOST_TEST((closedAtServer[0].code == failure_code::corrupt));
     BOOST_TEST(atServer.size() == 1);
-    char byte = 0;
-    settle();
-    BOOST_TEST(::recv(peer, &byte, 1, MSG_DONTWAIT) == 0);
-    ::close(peer);
+    std::string received;
+    BOOST_TEST(runUntil([&] { return !peer.receiveNow(received); }));
+    BOOST_TEST(received.empty());
 }
 
 // Guards against a use of freed memory when the owner drops the channel while it delivers frames.
--- a/packages/wire/tests/loop_fixture.h
+++ b/packages/wire/tests/loop_fixture.h
@@ -13,7 +13,7 @@
     bool runUntil(const std::function<bool()>& done)
     {
         bool expired = false;
-        const auto limit = loop.after(std::chrono::seconds(60), [&] {
+        const auto limit = loop.after(std::chrono::seconds(20), [&] {
             expired = true;
             loop.quit();
         });
