--- /dev/null
+++ b/packages/placement/src/reports.cpp
@@ -0,0 +1,116 @@
+#include "scheduler_core.h"
+
+#include "scheduler_limits.h"
+#include <algorithm>
+
+namespace poplardeal::detail {
+
+void scheduler_core::onPrepared(lease_record& lease)
+{
+    if (lease.state != lease_state::preparing)
+        return;
+    lease.state = lease_state::prepared;
+    auto& job = m_jobs.at(lease.task.job.value());
+    const auto isPrepared = [this](lease_number number) { return m_leases.at(number).state == lease_state::prepared; };
+    if (!std::ranges::all_of(job.leases, isPrepared))
+        return;
+    job.phase = job_phase::running;
+    job.reason.clear();
+    job.refusals = 0;
+    job.attemptStartedAt = m_now;
+    if (!job.startedAt)
+        job.startedAt = m_now;
+    for (const auto number : job.leases) {
+        auto& member = m_leases.at(number);
+        member.state = lease_state::starting;
+        member.progressFrom = m_now;
+        m_out.push_back(commandFor(member, job));
+    }
+    addPhaseTimer(job, startTimeout, timer_kind::start_late);
+}
+
+void scheduler_core::onPrepareRefused(lease_record& lease, const std::string& detail)
+{
+    if (lease.state == lease_state::releasing) {
+        endLease(lease.number);
+        return;
+    }
+    if (lease.state != lease_state::preparing)
+        return;
+    avoidWorker(lease.spot.worker, avoidanceAfterRefusal);
+    auto& job = m_jobs.at(lease.task.job.value());
+    auto reason = "worker " + m_cluster.worker(lease.spot.worker).spec.id.value() + " refused a task";
+    if (!detail.empty())
+        reason += ": " + detail;
+    endLease(lease.number);
+    releaseGang(job, reason, true);
+}
+
+void scheduler_core::onStarted(lease_record& lease)
+{
+    lease.started = true;
+    auto* job = findJob(lease.task.job.value());
+    if (job == nullptr)
+        return;
+    job->everStarted = true;
+    if (lease.state == lease_state::starting)
+        lease.state = lease_state::running;
+}
+
+void scheduler_core::onCheckpointed(lease_record& lease)
+{
+    lease.progressFrom = m_now;
+    if (lease.state != lease_state::checkpointing)
+        return;
+    lease.state = lease_state::checkpointed;
+    auto& job = m_jobs.at(lease.task.job.value());
+    const auto awaits = [this](lease_number number) {
+        return number != 0 && m_leases.at(number).state == lease_state::checkpointing;
+    };
+    if (std::ranges::none_of(job.leases, awaits))
+        issueStops(job);
+}
+
+/// A report that contradicts what was asked for, such as `finished` of a task that was never to start, is ignored;
+/// `released` of a task whose start was issued means that it never ran.
+void scheduler_core::onEnded(lease_record& lease, task_report_kind kind, const std::string& detail)
+{
+    const auto startIssued = lease.state != lease_state::preparing && lease.state != lease_state::prepared
+        && lease.state != lease_state::releasing;
+    if (!startIssued && kind != task_report_kind::released)
+        return;
+    if (kind == task_report_kind::released && lease.started)
+        return;
+    auto* job = findJob(lease.task.job.value());
+    const auto state = lease.state;
+    const auto worker = lease.spot.worker;
+    const auto started = lease.started;
+    endLease(lease.number);
+    m_placementDue = true;
+    if (job == nullptr || state == lease_state::releasing)
+        return;
+    const auto& workerName = m_cluster.worker(worker).spec.id.value();
+    if (!startIssued)
+        return releaseGang(*job, "worker " + workerName + " released a prepared task", true);
+    if (kind == task_report_kind::finished) {
+        job->everStarted = true;
+        ++job->finishedTasks;
+    } else if (kind != task_report_kind::released) {
+        job->uncertain |= !started;
+    }
+    if (kind == task_report_kind::failed) {
+        ++job->failures;
+        job->failedWorkers.insert(worker);
+        auto reason = "a task failed on worker " + workerName;
+        if (!detail.empty())
+            reason += ": " + detail;
+        if (job->phase == job_phase::running)
+            stopGang(*job, stop_cause::task_failed, reason, false);
+    } else if (kind != task_report_kind::finished && job->phase == job_phase::running) {
+        avoidWorker(worker, avoidanceAfterRefusal);
+        stopGang(*job, stop_cause::start_refused, "worker " + workerName + " gave up a task", false);
+    }
+    finishAttemptIfDone(*job);
+}
+
+} // namespace poplardeal::detail
