placement: reserve guarantees, preempt borrowers, drain for aged gangs

A guarantee held as a count is lost to fragmentation. Each guaranteed shape now has a reservation: the cells that can be taken back for it. Others borrow them; a job of the owner stops the borrowers that lose least work after a checkpoint. Adds response-ratio order with fair shares, draining with preemptible backfill, probation of failing workers, steps against over-use, and a bounded refill of a data centre that returned.

--- a/packages/placement/include/poplardeal/placement/scheduler.h
+++ b/packages/placement/include/poplardeal/placement/scheduler.h
@@ -48,6 +48,21 @@
     std::optional<instant> startedAt;
     std::optional<instant> endedAt;
     std::vector<task_placement> tasks;
+    bool guaranteed { false }; ///< Lies on the guarantee of its workspace and is not preempted.
+};
+
+/// Adjacent accelerators of one worker.
+struct accelerator_block {
+    worker_id worker;
+    std::vector<std::uint32_t> acceleratorIndexes;
+};
+
+/// One guaranteed shape with the blocks that can be taken back for it at any time; no blocks while the workers in
+/// service cannot hold it.
+struct guarantee_status {
+    workspace_name workspace;
+    guaranteed_shape shape; ///< With a count of 1.
+    std::vector<accelerator_block> blocks;
 };
 
 /// The placement decisions. Deterministic: the same events at the same times give the same state and commands.
@@ -80,6 +95,9 @@
     /// All jobs kept, in order of their ids. Ended jobs are kept up to a bound.
     std::vector<job_status> jobs() const;
 
+    /// All guaranteed shapes of the deployment in force. The blocks of different shapes never overlap.
+    std::vector<guarantee_status> guarantees() const;
+
     /// CBOR text of the whole state, and the state back from it (`corrupt` if it is not one).
     std::string save() const;
     static result<scheduler> restore(const std::string&);
--- a/packages/placement/src/cluster.cpp
+++ b/packages/placement/src/cluster.cpp
@@ -59,6 +59,11 @@
     worker.present = true;
     worker.suspected = false;
     worker.used = 0;
+    worker.claimed = 0;
+    worker.claimedAmount = {};
+    worker.avoidUntil = {};
+    worker.failedJobs.clear();
+    worker.onProbation = false;
     worker.free = spec.capacity;
     auto& siblings = m_racks[rack].workers;
     siblings.insert(std::ranges::lower_bound(siblings, index), index);
@@ -73,6 +78,34 @@
     record.leases.insert(lease);
 }
 
+void cluster::claim(std::uint32_t worker, lease_number lease, accelerator_mask mask, const resources& amount)
+{
+    auto& record = m_workers[worker];
+    record.claimed |= mask;
+    record.claimedAmount += amount;
+    record.claims.insert(lease);
+}
+
+void cluster::unclaim(std::uint32_t worker, lease_number lease, accelerator_mask mask, const resources& amount)
+{
+    auto& record = m_workers[worker];
+    if (record.claims.erase(lease) == 0)
+        return;
+    record.claimed &= ~mask;
+    record.claimedAmount -= amount;
+}
+
+worker_offer cluster::freeOffer(std::uint32_t worker) const
+{
+    const auto& record = m_workers[worker];
+    auto offer = worker_offer { fullMask(record.spec.capacity.accelerator.count()) & ~record.used & ~record.claimed,
+        record.free };
+    offer.free -= record.claimedAmount;
+    if (record.onProbation)
+        offer.maxTasks = record.leases.empty() && record.claims.empty() ? 1 : 0;
+    return offer;
+}
+
 void cluster::free(std::uint32_t worker, lease_number lease, accelerator_mask mask, const resources& amount)
 {
     auto& record = m_workers[worker];
--- a/packages/placement/src/cluster.h
+++ b/packages/placement/src/cluster.h
@@ -1,11 +1,20 @@
 #pragma once
 
 #include "records.h"
+#include <limits>
 #include <optional>
 #include <vector>
 
 namespace poplardeal::detail {
 
+/// What a worker may give to a gang, and how much its use is to be avoided (0: not at all).
+struct worker_offer {
+    accelerator_mask accelerators { 0 };
+    resources free;
+    std::int64_t penalty { 0 };
+    std::int64_t maxTasks { std::numeric_limits<std::int64_t>::max() };
+};
+
 /// The resource tree with what is held on each worker. Indexes of workers, racks and data centres never change.
 class cluster {
 public:
@@ -24,8 +33,14 @@
     std::uint32_t join(const worker_spec&);
 
     void hold(std::uint32_t worker, lease_number, accelerator_mask, const resources&);
+    /// A claim keeps others off resources that still have to become free; holding them ends the claim.
+    void claim(std::uint32_t worker, lease_number, accelerator_mask, const resources&);
+    void unclaim(std::uint32_t worker, lease_number, accelerator_mask, const resources&);
     void free(std::uint32_t worker, lease_number, accelerator_mask, const resources&);
 
+    /// Neither held nor claimed.
+    worker_offer freeOffer(std::uint32_t worker) const;
+
     /// True if new tasks may be placed on the worker.
     bool isUsable(std::uint32_t worker, instant now) const;
 
--- a/packages/placement/src/events.cpp
+++ b/packages/placement/src/events.cpp
@@ -18,6 +18,7 @@
 void scheduler_core::on(const deployment_changed& event)
 {
     m_pools = event.current.workerPools;
+    m_expected = expectedCluster(m_pools);
     for (auto& [name, record] : m_workspaces)
         record.defined = false;
     for (const auto& definition : event.current.workspaces) {
@@ -27,7 +28,40 @@
     }
     for (const auto& dataCentre : event.current.dataCentres)
         setInService(m_cluster.addDataCentre(dataCentre.name), dataCentre.inService);
-    m_placementDue = true;
+    rebuildReservations();
+    refuseImpossible();
+    m_capacityGrew = true;
+}
+
+/// Ends waiting jobs that the new deployment leaves no way to run.
+void scheduler_core::refuseImpossible()
+{
+    struct answer {
+        job_template spec;
+        std::string reason;
+    };
+    std::map<job_group_key, answer> answers;
+    std::vector<std::pair<job_number, std::string>> impossible;
+    for (auto& [number, job] : m_jobs) {
+        if (job.phase != job_phase::waiting)
+            continue;
+        auto& known = answers[{ job.workspace, job.spec.name }];
+        if (known.spec != job.spec) {
+            const auto& owner = m_workspaces.at(job.workspace);
+            const auto removed = "workspace " + job.workspace.value() + " was removed";
+            known = { job.spec, owner.defined ? neverRuns(owner, job.spec) : removed };
+        }
+        if (!known.reason.empty())
+            impossible.emplace_back(number, known.reason);
+    }
+    for (const auto& [number, reason] : impossible) {
+        auto& job = m_jobs.at(number);
+        if (job.claiming)
+            dropClaim(job);
+        dequeue(job);
+        const auto neverRan = verdictOf(job) == run_verdict::not_run;
+        endJob(job, neverRan ? job_phase::refused : job_phase::failed, reason);
+    }
 }
 
 void scheduler_core::on(const worker_joined& event)
@@ -47,7 +81,8 @@
             loseWorker(*known);
     }
     m_cluster.join(event.worker);
-    m_placementDue = true;
+    m_capacityGrew = true;
+    m_reservationsDue = true;
 }
 
 void scheduler_core::on(const worker_lost& event)
@@ -56,7 +91,8 @@
     if (!known || !m_cluster.worker(*known).present || m_cluster.worker(*known).spec.instance != event.instance)
         return;
     loseWorker(*known);
-    m_placementDue = true;
+    m_capacityGrew = true;
+    m_reservationsDue = true;
 }
 
 void scheduler_core::on(const worker_suspected& event)
@@ -64,6 +100,7 @@
     const auto known = m_cluster.findWorker(event.worker);
     if (known && m_cluster.worker(*known).spec.instance == event.instance)
         m_cluster.worker(*known).suspected = true;
+    m_reservationsDue = true;
 }
 
 void scheduler_core::on(const worker_recovered& event)
@@ -72,13 +109,15 @@
     if (!known || m_cluster.worker(*known).spec.instance != event.instance)
         return;
     m_cluster.worker(*known).suspected = false;
-    m_placementDue = true;
+    m_capacityGrew = true;
+    m_reservationsDue = true;
 }
 
 void scheduler_core::loseWorker(std::uint32_t worker)
 {
     auto& record = m_cluster.worker(worker);
     record.present = false;
+    m_reservationsDue = true;
     const auto reason = "worker " + record.spec.id.value() + " was lost";
     std::set<job_number> affected;
     const auto leases = std::vector(record.leases.begin(), record.leases.end());
@@ -114,9 +153,12 @@
     if (record.inService == inService)
         return;
     record.inService = inService;
-    m_placementDue = true;
+    m_capacityGrew = true;
+    m_reservationsDue = true;
     if (inService) {
         record.returnedAt = m_now;
+        record.tokensAt = m_now;
+        record.startTokens = refillBurst;
         return;
     }
     std::set<std::tuple<job_priority, instant, job_number>> affected;
@@ -191,7 +233,33 @@
     }
 }
 
-void scheduler_core::on(const usage_reported&) { }
+/// Steps are taken only on a report that still shows the task over its declaration, never on time alone.
+void scheduler_core::on(const usage_reported& event)
+{
+    auto* lease = findLease(event.task, event.lease);
+    if (lease == nullptr || lease->state != lease_state::running)
+        return;
+    if (event.used.fitsIn(lease->amount)) {
+        lease->overuseSteps = 0;
+        return;
+    }
+    if (lease->overuseSteps > 0 && m_now < lease->overuseSince + overuseStepInterval)
+        return;
+    lease->overuseSince = m_now;
+    const auto& worker = m_cluster.worker(lease->spot.worker).spec.id;
+    switch (++lease->overuseSteps) {
+    case 1:
+        m_out.push_back(throttle_task { lease->task, event.lease, worker });
+        return;
+    case 2:
+        m_out.push_back(checkpoint_task { lease->task, event.lease, worker });
+        return;
+    default:
+        break;
+    }
+    const auto reason = "a task used " + resourceText(event.used) + ", declared " + resourceText(lease->amount);
+    stopGang(m_jobs.at(event.task.job.value()), stop_cause::overused, reason, false);
+}
 
 void scheduler_core::on(const time_passed&) { }
 
--- a/packages/placement/src/feasibility.cpp
+++ b/packages/placement/src/feasibility.cpp
@@ -102,7 +102,7 @@
     if (!demand.fitsIn(entry.definition.quota))
         return "needs " + resourceText(demand) + ", more than the quota of workspace " + entry.definition.name.value()
             + " (" + resourceText(entry.definition.quota) + ")";
-    if (fitsEmpty(expectedCluster(m_pools), spec) || fitsEmpty(joinedCluster(m_cluster), spec))
+    if (fitsEmpty(m_expected, spec) || fitsEmpty(joinedCluster(m_cluster), spec))
         return "";
     return "no " + std::string(scopeText(spec.within)) + " can hold " + std::to_string(spec.tasks) + " tasks of "
         + resourceText(spec.perTask) + " even when empty";
--- a/packages/placement/src/feasibility.h
+++ b/packages/placement/src/feasibility.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cluster.h"
+#include "records.h"
 #include <map>
 #include <poplardeal/deployment/model.h>
 
@@ -15,6 +15,13 @@
 /// Empty workers by data centre and rack.
 using empty_cluster = std::map<data_centre_name, std::map<rack_name, std::vector<empty_workers>>>;
 
+/// What the workers could hold if they were empty, to explain why jobs wait.
+struct wait_view {
+    empty_cluster usable;
+    empty_cluster present;
+    std::string outOfService; ///< Names of the data centres that are out.
+};
+
 /// All worker pools of the deployment, whether in service or not.
 empty_cluster expectedCluster(const std::vector<worker_pool>&);
 
--- a/packages/placement/src/gang_search.cpp
+++ b/packages/placement/src/gang_search.cpp
@@ -9,9 +9,9 @@
 {
     if (!perTask.fitsIn(offer.free))
         return 0;
-    auto count = std::numeric_limits<std::int64_t>::max();
+    auto count = offer.maxTasks;
     if (perTask.accelerator.count() > 0)
-        count = countBlocks(offer.accelerators, perTask.accelerator.count());
+        count = std::min(count, countBlocks(offer.accelerators, perTask.accelerator.count()));
     if (count > 0 && perTask.cpu.count() > 0)
         count = std::min(count, offer.free.cpu.count() / perTask.cpu.count());
     if (count > 0 && perTask.memory.count() > 0)
@@ -35,8 +35,7 @@
     return cost + (offer.penalty << 36);
 }
 
-/// Key of the group of a worker: its rack or data centre, or one group of all.
-static std::uint32_t groupOf(const cluster& tree, std::uint32_t worker, scope within)
+std::uint32_t groupOf(const cluster& tree, std::uint32_t worker, scope within)
 {
     switch (within) {
     case scope::worker:
--- a/packages/placement/src/gang_search.h
+++ b/packages/placement/src/gang_search.h
@@ -14,13 +14,6 @@
     scope within { scope::anywhere };
 };
 
-/// What a worker may give to a gang, and how much its use is to be avoided (0: not at all).
-struct worker_offer {
-    accelerator_mask accelerators { 0 };
-    resources free;
-    std::int64_t penalty { 0 };
-};
-
 /// A worker that can take `count` tasks; the worker with the lowest cost is filled first.
 struct gang_candidate {
     std::uint32_t worker { 0 };
@@ -62,4 +55,7 @@
     return placeGang(tree, demand, scratch);
 }
 
+/// Key of the group that a worker belongs to under a scope: its rack, its data centre, or one group of all.
+std::uint32_t groupOf(const cluster&, std::uint32_t worker, scope within);
+
 } // namespace poplardeal::detail
--- a/packages/placement/src/lifecycle.cpp
+++ b/packages/placement/src/lifecycle.cpp
@@ -28,32 +28,6 @@
     return found == m_leases.end() || found->second.task != task ? nullptr : &found->second;
 }
 
-void scheduler_core::startGang(job_record& job, const std::vector<task_spot>& spots)
-{
-    dequeue(job);
-    job.phase = job_phase::preparing;
-    job.cause = stop_cause::none;
-    job.reason.clear();
-    ++job.attempt;
-    job.finishedTasks = 0;
-    job.leases.clear();
-    auto& workspaceEntry = m_workspaces[job.workspace];
-    for (std::uint32_t index = 0; index < spots.size(); ++index) {
-        const auto number = m_nextLease++;
-        auto& lease = m_leases[number];
-        lease.number = number;
-        lease.task = { job_id(job.number), index, job.attempt };
-        lease.workspace = job.workspace;
-        lease.amount = job.spec.perTask;
-        lease.spot = spots[index];
-        m_cluster.hold(lease.spot.worker, number, lease.spot.accelerators, job.spec.perTask);
-        workspaceEntry.held += job.spec.perTask;
-        job.leases.push_back(number);
-        m_out.push_back(commandFor(lease, job));
-    }
-    addPhaseTimer(job, prepareTimeout, timer_kind::prepare_late);
-}
-
 void scheduler_core::releaseGang(job_record& job, const std::string& reason, bool backOff)
 {
     for (const auto number : job.leases) {
@@ -61,6 +35,7 @@
         if (found == m_leases.end())
             continue;
         found->second.state = lease_state::releasing;
+        found->second.secured = false;
         m_out.push_back(commandFor(found->second, job));
     }
     job.leases.clear();
@@ -80,6 +55,7 @@
         if (number == 0)
             continue;
         auto& lease = m_leases.at(number);
+        lease.secured = false;
         if (!withCheckpoint || lease.state != lease_state::running)
             continue;
         lease.state = lease_state::checkpointing;
@@ -122,7 +98,7 @@
     if (job != nullptr && lease.task.index < job->leases.size() && job->leases[lease.task.index] == number)
         job->leases[lease.task.index] = 0;
     m_leases.erase(found);
-    m_placementDue = true;
+    m_capacityGrew = true;
 }
 
 void scheduler_core::finishAttemptIfDone(job_record& job)
@@ -132,8 +108,10 @@
     if (std::ranges::any_of(job.leases, [](lease_number number) { return number != 0; }))
         return;
     job.leases.clear();
-    if (job.finishedTasks == job.spec.tasks)
+    if (job.finishedTasks == job.spec.tasks) {
+        learnRunTime(job);
         return endJob(job, job_phase::succeeded, "");
+    }
     switch (job.cause) {
     case stop_cause::cancelled:
         return endJob(job, job_phase::cancelled, job.reason);
@@ -157,7 +135,9 @@
     if (backOff) {
         const auto doublings = std::clamp<std::int64_t>(job.refusals + job.failures - 1, 0, maxBackoffDoublings);
         job.notBefore = m_now + firstBackoff * (std::int64_t { 1 } << doublings);
-        addTimer(job.notBefore - m_now, timer_kind::wake, job.number);
+        // Not in the queue until then, so that jobs of the same template behind it are served.
+        addTimer(job.notBefore - m_now, timer_kind::backoff_over, job.number);
+        return;
     }
     enqueue(job);
 }
@@ -168,6 +148,7 @@
     job.reason = reason;
     job.endedAt = m_now;
     job.leases.clear();
+    endDrain(job);
     m_ended.push_back(job.number);
     while (m_ended.size() > maxEndedJobs) {
         const auto oldest = m_ended.front();
@@ -182,6 +163,8 @@
     const std::string reason = "cancelled by order";
     switch (job.phase) {
     case job_phase::waiting:
+        if (job.claiming)
+            dropClaim(job);
         dequeue(job);
         return endJob(job, job_phase::cancelled, reason);
     case job_phase::preparing:
@@ -211,12 +194,26 @@
 void scheduler_core::fire(timer_kind kind, std::uint64_t subject)
 {
     if (kind == timer_kind::wake) {
+        m_capacityGrew = true;
+        m_reservationsDue = true;
+        return;
+    }
+    if (kind == timer_kind::refill)
+        return addStartTokens();
+    if (kind == timer_kind::review) {
         m_placementDue = true;
         return;
     }
     auto* job = findJob(subject);
-    if (job == nullptr || job->phaseDeadline > m_now)
+    if (job == nullptr)
         return;
+    const auto isWaiting = job->phase == job_phase::waiting && !job->claiming;
+    if (kind == timer_kind::backoff_over && isWaiting && job->notBefore <= m_now)
+        return enqueue(*job);
+    if (job->phaseDeadline > m_now)
+        return;
+    if (kind == timer_kind::claim_late && job->claiming)
+        onClaimLate(*job);
     if (kind == timer_kind::prepare_late && job->phase == job_phase::preparing)
         onPrepareLate(*job);
     else if (kind == timer_kind::start_late && job->phase == job_phase::running)
@@ -231,6 +228,7 @@
 {
     auto& record = m_cluster.worker(worker);
     record.avoidUntil = std::max(record.avoidUntil, m_now + length);
+    m_reservationsDue = true;
     addTimer(length, timer_kind::wake, 0);
 }
 
@@ -259,6 +257,17 @@
     }
 }
 
+/// What is claimed did not become free in time: its workers are avoided, and the job looks elsewhere.
+void scheduler_core::onClaimLate(job_record& job)
+{
+    for (const auto number : job.leases) {
+        const auto& spot = m_leases.at(number).spot;
+        if ((m_cluster.worker(spot.worker).used & spot.accelerators) != 0)
+            avoidWorker(spot.worker, avoidanceAfterSilence);
+    }
+    dropClaim(job);
+}
+
 void scheduler_core::onStopLate(job_record& job)
 {
     for (const auto number : job.leases) {
--- a/packages/placement/src/queue.cpp
+++ b/packages/placement/src/queue.cpp
@@ -1,5 +1,6 @@
 #include "scheduler_core.h"
 
+#include "feasibility.h"
 #include "scheduler_limits.h"
 #include <algorithm>
 
@@ -7,8 +8,11 @@
 
 void scheduler_core::enqueue(job_record& job)
 {
-    m_waiting[{ job.workspace, job.spec.name }].emplace(job.acceptedAt, job.number);
-    m_placementDue = true;
+    const job_group_key key { job.workspace, job.spec.name };
+    auto& queue = m_waiting[key];
+    const auto inserted = queue.emplace(job.acceptedAt, job.number).first;
+    if (inserted == queue.begin())
+        m_newHeads.insert(key);
 }
 
 void scheduler_core::dequeue(job_record& job)
@@ -16,66 +20,266 @@
     const auto group = m_waiting.find({ job.workspace, job.spec.name });
     if (group == m_waiting.end())
         return;
+    const auto wasHead = group->second.begin()->second == job.number;
     group->second.erase({ job.acceptedAt, job.number });
     if (group->second.empty())
         m_waiting.erase(group);
+    else if (wasHead)
+        m_newHeads.insert(group->first);
 }
 
 bool scheduler_core::fitsQuota(const job_record& job) const
 {
     const auto& entry = m_workspaces.at(job.workspace);
-    auto wanted = entry.held;
-    for (std::int64_t i = 0; i < job.spec.tasks; ++i)
-        wanted += job.spec.perTask;
+    auto wanted = totalDemand(job.spec);
+    wanted += entry.held;
     return wanted.fitsIn(entry.definition.quota);
 }
 
-bool scheduler_core::tryPlace(job_record& job)
+duration scheduler_core::estimate(const job_record& job) const
+{
+    const auto learned = m_runTimeRatios.find({ job.workspace, job.spec.name });
+    const auto ratio = learned == m_runTimeRatios.end() ? 1024 : learned->second;
+    const auto declared = std::clamp<std::int64_t>(job.spec.runTime.count(), 1'000'000, 10'000'000'000'000);
+    return std::max<duration>(duration(declared / 1024 * ratio), 1s);
+}
+
+void scheduler_core::learnRunTime(const job_record& job)
 {
-    if (job.notBefore > m_now || !fitsQuota(job))
+    const auto declared = std::max<std::int64_t>(job.spec.runTime.count(), 1'000'000);
+    const auto actual = (m_now - job.attemptStartedAt).count();
+    const auto ratio = std::clamp<std::int64_t>(actual * 16 / declared * 64, 1, 1024 * 100);
+    auto [entry, isNew] = m_runTimeRatios.emplace(job_group_key { job.workspace, job.spec.name }, ratio);
+    if (!isNew)
+        entry->second = (entry->second * 3 + ratio) / 4;
+}
+
+bool scheduler_core::isAged(const job_record& job) const
+{
+    const auto waited = m_now - job.acceptedAt;
+    return waited >= maxAgedWait || (waited >= minAgedWait && waited >= estimate(job) * agedWaitFactor);
+}
+
+/// Response ratio (waiting time relative to run time), divided among borrowers by the share of the quota they hold.
+/// Short jobs go first, and every job gets there by waiting.
+std::int64_t scheduler_core::scoreOf(const job_record& job) const
+{
+    if (job.spec.priority == job_priority::urgent)
+        return 0;
+    const auto waited = std::min((m_now - job.acceptedAt).count(), std::int64_t { 1'000'000'000'000 });
+    const auto ratio = 1024 + waited * 1024 / estimate(job).count();
+    if (job.spec.priority != job_priority::borrowed)
+        return ratio;
+    const auto& entry = m_workspaces.at(job.workspace);
+    const auto share = [](std::int64_t held, std::int64_t quota) { return quota > 0 ? held * 1024 / quota : 0; };
+    const auto& quota = entry.definition.quota;
+    const auto dominant = std::max(share(entry.held.cpu.count(), quota.cpu.count()),
+        share(entry.held.accelerator.count(), quota.accelerator.count()));
+    return ratio * 1024 / (256 + dominant);
+}
+
+/// Usable, and within the rate at which a data centre that returned is filled.
+bool scheduler_core::isOffered(std::uint32_t worker) const
+{
+    if (!m_cluster.isUsable(worker, m_now))
         return false;
-    const auto offer = [this](std::uint32_t worker) -> std::optional<worker_offer> {
-        if (!m_cluster.isUsable(worker, m_now))
-            return std::nullopt;
-        const auto& record = m_cluster.worker(worker);
-        const auto all = fullMask(record.spec.capacity.accelerator.count());
-        return worker_offer { all & ~record.used, record.free, 0 };
+    const auto& dataCentre = m_cluster.dataCentres()[m_cluster.worker(worker).dataCentre];
+    return dataCentre.startTokens > 0 || !isRefilling(dataCentre);
+}
+
+bool scheduler_core::isRefilling(const data_centre_record& dataCentre) const
+{
+    return toMicros(dataCentre.returnedAt) != 0 && m_now < dataCentre.returnedAt + refillPeriod;
+}
+
+void scheduler_core::addStartTokens()
+{
+    for (std::uint32_t i = 0; i < m_cluster.dataCentres().size(); ++i) {
+        auto& record = m_cluster.dataCentre(i);
+        if (!isRefilling(record))
+            continue;
+        const auto gained = (m_now - record.tokensAt).count() * refillPerSecond / 1'000'000;
+        if (gained <= 0)
+            continue;
+        if (record.startTokens <= 0)
+            m_capacityGrew = true;
+        record.startTokens = std::min(record.startTokens + gained, refillBurst);
+        record.tokensAt = m_now;
+    }
+}
+
+void scheduler_core::takeStartTokens(const std::vector<task_spot>& spots)
+{
+    for (const auto& spot : spots) {
+        auto& record = m_cluster.dataCentre(m_cluster.worker(spot.worker).dataCentre);
+        if (!isRefilling(record))
+            continue;
+        --record.startTokens;
+        if (record.startTokens > 0)
+            continue;
+        const auto untilNext = duration((1 - record.startTokens) * 1'000'000 / refillPerSecond + 1);
+        const auto next = std::min(record.tokensAt + untilNext, record.returnedAt + refillPeriod);
+        addTimer(next - m_now, timer_kind::refill, 0);
+    }
+}
+
+bool scheduler_core::placeOnFree(job_record& job)
+{
+    const gang_demand demand { job.spec.tasks, job.spec.perTask, job.spec.within };
+    const auto search = [&](bool onReserved) {
+        ++m_searches;
+        return findGang(
+            m_cluster, demand,
+            [&](std::uint32_t worker) -> std::optional<worker_offer> {
+                const auto& record = m_cluster.worker(worker);
+                if (!job.spec.perTask.fitsIn(record.free) || !isOffered(worker))
+                    return std::nullopt;
+                auto offer = m_cluster.freeOffer(worker);
+                if (!onReserved)
+                    offer.accelerators &= ~record.reserved;
+                offer.penalty = record.reserved != 0 ? 1 : 0;
+                const auto drained = m_drainedWorkers.empty() ? m_drainedWorkers.end() : m_drainedWorkers.find(worker);
+                if (drained != m_drainedWorkers.end() && drained->second != job.number)
+                    offer.penalty += 2;
+                if (job.failedWorkers.contains(worker))
+                    offer.penalty += 4;
+                return offer;
+            },
+            m_scratch);
     };
-    const auto spots = findGang(m_cluster, { job.spec.tasks, job.spec.perTask, job.spec.within }, offer, m_scratch);
+    auto spots = search(false);
+    if (spots.empty() && !m_reservations.empty() && job.spec.perTask.accelerator.count() > 0)
+        spots = search(true);
     if (spots.empty())
         return false;
-    startGang(job, spots);
+    claimGang(job, spots, false);
     return true;
 }
 
-void scheduler_core::placeWaiting()
+bool scheduler_core::tryPlace(job_record& job)
 {
-    if (!m_placementDue)
-        return;
-    m_placementDue = false;
-    std::set<std::tuple<job_priority, instant, job_number>> heads;
-    for (const auto& [key, queue] : m_waiting) {
-        const auto& job = m_jobs.at(queue.begin()->second);
-        heads.emplace(job.spec.priority, job.acceptedAt, job.number);
+    if (!fitsQuota(job))
+        return false;
+    if (mayUseGuarantee(job) && claimGuarantee(job))
+        return true;
+    if (m_draining.contains(job.number) && claimDrained(job))
+        return true;
+    const auto& amount = job.spec.perTask;
+    const demand_key key { job.spec.tasks, amount.cpu.count(), amount.memory.count(), amount.accelerator.count(),
+        job.spec.within, job.spec.priority == job_priority::urgent };
+    if (!m_failedDemands.contains(key)) {
+        if (placeOnFree(job))
+            return true;
+        if (job.spec.priority == job_priority::urgent && claimByPreemption(job))
+            return true;
+        m_failedDemands.insert(key);
+    }
+    if (!m_draining.contains(job.number) && m_draining.size() < maxDrainingJobs && isAged(job)) {
+        ++m_searches;
+        drainFor(job);
     }
-    while (!heads.empty()) {
-        auto& job = m_jobs.at(std::get<2>(*heads.begin()));
+    return false;
+}
+
+void scheduler_core::placeHeads(std::set<pass_entry>& heads)
+{
+    while (!heads.empty() && m_searches < maxSearchesPerPass) {
+        auto& job = m_jobs.at(std::get<3>(*heads.begin()));
         heads.erase(heads.begin());
+        const auto key = job_group_key { job.workspace, job.spec.name };
         if (!tryPlace(job))
             continue;
-        const auto group = m_waiting.find({ job.workspace, job.spec.name });
-        if (group == m_waiting.end())
+        auto leases = job.leases;
+        if (activateClaim(job)) {
+            std::vector<task_spot> spots;
+            for (const auto number : leases)
+                spots.push_back(m_leases.at(number).spot);
+            takeStartTokens(spots);
+        }
+        const auto group = m_waiting.find(key);
+        if (group != m_waiting.end())
+            heads.insert(passEntry(m_jobs.at(group->second.begin()->second)));
+    }
+}
+
+scheduler_core::pass_entry scheduler_core::passEntry(const job_record& job) const
+{
+    return { job.spec.priority, -scoreOf(job), job.acceptedAt, job.number };
+}
+
+/// One pass over the heads of the waiting queues. A new job costs only its own search; the others are tried again
+/// when capacity grew or jobs have aged.
+void scheduler_core::placeWaiting()
+{
+    addStartTokens();
+    reviewReservations();
+    if (m_capacityGrew)
+        reviewClaims();
+    const auto all = m_capacityGrew || m_placementDue;
+    if (m_capacityGrew)
+        m_failedDemands.clear();
+    m_capacityGrew = false;
+    m_placementDue = false;
+    m_searches = 0;
+    std::set<pass_entry> heads;
+    if (all) {
+        for (const auto& [key, queue] : m_waiting)
+            heads.insert(passEntry(m_jobs.at(queue.begin()->second)));
+    } else {
+        for (const auto& key : m_newHeads) {
+            const auto group = m_waiting.find(key);
+            if (group != m_waiting.end())
+                heads.insert(passEntry(m_jobs.at(group->second.begin()->second)));
+        }
+    }
+    m_newHeads.clear();
+    placeHeads(heads);
+    for (const auto& entry : heads) {
+        const auto& job = m_jobs.at(std::get<3>(entry));
+        m_newHeads.emplace(job.workspace, job.spec.name);
+    }
+    if (!m_newHeads.empty() || m_capacityGrew)
+        addTimer(1ms, timer_kind::review, 0);
+    if (!m_waiting.empty() && m_nextReview <= m_now) {
+        m_nextReview = m_now + reviewInterval;
+        addTimer(reviewInterval, timer_kind::review, 0);
+    }
+}
+
+wait_view scheduler_core::waitView() const
+{
+    wait_view view;
+    for (std::uint32_t i = 0; i < m_cluster.workers().size(); ++i) {
+        const auto& worker = m_cluster.worker(i);
+        if (!worker.present)
             continue;
-        const auto& next = m_jobs.at(group->second.begin()->second);
-        heads.emplace(next.spec.priority, next.acceptedAt, next.number);
+        view.present[worker.spec.dataCentre][worker.spec.rack].push_back({ 1, worker.spec.capacity });
+        if (m_cluster.isUsable(i, m_now))
+            view.usable[worker.spec.dataCentre][worker.spec.rack].push_back({ 1, worker.spec.capacity });
+    }
+    for (const auto& dataCentre : m_cluster.dataCentres()) {
+        if (!dataCentre.inService)
+            view.outOfService += (view.outOfService.empty() ? "" : ", ") + dataCentre.name.value();
     }
+    return view;
 }
 
-std::string scheduler_core::waitReason(const job_record& job) const
+std::string scheduler_core::waitReason(const job_record& job, const wait_view& view) const
 {
-    if (!job.reason.empty())
-        return job.reason;
-    return "waits for free resources";
+    if (job.claiming)
+        return "waits for preempted tasks to stop";
+    if (job.notBefore > m_now)
+        return job.reason + "; will be tried again";
+    if (!fitsQuota(job))
+        return "the quota of workspace " + job.workspace.value() + " is in use";
+    if (fitsEmpty(view.usable, job.spec))
+        return m_draining.contains(job.number) ? "waits for the tasks before it on the chosen workers"
+                                               : "waits for free resources";
+    if (!fitsEmpty(view.present, job.spec))
+        return "waits for workers that have not joined or were lost";
+    if (view.outOfService.empty())
+        return "waits for workers that do not answer";
+    return "waits for data centres out of service: " + view.outOfService;
 }
 
 } // namespace poplardeal::detail
--- a/packages/placement/src/records.h
+++ b/packages/placement/src/records.h
@@ -26,7 +26,16 @@
     friend bool operator==(const task_spot&, const task_spot&) = default;
 };
 
+/// One set of blocks to be packed: `blocks` blocks of `blockAccelerators` adjacent accelerators within a scope.
+struct shape_instance {
+    std::int64_t blocks { 1 };
+    std::int64_t blockAccelerators { 1 };
+    scope within { scope::rack };
+    friend auto operator<=>(const shape_instance&, const shape_instance&) = default;
+};
+
 enum class lease_state {
+    claimed, ///< Promised to a waiting job; the resources are still held by tasks that are being stopped.
     preparing,
     prepared,
     starting, ///< start_task was issued, `started` was not reported yet.
@@ -46,6 +55,7 @@
     task_spot spot;
     lease_state state { lease_state::preparing };
     bool started { false };
+    bool secured { false }; ///< Lies on the reservation of its workspace and is not preempted.
     instant progressFrom; ///< Work after this moment is lost by a stop.
     std::int64_t overuseSteps { 0 };
     instant overuseSince;
@@ -82,6 +92,9 @@
     std::vector<lease_number> leases; ///< By task index; 0 once the lease ended.
     std::int64_t finishedTasks { 0 };
     std::set<std::uint32_t> failedWorkers;
+    bool claiming { false }; ///< Waits, with claims instead of leases, for preempted tasks to leave.
+    std::vector<task_spot> shadow; ///< Place that is drained for this job; others use it as backfill.
+    job_number backfilledBefore { 0 }; ///< This job may preempt it.
     bool everStarted { false };
     bool uncertain { false }; ///< A start was issued and nothing proves that the task did not run.
 };
@@ -93,9 +106,13 @@
     bool present { false };
     bool suspected { false };
     accelerator_mask used { 0 };
-    resources free;
+    accelerator_mask claimed { 0 };
+    accelerator_mask reserved { 0 }; ///< Counterparts of guarantees.
+    resources free; ///< Not held by leases.
+    resources claimedAmount;
     instant avoidUntil;
     std::set<lease_number> leases;
+    std::set<lease_number> claims;
     std::vector<job_number> failedJobs; ///< Different jobs that failed here in a row.
     bool onProbation { false };
 };
@@ -110,11 +127,18 @@
     data_centre_name name;
     bool inService { true };
     instant returnedAt;
-    std::int64_t startTokens { 0 }; ///< Tasks that may still be placed in the second of `tokensAt`.
+    std::int64_t startTokens { 0 }; ///< Tasks that may be placed as of `tokensAt`, while it is being filled again.
     instant tokensAt;
     std::vector<std::uint32_t> racks;
 };
 
+/// One guaranteed shape and the place that can be taken back for it at any time. No place: none is in service.
+struct reservation {
+    workspace_name owner;
+    shape_instance shape;
+    std::vector<task_spot> cells;
+};
+
 struct workspace_record {
     workspace definition;
     bool defined { false };
@@ -126,7 +150,11 @@
     start_late,
     stop_due, ///< Checkpoints have had their time.
     stop_late, ///< A stop was not answered.
-    wake, ///< Try to place waiting jobs.
+    claim_late, ///< Preempted tasks did not leave in time.
+    backoff_over,
+    wake, ///< Workers may be used again.
+    review, ///< Jobs have aged.
+    refill, ///< A data centre that returned may take more tasks.
 };
 
 /// Due time, kind and the job or worker it is for. A timer that no longer applies does nothing.
--- a/packages/placement/src/reports.cpp
+++ b/packages/placement/src/reports.cpp
@@ -86,9 +86,9 @@
     const auto worker = lease.spot.worker;
     const auto started = lease.started;
     endLease(lease.number);
-    m_placementDue = true;
     if (job == nullptr || state == lease_state::releasing)
         return;
+    countOutcome(worker, job->number, kind);
     const auto& workerName = m_cluster.worker(worker).spec.id.value();
     if (!startIssued)
         return releaseGang(*job, "worker " + workerName + " released a prepared task", true);
@@ -113,4 +113,28 @@
     finishAttemptIfDone(*job);
 }
 
+/// A success ends the probation of a worker. Failures of different jobs in a row start it; a failure during it
+/// pauses the worker before the next probe.
+void scheduler_core::countOutcome(std::uint32_t worker, job_number job, task_report_kind kind)
+{
+    auto& record = m_cluster.worker(worker);
+    if (kind == task_report_kind::finished) {
+        record.failedJobs.clear();
+        if (record.onProbation)
+            m_reservationsDue = true;
+        record.onProbation = false;
+        return;
+    }
+    if (kind != task_report_kind::failed)
+        return;
+    if (record.onProbation)
+        return avoidWorker(worker, pauseAfterFailedProbe);
+    if (std::ranges::find(record.failedJobs, job) == record.failedJobs.end())
+        record.failedJobs.push_back(job);
+    if (record.failedJobs.size() < failedJobsBeforeProbation)
+        return;
+    record.onProbation = true;
+    m_reservationsDue = true;
+}
+
 } // namespace poplardeal::detail
--- a/packages/placement/src/scheduler.cpp
+++ b/packages/placement/src/scheduler.cpp
@@ -36,6 +36,8 @@
 
 std::vector<job_status> scheduler::jobs() const { return m_impl->core.jobs(); }
 
+std::vector<guarantee_status> scheduler::guarantees() const { return m_impl->core.guarantees(); }
+
 namespace detail {
 
     /// Raised when the layout of the saved state changes.
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "cluster.h"
+#include "feasibility.h"
 #include "gang_search.h"
 #include "records.h"
+#include "shape_packer.h"
 #include <deque>
 #include <nlohmann/json_fwd.hpp>
 #include <poplardeal/placement/scheduler.h>
@@ -13,6 +15,9 @@
 using job_group_key = std::pair<workspace_name, job_name>;
 using waiting_queue = std::set<std::pair<instant, job_number>>;
 
+/// Tasks, cores, memory, accelerators, scope, and whether lower priorities may be preempted.
+using demand_key = std::tuple<std::int64_t, std::int64_t, std::int64_t, std::int64_t, scope, bool>;
+
 /// State and rules of the scheduler.
 class scheduler_core {
 public:
@@ -22,6 +27,7 @@
     std::vector<placement_command> outstandingCommands(const worker_id&) const;
     std::optional<job_status> job(job_id) const;
     std::vector<job_status> jobs() const;
+    std::vector<guarantee_status> guarantees() const;
 
     nlohmann::json toJson() const;
     /// Throws `nlohmann::json::exception` or `std::out_of_range` on a damaged state.
@@ -43,6 +49,7 @@
     void on(const usage_reported&);
     void on(const time_passed&);
     void loseWorker(std::uint32_t worker);
+    void refuseImpossible();
     void setInService(std::uint32_t dataCentre, bool inService);
 
     // reports.cpp
@@ -51,9 +58,9 @@
     void onStarted(lease_record&);
     void onEnded(lease_record&, task_report_kind, const std::string& detail);
     void onCheckpointed(lease_record&);
+    void countOutcome(std::uint32_t worker, job_number, task_report_kind);
 
     // lifecycle.cpp
-    void startGang(job_record&, const std::vector<task_spot>&);
     void releaseGang(job_record&, const std::string& reason, bool backOff);
     void stopGang(job_record&, stop_cause, const std::string& reason, bool withCheckpoint);
     void issueStops(job_record&);
@@ -67,24 +74,75 @@
     void onPrepareLate(job_record&);
     void onStartLate(job_record&);
     void onStopLate(job_record&);
+    void onClaimLate(job_record&);
     void avoidWorker(std::uint32_t worker, duration length);
     void addPhaseTimer(job_record&, duration delay, timer_kind);
     void addTimer(duration delay, timer_kind, std::uint64_t subject);
 
+    // claims.cpp
+    /// Gives the job these spots: prepares the gang at once or, while tasks that are leaving hold them, claims them.
+    void claimGang(job_record&, const std::vector<task_spot>&, bool secured);
+    bool activateClaim(job_record&);
+    void dropClaim(job_record&);
+    void reviewClaims();
+    void vacate(const std::vector<job_number>& victims, const job_record& successor);
+
+    // preemption.cpp
+    bool isLeaving(const lease_record&) const;
+    std::int64_t lostWork(const lease_record&) const;
+    std::int64_t remainingWork(const lease_record&) const;
+    bool claimGuarantee(job_record&);
+    bool claimByPreemption(job_record&);
+    void drainFor(job_record&);
+    bool claimDrained(job_record&);
+    void endDrain(job_record&);
+    std::vector<job_number> jobsOf(const std::vector<lease_number>&) const;
+
+    // guarantees.cpp
+    using cell_map = std::map<std::uint32_t, accelerator_mask>;
+    void rebuildReservations();
+    void reviewReservations();
+    bool keepsCells(const reservation&) const;
+    bool isInUse(const reservation&) const;
+    bool placeMissing();
+    void repack(bool keepUsed);
+    std::vector<packing_worker> packingWorkers() const;
+    void updateReservedMasks();
+    void updateSecured();
+    using share_map = std::map<std::pair<workspace_name, std::uint32_t>, resources>;
+    bool takeShare(const job_record&, const cell_map&, share_map&) const;
+    cell_map ownCells(const workspace_name&) const;
+    resources shareOf(std::uint32_t worker, accelerator_mask cells) const;
+    bool mayUseGuarantee(const job_record&) const;
+
     // queue.cpp
     void enqueue(job_record&);
     void dequeue(job_record&);
     void placeWaiting();
     bool tryPlace(job_record&);
+    bool placeOnFree(job_record&);
     bool fitsQuota(const job_record&) const;
-    std::string waitReason(const job_record&) const;
+    bool isAged(const job_record&) const;
+    std::int64_t scoreOf(const job_record&) const;
+    duration estimate(const job_record&) const;
+    void learnRunTime(const job_record&);
+    bool isRefilling(const data_centre_record&) const;
+    void addStartTokens();
+    void takeStartTokens(const std::vector<task_spot>&);
+    /// Priority, negative score, time of acceptance, number: the order of one pass.
+    using pass_entry = std::tuple<job_priority, std::int64_t, instant, job_number>;
+    pass_entry passEntry(const job_record&) const;
+    void placeHeads(std::set<pass_entry>&);
+    bool isOffered(std::uint32_t worker) const;
+    wait_view waitView() const;
+    std::string waitReason(const job_record&, const wait_view&) const;
 
     // feasibility.cpp
     /// Empty if the job could run on the empty cluster, otherwise why it never can.
     std::string neverRuns(const workspace_record&, const job_template&) const;
 
     // status.cpp
-    job_status statusOf(const job_record&) const;
+    job_status statusOf(const job_record&, const wait_view&) const;
     run_verdict verdictOf(const job_record&) const;
     placement_command commandFor(const lease_record&, const job_record&) const;
 
@@ -94,6 +152,7 @@
     instant m_now;
     std::vector<placement_command> m_out;
     std::vector<worker_pool> m_pools;
+    empty_cluster m_expected; ///< Of `m_pools`; not saved.
     cluster m_cluster;
     std::map<workspace_name, workspace_record> m_workspaces;
     std::map<job_number, job_record> m_jobs;
@@ -103,7 +162,23 @@
     std::set<timer> m_timers;
     lease_number m_nextLease { 1 };
     job_number m_lastEvicted { 0 };
+    /// Work of the next pass: all groups, or those that got a new head.
     bool m_placementDue { false };
+    bool m_capacityGrew { false };
+    bool m_reservationsDue { false };
+    std::set<job_group_key> m_newHeads;
+    /// Demands that found no place since capacity last grew; they are not searched for again.
+    std::set<demand_key> m_failedDemands;
+    std::int64_t m_searches { 0 };
+    instant m_nextReview;
+    instant m_nextRepack;
+
+    std::vector<reservation> m_reservations;
+    std::set<std::tuple<job_priority, instant, job_number>> m_claiming;
+    std::set<job_number> m_draining; ///< Jobs with a shadow.
+    std::map<std::uint32_t, job_number> m_drainedWorkers;
+    /// Actual run time of ended jobs relative to the declared one, in 1024ths.
+    std::map<job_group_key, std::int64_t> m_runTimeRatios;
     std::vector<gang_candidate> m_scratch;
 };
 
--- a/packages/placement/src/scheduler_limits.h
+++ b/packages/placement/src/scheduler_limits.h
@@ -22,6 +22,33 @@
 constexpr duration avoidanceAfterRefusal = 5s;
 constexpr duration avoidanceAfterSilence = 30s;
 
+/// Checkpoint, stop, and some time for the messages.
+constexpr duration claimTimeout = checkpointTimeout + stopTimeout + 300ms;
+
+/// A data centre that returned takes this many tasks at once and then this many a second, for this long.
+constexpr std::int64_t refillBurst = 32;
+constexpr std::int64_t refillPerSecond = 32;
+constexpr duration refillPeriod = 60s;
+
+/// Free places searched for in one pass. It bounds the time of one event when many different demands wait.
+constexpr std::int64_t maxSearchesPerPass = 64;
+/// Waiting jobs are looked at this often even if nothing happens, because they age.
+constexpr duration reviewInterval = 30s;
+/// Jobs that places are drained for at the same time. Each one keeps capacity in less efficient use.
+constexpr std::size_t maxDrainingJobs = 4;
+/// A job is aged when it waited for this multiple of its estimated run time, or for the longer time.
+constexpr std::int64_t agedWaitFactor = 2;
+constexpr duration minAgedWait = 30s;
+constexpr duration maxAgedWait = 15min;
+
+/// Bounds on the search that moves all reservations, in blocks placed and in time between failed attempts.
+constexpr std::int64_t maxRepackSteps = 20'000;
+constexpr duration repackInterval = 1s;
+
+/// A worker that failed tasks of this many different jobs in a row takes one task at a time until one succeeds.
+constexpr std::size_t failedJobsBeforeProbation = 3;
+constexpr duration pauseAfterFailedProbe = 60s;
+
 constexpr duration firstBackoff = 1s;
 constexpr std::int64_t maxBackoffDoublings = 6;
 
--- a/packages/placement/src/shape_packer.h
+++ b/packages/placement/src/shape_packer.h
@@ -6,14 +6,6 @@
 
 namespace poplardeal::detail {
 
-/// One set of blocks to be packed: `blocks` blocks of `blockAccelerators` adjacent accelerators within a scope.
-struct shape_instance {
-    std::int64_t blocks { 1 };
-    std::int64_t blockAccelerators { 1 };
-    scope within { scope::rack };
-    friend auto operator<=>(const shape_instance&, const shape_instance&) = default;
-};
-
 /// Free accelerators of a worker and its place in the tree.
 struct packing_worker {
     std::uint32_t worker { 0 }; ///< Given back in the `task_spot`s.
--- a/packages/placement/src/state_codec.cpp
+++ b/packages/placement/src/state_codec.cpp
@@ -39,21 +39,21 @@
 
     template <class Archive> void describeFields(Archive& a, lease_record& l)
     {
-        a(l.number, l.task, l.workspace, l.amount, l.spot, l.state, l.started, l.progressFrom, l.overuseSteps,
-            l.overuseSince);
+        a(l.number, l.task, l.workspace, l.amount, l.spot, l.state, l.started, l.secured, l.progressFrom,
+            l.overuseSteps, l.overuseSince);
     }
 
     template <class Archive> void describeFields(Archive& a, job_record& j)
     {
         a(j.number, j.workspace, j.spec, j.phase, j.cause, j.reason, j.attempt, j.failures, j.refusals, j.acceptedAt,
             j.notBefore, j.attemptStartedAt, j.phaseDeadline, j.startedAt, j.endedAt, j.leases, j.finishedTasks,
-            j.failedWorkers, j.everStarted, j.uncertain);
+            j.failedWorkers, j.claiming, j.shadow, j.backfilledBefore, j.everStarted, j.uncertain);
     }
 
     template <class Archive> void describeFields(Archive& a, worker_record& w)
     {
-        a(w.spec, w.rack, w.dataCentre, w.present, w.suspected, w.used, w.free, w.avoidUntil, w.leases, w.failedJobs,
-            w.onProbation);
+        a(w.spec, w.rack, w.dataCentre, w.present, w.suspected, w.used, w.claimed, w.reserved, w.free, w.claimedAmount,
+            w.avoidUntil, w.leases, w.claims, w.failedJobs, w.onProbation);
     }
 
     template <class Archive> void describeFields(Archive& a, rack_record& r) { a(r.name, r.dataCentre, r.workers); }
@@ -63,6 +63,13 @@
         a(d.name, d.inService, d.returnedAt, d.startTokens, d.tokensAt, d.racks);
     }
 
+    template <class Archive> void describeFields(Archive& a, shape_instance& s)
+    {
+        a(s.blocks, s.blockAccelerators, s.within);
+    }
+
+    template <class Archive> void describeFields(Archive& a, reservation& r) { a(r.owner, r.shape, r.cells); }
+
     template <class Archive> void describeFields(Archive& a, workspace_record& w)
     {
         a(w.definition, w.defined, w.held);
@@ -73,7 +80,8 @@
     template <class Archive> void scheduler_core::describe(Archive& a)
     {
         a(m_now, m_pools, m_cluster, m_workspaces, m_jobs, m_leases, m_waiting, m_ended, m_timers, m_nextLease,
-            m_lastEvicted, m_placementDue);
+            m_lastEvicted, m_placementDue, m_capacityGrew, m_reservationsDue, m_newHeads, m_failedDemands, m_nextReview,
+            m_nextRepack, m_reservations, m_claiming, m_draining, m_drainedWorkers, m_runTimeRatios);
     }
 
     nlohmann::json scheduler_core::toJson() const
@@ -88,6 +96,7 @@
         state_reader reader(from);
         describe(reader);
         m_cluster.rebuildIndex();
+        m_expected = expectedCluster(m_pools);
     }
 
 } // namespace detail
--- a/packages/placement/src/status.cpp
+++ b/packages/placement/src/status.cpp
@@ -52,6 +52,7 @@
         const auto& worker = m_cluster.worker(lease.spot.worker).spec;
         const auto number = lease_id(lease.number);
         switch (lease.state) {
+        case lease_state::claimed:
         case lease_state::preparing:
         case lease_state::prepared:
             return prepare_task { lease.task, number, worker.id, worker.instance, lease.amount,
@@ -99,35 +100,51 @@
         return startIssued ? run_verdict::may_have_run : run_verdict::not_run;
     }
 
-    job_status scheduler_core::statusOf(const job_record& job) const
+    job_status scheduler_core::statusOf(const job_record& job, const wait_view& view) const
     {
         job_status status { job_id(job.number), job.workspace, job.spec.name, job.phase, verdictOf(job), job.reason,
-            job.attempt, job.acceptedAt, job.startedAt, job.endedAt, {} };
+            job.attempt, job.acceptedAt, job.startedAt, job.endedAt, {}, false };
         if (job.phase == job_phase::waiting)
-            status.reason = waitReason(job);
+            status.reason = waitReason(job, view);
         for (const auto number : job.leases) {
-            if (number == 0)
+            if (number == 0 || job.claiming)
                 continue;
             const auto& lease = m_leases.at(number);
             status.tasks.push_back({ lease.task, lease_id(number), m_cluster.worker(lease.spot.worker).spec.id,
                 maskIndexes(lease.spot.accelerators), lease.started });
+            status.guaranteed |= lease.secured;
         }
         return status;
     }
 
+    std::vector<guarantee_status> scheduler_core::guarantees() const
+    {
+        std::vector<guarantee_status> all;
+        for (const auto& entry : m_reservations) {
+            guarantee_status status { entry.owner,
+                { entry.shape.blocks, accelerators(entry.shape.blockAccelerators), entry.shape.within, 1 }, {} };
+            for (const auto& cell : entry.cells)
+                status.blocks.push_back({ m_cluster.worker(cell.worker).spec.id, maskIndexes(cell.accelerators) });
+            all.push_back(std::move(status));
+        }
+        return all;
+    }
+
     std::optional<job_status> scheduler_core::job(job_id id) const
     {
         const auto found = m_jobs.find(id.value());
         if (found == m_jobs.end())
             return std::nullopt;
-        return statusOf(found->second);
+        const auto isWaiting = found->second.phase == job_phase::waiting;
+        return statusOf(found->second, isWaiting ? waitView() : wait_view {});
     }
 
     std::vector<job_status> scheduler_core::jobs() const
     {
+        const auto view = waitView();
         std::vector<job_status> all;
         for (const auto& [number, job] : m_jobs)
-            all.push_back(statusOf(job));
+            all.push_back(statusOf(job, view));
         return all;
     }
 
