--- a/packages/routing/include/poplardeal/routing/endpoint_choice.h
+++ b/packages/routing/include/poplardeal/routing/endpoint_choice.h
@@ -66,6 +66,7 @@
     const endpoint_record* chooseOfPair(const candidates&, instant now);
     double cost(const endpoint_id&, instant now) const;
     double slowness(const load&, instant now) const;
+    bool isFarBeyondUsual(duration took) const;
     void updateTypicalLatency(double latency);
 
     choice_settings m_settings;
--- a/packages/routing/include/poplardeal/routing/outlier.h
+++ b/packages/routing/include/poplardeal/routing/outlier.h
@@ -11,7 +11,8 @@
 enum class call_result {
     ok,
     overloaded, ///< Refused for lack of room. Says nothing about the health of the endpoint.
-    failed, ///< Error answer, lost connection or no answer by the deadline.
+    failed, ///< Error answer or lost connection.
+    late, ///< No answer by the caller's deadline. Counts as failed if that was far beyond the usual time.
 };
 
 struct outlier_settings {
--- a/packages/routing/include/poplardeal/routing/request_limiter.h
+++ b/packages/routing/include/poplardeal/routing/request_limiter.h
@@ -59,6 +59,8 @@
     limiter_decision submit(const limited_request&, instant now);
     /// The runner is done with a started request.
     limiter_decision finish(std::uint64_t id, instant now);
+    /// Takes a waiting request out without a refusal. False if it does not wait.
+    bool withdraw(std::uint64_t id);
     /// Refuses waiting requests whose deadline has passed.
     limiter_decision tick(instant now);
 
@@ -91,8 +93,9 @@
     bool makeRoom(limiter_decision&, const limited_request&);
     bool displaceLessUrgent(limiter_decision&, std::uint8_t urgency);
     bool displaceLargerGroup(limiter_decision&, const limited_request&);
-    void dropLast(limiter_decision&, urgency_queue&, urgency_queue::iterator group);
+    void dropLast(limiter_decision&, urgency_queue::iterator group);
     limited_request takeNext();
+    void dropEmptyGroups();
     void dropExpired(limiter_decision&, instant now);
 
     limiter_settings m_settings;
--- a/packages/routing/src/endpoint_choice.cpp
+++ b/packages/routing/src/endpoint_choice.cpp
@@ -14,6 +14,11 @@
     // Time after which half of an endpoint's measured slowness is forgotten: without calls it could not show that it
     // has recovered.
     constexpr double slownessHalfLifeMicros = 5e6;
+    // A call without answer is held against the endpoint only if the caller waited this many times as long as usual:
+    // callers with short deadlines must not bring probation on good endpoints.
+    constexpr double lateFactor = 4;
+    // The same as long as no call has given a usual time.
+    constexpr duration lateWithoutUsual = std::chrono::seconds(1);
 
 } // namespace detail
 
@@ -67,6 +72,8 @@
 
 void endpoint_chooser::finished(const endpoint_id& endpoint, call_result result, instant sentAt, instant now)
 {
+    if (result == call_result::late && isFarBeyondUsual(now - sentAt))
+        result = call_result::failed;
     m_outliers.record(endpoint, result, now);
     const auto found = m_loads.find(endpoint);
     if (found == m_loads.end())
@@ -176,6 +183,13 @@
     return 1 + (ratio - 1) * std::exp2(-age / detail::slownessHalfLifeMicros);
 }
 
+bool endpoint_chooser::isFarBeyondUsual(duration took) const
+{
+    if (m_typicalLatency == 0)
+        return took >= detail::lateWithoutUsual;
+    return static_cast<double>(took.count()) >= detail::lateFactor * m_typicalLatency;
+}
+
 void endpoint_chooser::updateTypicalLatency(double latency)
 {
     if (m_typicalLatency == 0)
--- a/packages/routing/src/outlier.cpp
+++ b/packages/routing/src/outlier.cpp
@@ -44,7 +44,7 @@
 void outlier_detector::record(const endpoint_id& endpoint, call_result result, instant now)
 {
     auto& state = m_endpoints[endpoint];
-    if (result == call_result::overloaded) {
+    if (result == call_result::overloaded || result == call_result::late) {
         state.probing = false;
         return;
     }
--- a/packages/routing/src/request_limiter.cpp
+++ b/packages/routing/src/request_limiter.cpp
@@ -73,6 +73,23 @@
     return decision;
 }
 
+bool request_limiter::withdraw(std::uint64_t id)
+{
+    for (auto& [level, queue] : m_queues) {
+        for (auto& group : queue) {
+            const auto found = std::ranges::find(group.requests, id, &limited_request::id);
+            if (found == group.requests.end())
+                continue;
+            m_queuedBytes -= found->bytes;
+            --m_queuedCount;
+            group.requests.erase(found);
+            dropEmptyGroups();
+            return true;
+        }
+    }
+    return false;
+}
+
 bool request_limiter::tryHoldConnection()
 {
     if (connectionsHeld() >= m_settings.connections)
@@ -159,7 +176,7 @@
     auto& queue = m_queues.rbegin()->second;
     const auto largest
         = std::ranges::max_element(queue, {}, [](const group_queue& group) { return group.requests.size(); });
-    dropLast(decision, queue, largest);
+    dropLast(decision, largest);
     return true;
 }
 
@@ -176,17 +193,15 @@
     // A difference of one would let two groups displace each other forever.
     if (largest == queue.end() || largest->requests.size() <= ownSize + 1)
         return false;
-    dropLast(decision, queue, largest);
+    dropLast(decision, largest);
     return true;
 }
 
-void request_limiter::dropLast(limiter_decision& decision, urgency_queue& queue, urgency_queue::iterator group)
+void request_limiter::dropLast(limiter_decision& decision, urgency_queue::iterator group)
 {
     const auto victim = group->requests.back();
     group->requests.pop_back();
-    if (group->requests.empty())
-        queue.erase(group);
-    std::erase_if(m_queues, [](const auto& entry) { return entry.second.empty(); });
+    dropEmptyGroups();
     --m_queuedCount;
     m_queuedBytes -= victim.bytes;
     refuse(decision, victim.id, refusal::displaced);
@@ -220,8 +235,14 @@
                 group.requests.pop_front();
             }
         }
-        std::erase_if(queue, [](const group_queue& group) { return group.requests.empty(); });
     }
+    dropEmptyGroups();
+}
+
+void request_limiter::dropEmptyGroups()
+{
+    for (auto& [level, queue] : m_queues)
+        std::erase_if(queue, [](const group_queue& group) { return group.requests.empty(); });
     std::erase_if(m_queues, [](const auto& entry) { return entry.second.empty(); });
 }
 
