--- a/packages/routing/include/poplardeal/routing/outcome_table.h
+++ b/packages/routing/include/poplardeal/routing/outcome_table.h
@@ -26,7 +26,7 @@
 struct outcome_table_settings {
     duration keepFor { std::chrono::minutes(10) };
     std::size_t maxKeys { 100'000 }; ///< When full, further keys are refused.
-    std::size_t maxBytes { 64 * 1024 * 1024 }; ///< Of bodies and headers. When full, the oldest are dropped, not the
+    std::size_t maxBytes { std::size_t { 64 } * 1024 * 1024 }; ///< Of bodies and headers. When full, the oldest are dropped, not the
                                                ///< keys.
 };
 
--- a/packages/routing/include/poplardeal/routing/request_limiter.h
+++ b/packages/routing/include/poplardeal/routing/request_limiter.h
@@ -14,7 +14,7 @@
 struct limiter_settings {
     unsigned slots { 8 }; ///< Requests that the runner works on at the same time.
     unsigned connections { 64 }; ///< Bound on connections to the runner, and on requests running or waiting.
-    std::size_t maxQueuedBytes { 64 * 1024 * 1024 }; ///< Of the bodies of waiting requests.
+    std::size_t maxQueuedBytes { std::size_t { 64 } * 1024 * 1024 }; ///< Of the bodies of waiting requests.
 };
 
 struct limited_request {
--- a/packages/routing/src/membership.cpp
+++ b/packages/routing/src/membership.cpp
@@ -148,8 +148,8 @@
         found->second, {}, [&](const endpoint_id& id) { return rank(m_known.at(id).record); });
     if (rank(endpoint_record { announced, now }) <= rank(m_known.at(*worst).record))
         return false;
-    const auto id = *worst;
-    setAbsent(id, m_known.at(id));
+    const endpoint_id replaced(worst->value()); // A copy: setAbsent erases the set's element.
+    setAbsent(replaced, m_known.at(replaced));
     return true;
 }
 
