--- /dev/null
+++ b/packages/consensus/include/poplardeal/consensus/log_store.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <poplardeal/consensus/disk.h>
+#include <poplardeal/consensus/raft_node.h>
+#include <vector>
+
+namespace poplardeal {
+
+struct log_store_options {
+    bool bootstrap { false }; ///< First start of a new group: an empty folder may vote at once.
+    std::uint64_t newIncarnation { 1 }; ///< Incarnation of an empty folder without `bootstrap`; random, not 0.
+    std::uint64_t startTag { 0 }; ///< Random; tells apart starts of copies of one folder. 16 bits are used.
+    std::uint64_t segmentBytes { 8 * 1024 * 1024 }; ///< Size from which on a new log segment is begun.
+};
+
+/// What was found in the data folder.
+struct recovered_folder {
+    raft_saved_state state;
+    std::uint64_t dataIncarnation { 0 };
+    std::uint64_t startCount { 0 }; ///< Grows with every open.
+    bool fresh { false }; ///< The folder was empty.
+    std::uint64_t cutBytes { 0 }; ///< Torn record that was removed from the end of the log.
+};
+
+/// Durable part of one replica: log segments `log-SEQUENCE` and snapshots `snapshot-INDEX` in one folder.
+///
+/// A segment is a series of records (magic, length, sequence number, XXH3, FlatBuffers body). Each record is synced
+/// before the next one is written. Therefore a damaged record that no intact record follows is a torn write and is cut;
+/// a damaged record before an intact one is `corrupt`. A flipped bit in the very last record cannot be told from a torn
+/// write; the leader notices the missing entry if it was acknowledged in its term (see `raft_node::dataLost`).
+///
+/// After a failed write or sync the store refuses everything: the state of the page cache is unknown from then on.
+/// Functions block on the disk and are called from one thread.
+template <disk_access Disk> class basic_log_store {
+public:
+    /// `locked`, `corrupt` (file and offset in the message) or `io_error`.
+    static result<basic_log_store> open(Disk, log_store_options);
+
+    /// What `open` found. The entries are moved out: call it once.
+    recovered_folder takeRecovered() { return std::move(m_recovered); }
+
+    /// Writes the batches in order and syncs once, or more often if they contain snapshots.
+    result<void> write(const std::vector<persist_batch>&);
+    /// Writes a snapshot of the own state machine and removes the segments that it makes superfluous.
+    result<void> saveSnapshot(const log_snapshot&);
+
+private:
+    struct segment {
+        std::string name;
+        std::uint64_t maxIndex { 0 };
+        std::uint64_t bytes { 0 };
+    };
+    struct replay;
+
+    basic_log_store(Disk disk, log_store_options options)
+        : m_disk(std::move(disk))
+        , m_options(options)
+    {
+    }
+
+    result<void> recover();
+    result<void> recoverSnapshot(const std::vector<std::string>& names);
+    result<void> recoverSegment(const std::string& name, bool last, replay&);
+    result<void> finishRecovery(replay&);
+    result<void> startSegment(bool reset);
+    result<void> writeRecord(const std::string& body);
+    result<void> appendAll(const std::string& name, std::string_view bytes);
+    result<void> writeSnapshotFile(const log_snapshot&);
+    result<void> writeGroup(std::vector<const persist_batch*>&);
+    result<void> prune(std::uint64_t snapshotIndex);
+    result<void> remember(result<void>);
+
+    Disk m_disk;
+    log_store_options m_options;
+    recovered_folder m_recovered;
+    std::vector<segment> m_segments;
+    std::uint64_t m_nextSequence { 1 };
+    std::uint64_t m_snapshotIndex { 0 };
+    std::uint64_t m_dataIncarnation { 0 };
+    std::uint64_t m_startCount { 0 };
+    hard_state m_hard;
+    std::optional<failure> m_failed;
+};
+
+using log_store = basic_log_store<posix_disk>;
+extern template class basic_log_store<posix_disk>;
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/consensus/include/poplardeal/consensus/raft_node.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <memory>
+#include <poplardeal/base/failure.h>
+#include <poplardeal/consensus/raft_types.h>
+
+namespace poplardeal {
+
+struct raft_options {
+    replica_id self;
+    membership initialMembers; ///< First membership, the same on every replica.
+    std::uint64_t dataIncarnation { 0 };
+    std::uint64_t startCount { 1 };
+    duration heartbeatInterval { std::chrono::milliseconds(150) };
+    duration electionTimeout { std::chrono::milliseconds(700) }; ///< Lower bound; the upper bound is twice it.
+    std::uint64_t seed { 0 }; ///< Of the randomised election timeouts.
+    std::size_t maxEntryBytes { 512 * 1024 };
+    std::size_t maxMessageBytes { 256 * 1024 }; ///< Payload of one append, unless a single entry is larger.
+    std::size_t maxInflightBytes { 4 * 1024 * 1024 }; ///< Unanswered appends to one replica.
+    std::size_t maxUncommittedBytes { 32 * 1024 * 1024 }; ///< Proposals beyond this are refused as `overloaded`.
+    std::size_t snapshotChunkBytes { 256 * 1024 };
+    /// Entries kept in memory before a snapshot, so that a member that lags a little needs no snapshot.
+    std::uint64_t retainedEntries { 1000 };
+};
+
+/// What the store found in the data folder.
+struct raft_saved_state {
+    hard_state hard;
+    shared_snapshot snapshot; ///< May be null.
+    std::vector<log_entry> entries; ///< Follow the snapshot without a gap.
+};
+
+/// Part of `raft_ready` that must reach the disk, in this order. Afterwards call `raft_node::persisted(number)`.
+struct persist_batch {
+    std::uint64_t number { 0 }; ///< Consecutive. Batches are persisted in this order.
+    shared_snapshot snapshot; ///< Received from the leader; null if there is none.
+    bool discardLog { false }; ///< The snapshot replaces the whole log, also entries after it.
+    std::optional<hard_state> hard;
+    std::vector<log_entry> entries; ///< Replace all entries from the first one's index on.
+
+    bool empty() const { return !snapshot && !hard && entries.empty(); }
+};
+
+/// What the node wants done since the last call.
+struct raft_ready {
+    persist_batch persist;
+    std::vector<raft_message> messages; ///< May be sent at once: the node holds back those that wait for the disk.
+    shared_snapshot install; ///< To install into the state machine before `committed` is applied.
+    std::vector<log_entry> committed; ///< To apply in order.
+};
+
+struct log_position {
+    std::uint64_t index { 0 };
+    std::uint64_t term { 0 };
+};
+
+/// One Raft member without sockets, clock, disk or threads: the caller brings in time and messages, and carries out
+/// what `takeReady` returns after each input.
+///
+/// Lease: a follower refuses votes for `electionTimeout` after it has heard from a leader, and after its own start. The
+/// leader's lease ends 4/5 `electionTimeout` after it sent the messages that a quorum has answered. It is exclusive as
+/// long as the rates of any two replicas' clocks differ from real time by at most 10%: 0.8 * 1.1 / 0.9 < 1.
+///
+///     node.propose("payload", now);
+///     auto ready = node.takeReady(now);   // persist ready.persist, send ready.messages, apply ready.committed
+///     node.persisted(ready.persist.number, now);
+class raft_node {
+public:
+    raft_node(raft_options, raft_saved_state, instant now);
+    raft_node(raft_node&&) noexcept;
+    raft_node& operator=(raft_node&&) noexcept;
+    ~raft_node();
+
+    void tick(instant now);
+    void receive(const raft_message&, instant now);
+    /// `not_leader`, `too_large` or `overloaded` if the entry was not appended.
+    result<log_position> propose(std::string payload, instant now);
+    /// Changes at most one voter. `conflict` while an earlier change is not committed, `unavailable` before the first
+    /// commit of the term.
+    result<log_position> proposeMembership(membership, instant now);
+    /// All batches up to this number are durable.
+    void persisted(std::uint64_t number, instant now);
+    /// Drops the log up to the snapshot, which the state machine took at an applied index.
+    void compact(shared_snapshot);
+    /// Hands leadership to the most advanced voter. False if this is not the leader or if there is no other voter.
+    bool transferLeadership(instant now);
+    raft_ready takeReady(instant now);
+
+    bool isLeader() const;
+    /// True if a quorum answered within the lease and an entry of this term is committed.
+    bool holdsLeaderLease(instant now) const;
+    /// Index of the no-op that this leader appended first. Once it is applied, so are all entries of earlier terms.
+    std::uint64_t termStartIndex() const;
+    std::optional<replica_id> leader() const;
+    std::uint64_t term() const;
+    std::uint64_t commitIndex() const;
+    std::uint64_t lastIndex() const;
+    std::uint64_t firstIndex() const; ///< Of the first entry that is still in the log.
+    /// Term of an entry of the log, 0 if the entry is not in the log.
+    std::uint64_t termAt(std::uint64_t index) const;
+    const membership& members() const;
+    /// Membership as of an entry; used for snapshots.
+    const membership& membersAt(std::uint64_t index) const;
+    /// True if this replica may vote: its data folder is the one that the membership names.
+    bool mayVote() const;
+    /// Set once the leader has shown that the data folder is an old copy: it lacks entries acknowledged from it.
+    bool dataLost() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace poplardeal
--- a/packages/consensus/include/poplardeal/consensus/replica.h
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -8,6 +8,7 @@
 #include <poplardeal/base/failure.h>
 #include <poplardeal/base/ids.h>
 #include <poplardeal/base/time.h>
+#include <poplardeal/consensus/raft_types.h>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +32,9 @@
     std::function<void(replica_id, std::string)> send;
     /// Runs a function on the main thread soon. Called from the disk thread.
     std::function<void(std::function<void()>)> post;
+    /// Optional. Called on the main thread when the replica stops for good: the disk failed (`io_error`), or the data
+    /// folder turned out to be an old copy (`corrupt`). See `replica::failed`.
+    std::function<void(const failure&)> stopped;
 };
 
 struct replica_options {
@@ -41,6 +45,10 @@
     duration electionTimeout { std::chrono::milliseconds(700) }; ///< Lower bound; the upper bound is twice it.
     std::uint64_t seed { 0 };
     std::uint64_t snapshotEvery { 10000 }; ///< Entries between snapshots.
+    /// True only for the first start of a brand-new group: a replica with an empty data folder may vote at once.
+    /// Without it, a replica with an empty folder does not vote until the leader has made it a learner, brought it up
+    /// to date and made it a voter again. No effect on a folder with data.
+    bool bootstrap { false };
 };
 
 /// One member of the control group: the Raft node joined to its store and to a state machine.
@@ -70,13 +78,22 @@
     std::uint64_t commitIndex() const;
     std::uint64_t appliedIndex() const;
 
+    /// Replaces the membership; at most one voter may be added or removed. New members start with an empty folder and
+    /// without `bootstrap`. Answers like `propose`; `conflict` while an earlier change is not committed.
+    void changeMembership(membership, instant now, std::function<void(result<std::string>)> done);
+    const membership& members() const;
+    /// False while this replica has an empty or outdated data folder or is a learner.
+    bool mayVote() const;
+    /// Why this replica stopped, if it did: it no longer votes, answers or applies until the process restarts.
+    std::optional<failure> failed() const;
+
     /// Hands leadership to the most advanced follower, for a planned stop. Returns false if this is not the leader.
     bool transferLeadership(instant now);
 
 private:
     struct impl;
-    explicit replica(std::unique_ptr<impl>);
-    std::unique_ptr<impl> m_impl;
+    explicit replica(std::shared_ptr<impl>);
+    std::shared_ptr<impl> m_impl;
 };
 
 } // namespace poplardeal
--- /dev/null
+++ b/packages/consensus/src/basic_log_store.h
@@ -0,0 +1,299 @@
+#pragma once
+
+#include "record_codec.h"
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <poplardeal/consensus/log_store.h>
+
+namespace poplardeal {
+
+namespace detail {
+
+    inline std::string numberedName(const char* prefix, std::uint64_t number)
+    {
+        std::array<char, 40> text {};
+        std::snprintf(text.data(), text.size(), "%s-%016llx", prefix, static_cast<unsigned long long>(number));
+        return text.data();
+    }
+
+    inline std::vector<std::string> namesWithPrefix(const std::vector<std::string>& names, std::string_view prefix)
+    {
+        std::vector<std::string> out;
+        std::copy_if(names.begin(), names.end(), std::back_inserter(out),
+            [&](const std::string& name) { return name.starts_with(prefix); });
+        std::sort(out.begin(), out.end());
+        return out;
+    }
+
+    constexpr const char* temporarySnapshotName = "new-snapshot";
+
+} // namespace detail
+
+/// State of the log while its records are read.
+template <disk_access Disk> struct basic_log_store<Disk>::replay {
+    std::vector<log_entry> entries;
+    std::uint64_t lastSequence { 0 }; ///< 0 before the first record.
+    bool reset { false };
+
+    result<void> take(detail::log_record record, basic_log_store& store)
+    {
+        if (record.header) {
+            store.m_dataIncarnation = record.header->dataIncarnation;
+            store.m_startCount = record.header->startCount;
+        }
+        if (record.hard)
+            store.m_hard = *record.hard;
+        if (record.resetIndex)
+            entries.clear();
+        for (auto& entry : record.entries) {
+            while (!entries.empty() && entry.index <= entries.back().index)
+                entries.pop_back();
+            if (!entries.empty() && entry.index != entries.back().index + 1) {
+                // A gap is right only where a snapshot covers it.
+                if (entry.index > store.m_snapshotIndex + 1)
+                    return failure { failure_code::corrupt, "log lacks entries before " + std::to_string(entry.index) };
+                entries.clear();
+            }
+            entries.push_back(std::move(entry));
+        }
+        return success();
+    }
+};
+
+template <disk_access Disk>
+result<basic_log_store<Disk>> basic_log_store<Disk>::open(Disk disk, log_store_options options)
+{
+    basic_log_store store(std::move(disk), options);
+    BOOST_OUTCOME_TRYV(store.m_disk.open());
+    BOOST_OUTCOME_TRYV(store.recover());
+    return store;
+}
+
+template <disk_access Disk> result<void> basic_log_store<Disk>::recover()
+{
+    BOOST_OUTCOME_TRY(names, m_disk.list());
+    if (std::find(names.begin(), names.end(), detail::temporarySnapshotName) != names.end()) {
+        BOOST_OUTCOME_TRYV(m_disk.remove(detail::temporarySnapshotName));
+    }
+    BOOST_OUTCOME_TRYV(recoverSnapshot(names));
+    replay log;
+    const auto segments = detail::namesWithPrefix(names, "log-");
+    for (const auto& name : segments) {
+        BOOST_OUTCOME_TRYV(recoverSegment(name, name == segments.back(), log));
+    }
+    return finishRecovery(log);
+}
+
+template <disk_access Disk> result<void> basic_log_store<Disk>::recoverSnapshot(const std::vector<std::string>& names)
+{
+    const auto snapshots = detail::namesWithPrefix(names, "snapshot-");
+    if (snapshots.empty())
+        return success();
+    BOOST_OUTCOME_TRY(file, m_disk.read(snapshots.back()));
+    auto decoded = detail::decodeSnapshotFile(file);
+    if (!decoded) {
+        return failure { failure_code::corrupt,
+            m_disk.describe(snapshots.back()) + " at offset 0: " + decoded.error().message };
+    }
+    m_snapshotIndex = decoded.value().index;
+    m_recovered.state.snapshot = std::make_shared<const log_snapshot>(std::move(decoded.value()));
+    for (const auto& name : snapshots) {
+        if (name != snapshots.back()) {
+            BOOST_OUTCOME_TRYV(m_disk.remove(name));
+        }
+    }
+    return success();
+}
+
+template <disk_access Disk>
+result<void> basic_log_store<Disk>::recoverSegment(const std::string& name, bool last, replay& log)
+{
+    BOOST_OUTCOME_TRY(file, m_disk.read(name));
+    const auto corrupt = [&](std::size_t offset, const std::string& reason) {
+        return failure { failure_code::corrupt,
+            m_disk.describe(name) + " at offset " + std::to_string(offset) + ": " + reason };
+    };
+    segment found { name, 0, 0 };
+    std::size_t offset = 0;
+    while (offset < file.size()) {
+        const auto frame = detail::readFrame(file, offset);
+        if (!frame)
+            break;
+        if (log.lastSequence != 0 && frame->sequence != log.lastSequence + 1)
+            return corrupt(offset, "a record is missing before this one");
+        auto record = detail::decodeRecord(frame->body);
+        if (!record)
+            return corrupt(offset, record.error().message);
+        for (const auto& entry : record.value().entries)
+            found.maxIndex = std::max(found.maxIndex, entry.index);
+        if (const auto taken = log.take(std::move(record.value()), *this); !taken)
+            return corrupt(offset, taken.error().message);
+        log.lastSequence = frame->sequence;
+        offset += detail::frameHeaderBytes + frame->body.size();
+    }
+    if (offset < file.size()) {
+        if (!last || detail::hasFrameAfter(file, offset))
+            return corrupt(offset, "a record does not match its checksum");
+        m_recovered.cutBytes = file.size() - offset;
+        BOOST_OUTCOME_TRYV(m_disk.truncate(name, offset));
+        BOOST_OUTCOME_TRYV(m_disk.sync(name));
+    }
+    found.bytes = offset;
+    if (offset == 0)
+        return m_disk.remove(name);
+    m_segments.push_back(std::move(found));
+    return success();
+}
+
+template <disk_access Disk> result<void> basic_log_store<Disk>::finishRecovery(replay& log)
+{
+    auto& state = m_recovered.state;
+    m_recovered.fresh = log.lastSequence == 0;
+    if (m_recovered.fresh && state.snapshot)
+        return failure { failure_code::corrupt, m_disk.describe("") + " has a snapshot but no log" };
+    if (m_recovered.fresh)
+        m_dataIncarnation = m_options.bootstrap ? 0 : m_options.newIncarnation;
+    auto& entries = log.entries;
+    bool reset = false;
+    if (!entries.empty() && state.snapshot) {
+        const auto& snapshot = *state.snapshot;
+        const auto at = std::find_if(
+            entries.begin(), entries.end(), [&](const log_entry& e) { return e.index == snapshot.index; });
+        // The crash came between the rename of the snapshot and the record that drops the log before it.
+        reset = entries.back().index < snapshot.index || (at != entries.end() && at->term != snapshot.term);
+        if (reset)
+            entries.clear();
+    }
+    if (!entries.empty() && entries.front().index > m_snapshotIndex + 1) {
+        return failure { failure_code::corrupt,
+            m_disk.describe(m_segments.front().name) + " at offset 0: entries between "
+                + std::to_string(m_snapshotIndex) + " and " + std::to_string(entries.front().index) + " are missing" };
+    }
+    std::erase_if(entries, [&](const log_entry& e) { return e.index <= m_snapshotIndex; });
+    m_nextSequence = log.lastSequence + 1;
+    m_startCount = (((m_startCount >> 16) + 1) << 16) | (m_options.startTag & 0xffff);
+    m_recovered.dataIncarnation = m_dataIncarnation;
+    m_recovered.startCount = m_startCount;
+    state.hard = m_hard;
+    state.entries = std::move(entries);
+    return startSegment(reset);
+}
+
+template <disk_access Disk> result<void> basic_log_store<Disk>::startSegment(bool reset)
+{
+    m_segments.push_back({ detail::numberedName("log", m_nextSequence), 0, 0 });
+    detail::log_record record;
+    record.header = detail::record_header { m_dataIncarnation, m_startCount };
+    record.hard = m_hard;
+    if (reset)
+        record.resetIndex = m_snapshotIndex;
+    BOOST_OUTCOME_TRYV(writeRecord(detail::encodeRecord(record)));
+    return m_disk.syncFolder();
+}
+
+template <disk_access Disk> result<void> basic_log_store<Disk>::writeRecord(const std::string& body)
+{
+    auto& current = m_segments.back();
+    const auto frame = detail::frameRecord(m_nextSequence, body);
+    BOOST_OUTCOME_TRYV(appendAll(current.name, frame));
+    BOOST_OUTCOME_TRYV(m_disk.sync(current.name));
+    current.bytes += frame.size();
+    ++m_nextSequence;
+    return success();
+}
+
+template <disk_access Disk>
+result<void> basic_log_store<Disk>::appendAll(const std::string& name, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        BOOST_OUTCOME_TRY(count, m_disk.append(name, bytes));
+        if (count == 0)
+            return failure { failure_code::io_error, "write " + m_disk.describe(name) + ": no bytes were written" };
+        bytes.remove_prefix(count);
+    }
+    return success();
+}
+
+template <disk_access Disk> result<void> basic_log_store<Disk>::write(const std::vector<persist_batch>& batches)
+{
+    if (m_failed)
+        return *m_failed;
+    std::vector<const persist_batch*> group;
+    for (const auto& batch : batches) {
+        if (batch.snapshot) {
+            BOOST_OUTCOME_TRYV(remember(writeGroup(group)));
+            m_hard = batch.hard.value_or(m_hard);
+            BOOST_OUTCOME_TRYV(remember(writeSnapshotFile(*batch.snapshot)));
+            BOOST_OUTCOME_TRYV(remember(startSegment(batch.discardLog)));
+            BOOST_OUTCOME_TRYV(remember(prune(m_snapshotIndex)));
+        }
+        group.push_back(&batch);
+    }
+    return remember(writeGroup(group));
+}
+
+template <disk_access Disk> result<void> basic_log_store<Disk>::writeGroup(std::vector<const persist_batch*>& group)
+{
+    detail::log_record record;
+    for (const auto* batch : group) {
+        if (batch->hard)
+            record.hard = batch->hard;
+        record.entries.insert(record.entries.end(), batch->entries.begin(), batch->entries.end());
+    }
+    group.clear();
+    if (!record.hard && record.entries.empty())
+        return success();
+    m_hard = record.hard.value_or(m_hard);
+    if (m_segments.back().bytes >= m_options.segmentBytes) {
+        BOOST_OUTCOME_TRYV(startSegment(false));
+    }
+    for (const auto& entry : record.entries)
+        m_segments.back().maxIndex = std::max(m_segments.back().maxIndex, entry.index);
+    return writeRecord(detail::encodeRecord(record));
+}
+
+template <disk_access Disk> result<void> basic_log_store<Disk>::saveSnapshot(const log_snapshot& snapshot)
+{
+    if (m_failed)
+        return *m_failed;
+    if (snapshot.index <= m_snapshotIndex)
+        return success();
+    BOOST_OUTCOME_TRYV(remember(writeSnapshotFile(snapshot)));
+    BOOST_OUTCOME_TRYV(remember(startSegment(false)));
+    return remember(prune(snapshot.index));
+}
+
+template <disk_access Disk> result<void> basic_log_store<Disk>::writeSnapshotFile(const log_snapshot& snapshot)
+{
+    const auto previous = m_snapshotIndex;
+    const std::string temporary = detail::temporarySnapshotName;
+    BOOST_OUTCOME_TRYV(appendAll(temporary, detail::encodeSnapshotFile(snapshot)));
+    BOOST_OUTCOME_TRYV(m_disk.sync(temporary));
+    BOOST_OUTCOME_TRYV(m_disk.rename(temporary, detail::numberedName("snapshot", snapshot.index)));
+    BOOST_OUTCOME_TRYV(m_disk.syncFolder());
+    m_snapshotIndex = snapshot.index;
+    if (previous != 0 && previous != snapshot.index) {
+        BOOST_OUTCOME_TRYV(m_disk.remove(detail::numberedName("snapshot", previous)));
+    }
+    return success();
+}
+
+// Segments are removed from the oldest on, so that the records that stay have consecutive sequence numbers.
+template <disk_access Disk> result<void> basic_log_store<Disk>::prune(std::uint64_t snapshotIndex)
+{
+    while (m_segments.size() > 1 && m_segments.front().maxIndex <= snapshotIndex) {
+        BOOST_OUTCOME_TRYV(m_disk.remove(m_segments.front().name));
+        m_segments.erase(m_segments.begin());
+    }
+    return m_disk.syncFolder();
+}
+
+template <disk_access Disk> result<void> basic_log_store<Disk>::remember(result<void> outcome)
+{
+    if (!outcome)
+        m_failed = outcome.error();
+    return outcome;
+}
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/consensus/src/posix_disk.cpp
@@ -0,0 +1,195 @@
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <poplardeal/consensus/disk.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace poplardeal {
+
+constexpr const char* lockName = "lock";
+
+static failure ioFailure(std::string_view operation, const std::string& path)
+{
+    const auto reason = std::generic_category().message(errno);
+    return failure { failure_code::io_error, std::string(operation) + " " + path + ": " + reason };
+}
+
+static void closeDescriptor(int& descriptor)
+{
+    if (descriptor >= 0)
+        ::close(descriptor);
+    descriptor = -1;
+}
+
+posix_disk::posix_disk(std::filesystem::path folder)
+    : m_folder(std::move(folder))
+{
+}
+
+posix_disk::posix_disk(posix_disk&& other) noexcept
+    : m_folder(std::move(other.m_folder))
+    , m_folderDescriptor(std::exchange(other.m_folderDescriptor, -1))
+    , m_lockDescriptor(std::exchange(other.m_lockDescriptor, -1))
+    , m_appendDescriptor(std::exchange(other.m_appendDescriptor, -1))
+    , m_appendName(std::move(other.m_appendName))
+{
+}
+
+posix_disk& posix_disk::operator=(posix_disk&& other) noexcept
+{
+    std::swap(m_folder, other.m_folder);
+    std::swap(m_folderDescriptor, other.m_folderDescriptor);
+    std::swap(m_lockDescriptor, other.m_lockDescriptor);
+    std::swap(m_appendDescriptor, other.m_appendDescriptor);
+    std::swap(m_appendName, other.m_appendName);
+    return *this;
+}
+
+posix_disk::~posix_disk()
+{
+    closeAppendFile();
+    closeDescriptor(m_lockDescriptor);
+    closeDescriptor(m_folderDescriptor);
+}
+
+result<void> posix_disk::open()
+{
+    std::error_code error;
+    std::filesystem::create_directories(m_folder, error);
+    if (error)
+        return failure { failure_code::io_error, "create folder " + m_folder.string() + ": " + error.message() };
+    m_folderDescriptor = ::open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (m_folderDescriptor < 0)
+        return ioFailure("open folder", m_folder.string());
+    m_lockDescriptor = ::openat(m_folderDescriptor, lockName, O_RDWR | O_CREAT | O_CLOEXEC, 0644);
+    if (m_lockDescriptor < 0)
+        return ioFailure("open", describe(lockName));
+    if (::flock(m_lockDescriptor, LOCK_EX | LOCK_NB) == 0)
+        return success();
+    if (errno == EWOULDBLOCK)
+        return failure { failure_code::locked, "data folder " + m_folder.string() + " is in use by another process" };
+    return ioFailure("lock", describe(lockName));
+}
+
+result<std::vector<std::string>> posix_disk::list()
+{
+    std::vector<std::string> names;
+    std::error_code error;
+    for (std::filesystem::directory_iterator entry(m_folder, error), end; !error && entry != end;
+         entry.increment(error)) {
+        if (entry->path().filename() != lockName)
+            names.push_back(entry->path().filename().string());
+    }
+    if (error)
+        return failure { failure_code::io_error, "list folder " + m_folder.string() + ": " + error.message() };
+    return names;
+}
+
+result<std::string> posix_disk::read(const std::string& name)
+{
+    int descriptor = ::openat(m_folderDescriptor, name.c_str(), O_RDONLY | O_CLOEXEC);
+    if (descriptor < 0)
+        return ioFailure("open", describe(name));
+    struct stat status { };
+    if (::fstat(descriptor, &status) != 0) {
+        const auto error = ioFailure("stat", describe(name));
+        closeDescriptor(descriptor);
+        return error;
+    }
+    std::string bytes(static_cast<std::size_t>(status.st_size), '\0');
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+        const auto count = ::read(descriptor, bytes.data() + done, bytes.size() - done);
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count < 0) {
+            const auto error = ioFailure("read", describe(name));
+            closeDescriptor(descriptor);
+            return error;
+        }
+        if (count == 0)
+            break;
+        done += static_cast<std::size_t>(count);
+    }
+    closeDescriptor(descriptor);
+    bytes.resize(done);
+    return bytes;
+}
+
+result<void> posix_disk::openForAppend(const std::string& name)
+{
+    if (m_appendDescriptor >= 0 && m_appendName == name)
+        return success();
+    closeAppendFile();
+    m_appendDescriptor = ::openat(m_folderDescriptor, name.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
+    if (m_appendDescriptor < 0)
+        return ioFailure("open", describe(name));
+    m_appendName = name;
+    return success();
+}
+
+void posix_disk::closeAppendFile()
+{
+    closeDescriptor(m_appendDescriptor);
+    m_appendName.clear();
+}
+
+result<std::size_t> posix_disk::append(const std::string& name, std::string_view bytes)
+{
+    BOOST_OUTCOME_TRYV(openForAppend(name));
+    while (true) {
+        const auto count = ::write(m_appendDescriptor, bytes.data(), bytes.size());
+        if (count >= 0)
+            return static_cast<std::size_t>(count);
+        if (errno != EINTR)
+            return ioFailure("write", describe(name));
+    }
+}
+
+result<void> posix_disk::sync(const std::string& name)
+{
+    BOOST_OUTCOME_TRYV(openForAppend(name));
+    if (::fdatasync(m_appendDescriptor) != 0)
+        return ioFailure("sync", describe(name));
+    return success();
+}
+
+result<void> posix_disk::syncFolder()
+{
+    if (::fsync(m_folderDescriptor) != 0)
+        return ioFailure("sync folder", m_folder.string());
+    return success();
+}
+
+result<void> posix_disk::rename(const std::string& from, const std::string& to)
+{
+    if (m_appendName == from)
+        closeAppendFile();
+    if (::renameat(m_folderDescriptor, from.c_str(), m_folderDescriptor, to.c_str()) != 0)
+        return ioFailure("rename", describe(from));
+    return success();
+}
+
+result<void> posix_disk::remove(const std::string& name)
+{
+    if (m_appendName == name)
+        closeAppendFile();
+    if (::unlinkat(m_folderDescriptor, name.c_str(), 0) != 0)
+        return ioFailure("remove", describe(name));
+    return success();
+}
+
+result<void> posix_disk::truncate(const std::string& name, std::uint64_t size)
+{
+    BOOST_OUTCOME_TRYV(openForAppend(name));
+    if (::ftruncate(m_appendDescriptor, static_cast<off_t>(size)) != 0)
+        return ioFailure("truncate", describe(name));
+    return success();
+}
+
+std::string posix_disk::describe(const std::string& name) const { return (m_folder / name).string(); }
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/consensus/src/raft_election.cpp
@@ -0,0 +1,239 @@
+#include "raft_node_impl.h"
+#include <algorithm>
+
+namespace poplardeal {
+
+using detail::progress;
+using detail::raft_role;
+
+void raft_node::impl::resetElectionTimer(instant now)
+{
+    std::uniform_int_distribution<duration::rep> spread(0, options.electionTimeout.count());
+    electionDeadline = now + options.electionTimeout + duration(spread(random));
+}
+
+// A failed campaign is repeated sooner than the election timeout: the leader is already known to be silent, and voters
+// that still hear one refuse anyway.
+void raft_node::impl::retrySoon(instant now)
+{
+    const auto quarter = options.electionTimeout / 4;
+    std::uniform_int_distribution<duration::rep> spread(0, quarter.count());
+    electionDeadline = now + quarter + duration(spread(random));
+}
+
+bool raft_node::impl::hasHeardFromLeader(instant now) const
+{
+    return role == raft_role::leader || now - lastHeard < options.electionTimeout;
+}
+
+bool raft_node::impl::isLogUpToDate(const raft_message& m) const
+{
+    if (m.logTerm != log.lastTerm())
+        return m.logTerm > log.lastTerm();
+    return m.logIndex >= log.lastIndex();
+}
+
+bool raft_node::impl::mayVote() const
+{
+    const auto* self = log.members().find(options.self);
+    return self && self->role == member_role::voter && self->dataIncarnation == options.dataIncarnation && !dataLost;
+}
+
+void raft_node::impl::becomeFollower(std::uint64_t newTerm, std::optional<replica_id> newLeader)
+{
+    if (newTerm > hard.term) {
+        hard.term = newTerm;
+        hard.vote.reset();
+        hardChanged = true;
+        ownVotePending = false;
+    }
+    role = raft_role::follower;
+    leader = newLeader;
+    votes.clear();
+    peers.clear();
+    transferTarget.reset();
+    transferSent = false;
+    uncommittedBytes = 0;
+}
+
+void raft_node::impl::startPreVote(instant now)
+{
+    retrySoon(now);
+    if (!mayVote())
+        return;
+    role = raft_role::pre_candidate;
+    leader.reset();
+    votes.clear();
+    requestVotes(message_kind::pre_vote, hard.term + 1, false);
+    recordVote(options.self, true, now);
+}
+
+void raft_node::impl::startElection(bool transfer, instant now)
+{
+    retrySoon(now);
+    role = raft_role::candidate;
+    leader.reset();
+    votes.clear();
+    ++hard.term;
+    hard.vote = options.self;
+    hardChanged = true;
+    ownVotePending = true;
+    requestVotes(message_kind::vote, hard.term, transfer);
+}
+
+void raft_node::impl::requestVotes(message_kind kind, std::uint64_t votedTerm, bool transfer)
+{
+    for (const auto& m : log.members().members) {
+        if (m.id == options.self || m.role != member_role::voter)
+            continue;
+        auto request = messageTo(m.id, kind);
+        request.term = votedTerm;
+        request.logIndex = log.lastIndex();
+        request.logTerm = log.lastTerm();
+        request.transfer = transfer;
+        if (kind == message_kind::vote)
+            sendWhenDurable(std::move(request));
+        else
+            send(std::move(request));
+    }
+}
+
+void raft_node::impl::recordVote(replica_id voter, bool granted, instant now)
+{
+    if (!log.members().isVoter(voter))
+        return;
+    votes.emplace(voter, granted);
+    const auto quorum = log.members().voterCount() / 2 + 1;
+    const auto count = static_cast<std::size_t>(
+        std::count_if(votes.begin(), votes.end(), [](const auto& vote) { return vote.second; }));
+    if (count < quorum)
+        return;
+    if (role == raft_role::pre_candidate)
+        startElection(false, now);
+    else if (role == raft_role::candidate)
+        becomeLeader(now);
+}
+
+void raft_node::impl::onVoteRequest(const raft_message& m, instant now)
+{
+    const bool pre = m.kind == message_kind::pre_vote;
+    if (!mayVote())
+        return;
+    if (!m.transfer && hasHeardFromLeader(now))
+        return;
+    bool granted = isLogUpToDate(m);
+    if (pre)
+        granted = granted && m.term > hard.term;
+    else
+        granted = granted && (!hard.vote || *hard.vote == m.from);
+    auto answer = messageTo(m.from, pre ? message_kind::pre_vote_answer : message_kind::vote_answer);
+    answer.rejected = !granted;
+    if (pre) {
+        if (granted)
+            answer.term = m.term;
+        return send(std::move(answer));
+    }
+    if (granted && !hard.vote) {
+        hard.vote = m.from;
+        hardChanged = true;
+        resetElectionTimer(now);
+    }
+    sendWhenDurable(std::move(answer));
+}
+
+void raft_node::impl::onVoteAnswer(const raft_message& m, instant now)
+{
+    const auto* voter = log.members().find(m.from);
+    if (!voter || voter->dataIncarnation != m.dataIncarnation)
+        return;
+    if (m.kind == message_kind::pre_vote_answer && role == raft_role::pre_candidate) {
+        if (m.rejected || m.term == hard.term + 1)
+            recordVote(m.from, !m.rejected, now);
+    } else if (m.kind == message_kind::vote_answer && role == raft_role::candidate) {
+        recordVote(m.from, !m.rejected, now);
+    }
+}
+
+void raft_node::impl::onTimeOutNow(const raft_message&, instant now)
+{
+    if (role == raft_role::follower && mayVote())
+        startElection(true, now);
+}
+
+void raft_node::impl::becomeLeader(instant now)
+{
+    role = raft_role::leader;
+    leader = options.self;
+    leaderSince = now;
+    membersChangedAt = now;
+    lastHeartbeat = now;
+    peers.clear();
+    transferTarget.reset();
+    transferSent = false;
+    uncommittedBytes = 0;
+    syncProgressWithMembers();
+    appendOwn(entry_kind::no_op, {});
+    termStartIndex = log.lastIndex();
+}
+
+std::optional<instant> raft_node::impl::quorumAnsweredSentAt(instant now) const
+{
+    std::vector<instant> answered;
+    for (const auto& m : log.members().members) {
+        if (m.role != member_role::voter)
+            continue;
+        if (m.id == options.self) {
+            answered.push_back(now);
+            continue;
+        }
+        const auto peer = peers.find(m.id);
+        if (peer != peers.end() && peer->second.answeredSentAt)
+            answered.push_back(*peer->second.answeredSentAt);
+    }
+    const auto quorum = log.members().voterCount() / 2 + 1;
+    if (answered.size() < quorum)
+        return std::nullopt;
+    std::sort(answered.begin(), answered.end(), std::greater<>());
+    return answered[quorum - 1];
+}
+
+bool raft_node::impl::holdsLeaderLease(instant now) const
+{
+    if (role != raft_role::leader || transferTarget || commit < termStartIndex)
+        return false;
+    const auto answered = quorumAnsweredSentAt(now);
+    return answered && now - *answered < options.electionTimeout * 4 / 5;
+}
+
+bool raft_node::impl::transferLeadership(instant now)
+{
+    if (role != raft_role::leader)
+        return false;
+    if (transferTarget)
+        return true;
+    const progress* best = nullptr;
+    for (const auto& [id, peer] : peers) {
+        const bool recent = peer.answeredSentAt && now - *peer.answeredSentAt < options.electionTimeout;
+        if (!log.members().isVoter(id) || !recent || (best && peer.matchIndex <= best->matchIndex))
+            continue;
+        best = &peer;
+        transferTarget = id;
+    }
+    if (!best)
+        return false;
+    transferDeadline = now + options.electionTimeout;
+    continueTransfer(*transferTarget, now);
+    return true;
+}
+
+void raft_node::impl::continueTransfer(replica_id id, instant)
+{
+    if (!transferTarget || *transferTarget != id || transferSent)
+        return;
+    if (peers[id].matchIndex < log.lastIndex())
+        return;
+    transferSent = true;
+    send(messageTo(id, message_kind::time_out_now));
+}
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/consensus/src/raft_membership.cpp
@@ -0,0 +1,125 @@
+#include "message_codec.h"
+#include "raft_node_impl.h"
+#include <algorithm>
+
+namespace poplardeal {
+
+using detail::progress;
+using detail::raft_role;
+
+static std::size_t changedVoters(const membership& a, const membership& b)
+{
+    std::size_t changed = 0;
+    for (const auto& m : a.members)
+        changed += m.role == member_role::voter && !b.isVoter(m.id) ? 1 : 0;
+    for (const auto& m : b.members)
+        changed += m.role == member_role::voter && !a.isVoter(m.id) ? 1 : 0;
+    return changed;
+}
+
+result<log_position> raft_node::impl::proposeMembership(const membership& wanted, instant now)
+{
+    if (role != raft_role::leader || transferTarget)
+        return failure { failure_code::not_leader, "this replica is not the leader" };
+    // Without a committed entry of its own term, a leader may not know of a change that another leader has committed.
+    if (commit < termStartIndex)
+        return failure { failure_code::unavailable, "the leader has not committed an entry of its term yet" };
+    if (log.membersIndex() > commit)
+        return failure { failure_code::conflict, "an earlier membership change is not committed" };
+    if (changedVoters(log.members(), wanted) > 1)
+        return failure { failure_code::invalid_argument, "a membership change may add or remove one voter at a time" };
+    if (wanted.voterCount() == 0)
+        return failure { failure_code::invalid_argument, "a membership needs at least one voter" };
+    auto appended = propose(entry_kind::membership, detail::encodeMembership(wanted));
+    if (appended) {
+        membersChangedAt = now;
+        syncProgressWithMembers();
+    }
+    return appended;
+}
+
+void raft_node::impl::syncProgressWithMembers()
+{
+    for (const auto& m : log.members().members) {
+        if (m.id == options.self || peers.contains(m.id))
+            continue;
+        progress fresh;
+        fresh.nextIndex = log.lastIndex() + 1;
+        peers.emplace(m.id, std::move(fresh));
+    }
+    for (auto peer = peers.begin(); peer != peers.end();) {
+        if (log.members().find(peer->first))
+            ++peer;
+        else
+            peer = peers.erase(peer);
+    }
+}
+
+void raft_node::impl::stepDownIfRemoved()
+{
+    if (log.membersIndex() <= commit && !log.members().isVoter(options.self))
+        becomeFollower(hard.term, std::nullopt);
+}
+
+// A member with another data incarnation than the membership's has lost its data folder. Its acknowledgements no longer
+// count: it becomes a learner by a membership change, and a voter again once it has caught up.
+bool raft_node::impl::checkIncarnation(progress& peer, const raft_message& m, instant now)
+{
+    const auto* known = log.members().find(m.from);
+    if (!known)
+        return false;
+    if (known->dataIncarnation == m.dataIncarnation)
+        return true;
+    if (instantFromMicros(m.sentAt) < membersChangedAt)
+        return false;
+    auto changed = log.members();
+    for (auto& entry : changed.members) {
+        if (entry.id != m.from)
+            continue;
+        entry.promoteWhenCaughtUp = entry.promoteWhenCaughtUp || entry.role == member_role::voter;
+        entry.role = member_role::learner;
+        entry.dataIncarnation = m.dataIncarnation;
+    }
+    if (proposeMembership(changed, now)) {
+        peer = progress {};
+        peer.nextIndex = log.lastIndex() + 1;
+    }
+    return false;
+}
+
+// A restarted replica whose log ends before an entry that it acknowledged earlier in this term, or that answers under
+// an older start than one already seen, runs on an old copy of its data folder.
+bool raft_node::impl::checkRegression(progress& peer, const raft_message& m, instant now)
+{
+    if (m.startCount > peer.startCount) {
+        peer.earlierAcknowledged = peer.matchIndex;
+        peer.startCount = m.startCount;
+        peer.startSeenAt = now;
+    }
+    const bool olderStart = m.startCount < peer.startCount && instantFromMicros(m.sentAt) > peer.startSeenAt;
+    const bool forgotten = m.startCount == peer.startCount && m.rejected && m.matchIndex < peer.earlierAcknowledged;
+    if (olderStart || forgotten) {
+        auto verdict = messageTo(m.from, message_kind::data_lost);
+        verdict.startCount = m.startCount;
+        send(std::move(verdict));
+    }
+    return m.startCount == peer.startCount && !forgotten;
+}
+
+void raft_node::impl::promoteIfCaughtUp(replica_id id, const progress& peer, instant now)
+{
+    const auto* known = log.members().find(id);
+    if (!known || !known->promoteWhenCaughtUp || log.membersIndex() > commit || peer.matchIndex < commit)
+        return;
+    auto changed = log.members();
+    for (auto& entry : changed.members) {
+        if (entry.id != id)
+            continue;
+        entry.role = member_role::voter;
+        entry.promoteWhenCaughtUp = false;
+    }
+    // A refusal is not an error: the next answer of the learner repeats the attempt.
+    static_cast<void>(proposeMembership(changed, now));
+}
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/consensus/src/raft_node.cpp
@@ -0,0 +1,225 @@
+#include "raft_node_impl.h"
+#include <algorithm>
+
+namespace poplardeal {
+
+using detail::raft_role;
+
+raft_node::impl::impl(raft_options given, raft_saved_state saved, instant now)
+    : options(std::move(given))
+    , random(options.seed * 0x9e3779b97f4a7c15U + options.self.value())
+    , log(options.initialMembers, saved.snapshot, std::move(saved.entries))
+    , hard(saved.hard)
+    , commit(log.baseIndex())
+    , emitted(log.baseIndex())
+    , lastHeard(now)
+    , stableIndex(log.lastIndex())
+    , durableTerm(hard.term)
+{
+    resetElectionTimer(now);
+    if (options.initialMembers.voterCount() == 1 && mayVote() && log.members().voterCount() == 1)
+        electionDeadline = now;
+}
+
+void raft_node::impl::tick(instant now)
+{
+    if (role == raft_role::leader) {
+        const auto answered = std::max(quorumAnsweredSentAt(now).value_or(leaderSince), leaderSince);
+        const bool transferFailed = transferTarget && now >= transferDeadline;
+        // A delayed time_out_now may still start an election in this term, which the lease does not exclude.
+        if (now - answered >= options.electionTimeout || (transferFailed && transferSent)) {
+            becomeFollower(hard.term, std::nullopt);
+            resetElectionTimer(now);
+            return;
+        }
+        if (transferFailed)
+            transferTarget.reset();
+        if (now - lastHeartbeat >= options.heartbeatInterval)
+            sendHeartbeats(now);
+        return;
+    }
+    if (now >= electionDeadline)
+        startPreVote(now);
+}
+
+static bool carriesLeader(message_kind kind)
+{
+    return kind == message_kind::append || kind == message_kind::snapshot_chunk || kind == message_kind::time_out_now
+        || kind == message_kind::data_lost;
+}
+
+void raft_node::impl::receive(const raft_message& m, instant now)
+{
+    if (m.to != options.self || m.from == options.self)
+        return;
+    if (m.term > hard.term) {
+        const bool future
+            = m.kind == message_kind::pre_vote || (m.kind == message_kind::pre_vote_answer && !m.rejected);
+        if (m.kind == message_kind::vote && !m.transfer && hasHeardFromLeader(now))
+            return;
+        if (!future && role == raft_role::leader)
+            resetElectionTimer(now);
+        if (!future)
+            becomeFollower(m.term, carriesLeader(m.kind) ? std::optional(m.from) : std::nullopt);
+    } else if (m.term < hard.term) {
+        // The answer carries the newer term, which makes an outdated leader or candidate step down.
+        if (carriesLeader(m.kind) || m.kind == message_kind::pre_vote) {
+            auto answer = messageTo(
+                m.from, m.kind == message_kind::pre_vote ? message_kind::pre_vote_answer : message_kind::append_answer);
+            answer.rejected = true;
+            sendWhenDurable(std::move(answer));
+        }
+        return;
+    }
+    switch (m.kind) {
+    case message_kind::pre_vote:
+    case message_kind::vote:
+        return onVoteRequest(m, now);
+    case message_kind::pre_vote_answer:
+    case message_kind::vote_answer:
+        return onVoteAnswer(m, now);
+    case message_kind::append:
+        return onAppend(m, now);
+    case message_kind::append_answer:
+        return onAppendAnswer(m, now);
+    case message_kind::snapshot_chunk:
+        return onSnapshotChunk(m, now);
+    case message_kind::snapshot_answer:
+        return onSnapshotAnswer(m, now);
+    case message_kind::time_out_now:
+        return onTimeOutNow(m, now);
+    case message_kind::data_lost:
+        dataLost = dataLost || m.startCount == options.startCount;
+        return;
+    }
+}
+
+result<log_position> raft_node::impl::propose(entry_kind kind, std::string payload)
+{
+    if (role != raft_role::leader || transferTarget)
+        return failure { failure_code::not_leader, "this replica is not the leader" };
+    if (payload.size() > options.maxEntryBytes)
+        return failure { failure_code::too_large,
+            "log entry exceeds " + std::to_string(options.maxEntryBytes) + " bytes" };
+    if (uncommittedBytes + payload.size() > options.maxUncommittedBytes)
+        return failure { failure_code::overloaded, "too many bytes of log entries await their commit" };
+    appendOwn(kind, std::move(payload));
+    return log_position { log.lastIndex(), hard.term };
+}
+
+void raft_node::impl::appendOwn(entry_kind kind, std::string payload)
+{
+    uncommittedBytes += payload.size();
+    const auto index = log.lastIndex() + 1;
+    log.append(log_entry { hard.term, index, kind, std::move(payload) });
+    if (firstUnsent == 0)
+        firstUnsent = index;
+}
+
+void raft_node::impl::persisted(std::uint64_t number, instant now)
+{
+    durableNumber = std::max(durableNumber, number);
+    while (!pendingBatches.empty() && pendingBatches.front().number <= durableNumber) {
+        const auto batch = pendingBatches.front();
+        pendingBatches.pop_front();
+        stableIndex = std::max(stableIndex, batch.lastIndex);
+        durableTerm = std::max(durableTerm, batch.term);
+        if (batch.carriesOwnVote && role == raft_role::candidate && batch.term == hard.term)
+            recordVote(options.self, true, now);
+    }
+    if (role == raft_role::leader)
+        advanceCommit();
+}
+
+void raft_node::impl::releaseDurable()
+{
+    while (!deferred.empty() && deferred.front().number <= durableNumber) {
+        // A replica that has moved to a newer term may have replaced entries that an older answer reports as durable.
+        if (deferred.front().message.term >= hard.term)
+            outgoing.push_back(std::move(deferred.front().message));
+        deferred.pop_front();
+    }
+}
+
+raft_ready raft_node::impl::takeReady(instant now)
+{
+    if (role == raft_role::leader)
+        sendAppends(now);
+    raft_ready out;
+    auto& batch = out.persist;
+    batch.snapshot = std::exchange(snapshotToPersist, nullptr);
+    batch.discardLog = std::exchange(discardLog, false);
+    if (std::exchange(hardChanged, false))
+        batch.hard = hard;
+    for (auto index = firstUnsent; index != 0 && index <= log.lastIndex(); ++index)
+        batch.entries.push_back(log.at(index));
+    firstUnsent = 0;
+    if (!batch.empty()) {
+        batch.number = ++batchNumber;
+        pendingBatches.push_back({ batch.number, hard.term, log.lastIndex(), std::exchange(ownVotePending, false) });
+    }
+    releaseDurable();
+    out.messages = std::exchange(outgoing, {});
+    out.install = std::exchange(snapshotToInstall, nullptr);
+    while (emitted < commit)
+        out.committed.push_back(log.at(++emitted));
+    return out;
+}
+
+raft_message raft_node::impl::messageTo(replica_id to, message_kind kind) const
+{
+    raft_message out;
+    out.kind = kind;
+    out.from = options.self;
+    out.to = to;
+    out.term = hard.term;
+    out.dataIncarnation = options.dataIncarnation;
+    out.startCount = options.startCount;
+    return out;
+}
+
+void raft_node::impl::send(raft_message m) { outgoing.push_back(std::move(m)); }
+
+void raft_node::impl::sendWhenDurable(raft_message m)
+{
+    const bool unsent = hardChanged || firstUnsent != 0 || snapshotToPersist;
+    deferred.push_back({ unsent ? batchNumber + 1 : batchNumber, std::move(m) });
+}
+
+raft_node::raft_node(raft_options options, raft_saved_state saved, instant now)
+    : m_impl(std::make_unique<impl>(std::move(options), std::move(saved), now))
+{
+}
+raft_node::raft_node(raft_node&&) noexcept = default;
+raft_node& raft_node::operator=(raft_node&&) noexcept = default;
+raft_node::~raft_node() = default;
+
+void raft_node::tick(instant now) { m_impl->tick(now); }
+void raft_node::receive(const raft_message& m, instant now) { m_impl->receive(m, now); }
+result<log_position> raft_node::propose(std::string payload, instant)
+{
+    return m_impl->propose(entry_kind::command, std::move(payload));
+}
+result<log_position> raft_node::proposeMembership(membership members, instant now)
+{
+    return m_impl->proposeMembership(members, now);
+}
+void raft_node::persisted(std::uint64_t number, instant now) { m_impl->persisted(number, now); }
+void raft_node::compact(shared_snapshot snapshot) { m_impl->compact(snapshot); }
+bool raft_node::transferLeadership(instant now) { return m_impl->transferLeadership(now); }
+raft_ready raft_node::takeReady(instant now) { return m_impl->takeReady(now); }
+bool raft_node::isLeader() const { return m_impl->role == raft_role::leader; }
+bool raft_node::holdsLeaderLease(instant now) const { return m_impl->holdsLeaderLease(now); }
+std::uint64_t raft_node::termStartIndex() const { return m_impl->termStartIndex; }
+std::optional<replica_id> raft_node::leader() const { return m_impl->leader; }
+std::uint64_t raft_node::term() const { return m_impl->hard.term; }
+std::uint64_t raft_node::commitIndex() const { return m_impl->commit; }
+std::uint64_t raft_node::lastIndex() const { return m_impl->log.lastIndex(); }
+std::uint64_t raft_node::firstIndex() const { return m_impl->log.firstIndex(); }
+std::uint64_t raft_node::termAt(std::uint64_t index) const { return m_impl->log.termAt(index); }
+const membership& raft_node::members() const { return m_impl->log.members(); }
+const membership& raft_node::membersAt(std::uint64_t index) const { return m_impl->log.membersAt(index); }
+bool raft_node::mayVote() const { return m_impl->mayVote(); }
+bool raft_node::dataLost() const { return m_impl->dataLost; }
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/consensus/src/raft_node_impl.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include "raft_log.h"
+#include <deque>
+#include <map>
+#include <poplardeal/consensus/raft_node.h>
+#include <random>
+#include <set>
+
+namespace poplardeal {
+
+namespace detail {
+
+    enum class raft_role {
+        follower,
+        pre_candidate,
+        candidate,
+        leader,
+    };
+
+    enum class progress_state {
+        probe, ///< The matching position is unknown: one append at a time.
+        replicate, ///< Appends are sent ahead of the answers.
+        snapshot, ///< The log no longer reaches back far enough.
+    };
+
+    struct inflight_append {
+        std::uint64_t lastIndex { 0 };
+        std::size_t bytes { 0 };
+    };
+
+    /// What the leader knows of one other member.
+    struct progress {
+        progress_state state { progress_state::probe };
+        std::uint64_t matchIndex { 0 };
+        std::uint64_t nextIndex { 1 };
+        bool probeSent { false };
+        std::deque<inflight_append> inflight;
+        std::size_t inflightBytes { 0 };
+        std::optional<instant> answeredSentAt; ///< Sending time of the latest message that it has answered.
+        std::uint64_t startCount { 0 };
+        instant startSeenAt; ///< When `startCount` was first seen.
+        std::uint64_t earlierAcknowledged { 0 }; ///< Highest durable index reported by its earlier starts in this term.
+        shared_snapshot snapshot;
+        std::uint64_t snapshotOffset { 0 };
+        bool chunkSent { false };
+    };
+
+    struct pending_batch {
+        std::uint64_t number { 0 };
+        std::uint64_t term { 0 };
+        std::uint64_t lastIndex { 0 };
+        bool carriesOwnVote { false };
+    };
+
+    struct deferred_message {
+        std::uint64_t number { 0 }; ///< Batch that must be durable first.
+        raft_message message;
+    };
+
+    /// Snapshot that is being received.
+    struct incoming_snapshot {
+        std::uint64_t index { 0 };
+        std::uint64_t term { 0 };
+        std::string data;
+    };
+
+} // namespace detail
+
+struct raft_node::impl {
+    impl(raft_options, raft_saved_state, instant now);
+
+    // raft_node.cpp
+    void tick(instant now);
+    void receive(const raft_message&, instant now);
+    result<log_position> propose(entry_kind, std::string payload);
+    void persisted(std::uint64_t number, instant now);
+    raft_ready takeReady(instant now);
+    void send(raft_message);
+    void sendWhenDurable(raft_message);
+    void releaseDurable();
+    raft_message messageTo(replica_id, message_kind) const;
+    void appendOwn(entry_kind, std::string payload);
+
+    // raft_election.cpp
+    void becomeFollower(std::uint64_t newTerm, std::optional<replica_id> newLeader);
+    void startPreVote(instant now);
+    void startElection(bool transfer, instant now);
+    void becomeLeader(instant now);
+    void requestVotes(message_kind, std::uint64_t votedTerm, bool transfer);
+    void recordVote(replica_id voter, bool granted, instant now);
+    void onVoteRequest(const raft_message&, instant now);
+    void onVoteAnswer(const raft_message&, instant now);
+    void onTimeOutNow(const raft_message&, instant now);
+    void resetElectionTimer(instant now);
+    void retrySoon(instant now);
+    bool hasHeardFromLeader(instant now) const;
+    bool isLogUpToDate(const raft_message&) const;
+    bool mayVote() const;
+    std::optional<instant> quorumAnsweredSentAt(instant now) const;
+    bool holdsLeaderLease(instant now) const;
+    bool transferLeadership(instant now);
+    void continueTransfer(replica_id, instant now);
+
+    // raft_replication.cpp
+    void onAppend(const raft_message&, instant now);
+    void storeEntries(const std::vector<log_entry>&);
+    void onAppendAnswer(const raft_message&, instant now);
+    void onRejectedAppend(detail::progress&, const raft_message&);
+    void sendAppends(instant now);
+    void sendAppendsTo(replica_id, detail::progress&, instant now);
+    void sendOneAppend(replica_id, detail::progress&, bool heartbeat, instant now);
+    void sendHeartbeats(instant now);
+    void advanceCommit();
+    void adoptCommit(std::uint64_t);
+
+    // raft_snapshot.cpp
+    void onSnapshotChunk(const raft_message&, instant now);
+    void installReceivedSnapshot(const raft_message&);
+    void onSnapshotAnswer(const raft_message&, instant now);
+    void startSnapshot(detail::progress&);
+    void sendSnapshotChunk(replica_id, detail::progress&, instant now);
+    void compact(const shared_snapshot&);
+
+    // raft_membership.cpp
+    result<log_position> proposeMembership(const membership&, instant now);
+    bool checkIncarnation(detail::progress&, const raft_message&, instant now);
+    bool checkRegression(detail::progress&, const raft_message&, instant now);
+    void promoteIfCaughtUp(replica_id, const detail::progress&, instant now);
+    void syncProgressWithMembers();
+    void stepDownIfRemoved();
+
+    raft_options options;
+    std::mt19937_64 random;
+    detail::raft_log log;
+    detail::raft_role role { detail::raft_role::follower };
+    hard_state hard;
+    std::optional<replica_id> leader;
+    std::uint64_t commit { 0 };
+    std::uint64_t emitted { 0 }; ///< Last entry handed out as committed.
+    instant lastHeard; ///< When a leader was last heard.
+    instant electionDeadline;
+    std::map<replica_id, bool> votes;
+    bool transferElection { false };
+
+    // Persistence.
+    bool hardChanged { false };
+    bool ownVotePending { false };
+    std::uint64_t firstUnsent { 0 }; ///< First entry not yet handed out to persist; 0 if there is none.
+    shared_snapshot snapshotToPersist;
+    bool discardLog { false };
+    shared_snapshot snapshotToInstall;
+    std::uint64_t batchNumber { 0 };
+    std::uint64_t durableNumber { 0 };
+    std::uint64_t stableIndex { 0 };
+    std::uint64_t durableTerm { 0 };
+    std::deque<detail::pending_batch> pendingBatches;
+    std::deque<detail::deferred_message> deferred;
+    std::vector<raft_message> outgoing;
+
+    // Leader.
+    std::map<replica_id, detail::progress> peers;
+    std::uint64_t termStartIndex { 0 }; ///< The no-op of this term.
+    instant leaderSince;
+    instant lastHeartbeat;
+    instant membersChangedAt;
+    std::size_t uncommittedBytes { 0 };
+    std::optional<replica_id> transferTarget;
+    bool transferSent { false };
+    instant transferDeadline;
+
+    std::optional<detail::incoming_snapshot> incoming;
+    bool dataLost { false };
+};
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/consensus/src/replica.cpp
@@ -0,0 +1,325 @@
+#include "disk_worker.h"
+#include "message_codec.h"
+#include <limits>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <poplardeal/base/log.h>
+#include <poplardeal/consensus/replica.h>
+#include <random>
+
+namespace poplardeal {
+
+using proposal_callback = std::function<void(result<std::string>)>;
+
+struct pending_proposal {
+    std::uint64_t term { 0 };
+    proposal_callback done;
+};
+
+struct replica::impl : std::enable_shared_from_this<replica::impl> {
+    impl(replica_options given, replica_environment environmentGiven, state_machine& machineGiven, raft_node nodeGiven)
+        : options(std::move(given))
+        , environment(std::move(environmentGiven))
+        , machine(machineGiven)
+        , node(std::move(nodeGiven))
+    {
+    }
+
+    void startDisk(log_store);
+    void onDiskReport(const detail::disk_report&);
+    void scheduleFlush();
+    void flush();
+    void carryOut(raft_ready);
+    void applyCommitted(const log_entry&);
+    void snapshotIfDue();
+    void appended(result<log_position>, proposal_callback);
+    void abandonProposals(const std::string& reason, std::uint64_t beforeTerm);
+    void noteLeadership();
+    void stop(failure);
+    void observe(instant now) { latest = std::max(latest, now); }
+
+    replica_options options;
+    replica_environment environment;
+    state_machine& machine;
+    raft_node node;
+    instant latest; ///< The largest `now` seen.
+    std::uint64_t applied { 0 };
+    std::uint64_t snapshotIndex { 0 };
+    std::map<std::uint64_t, pending_proposal> proposals; ///< By index.
+    bool flushScheduled { false };
+    bool flushing { false };
+    bool wasLeader { false };
+    std::uint64_t leaderTerm { 0 };
+    std::optional<failure> stopReason;
+    std::unique_ptr<detail::disk_worker<log_store>> disk;
+};
+
+static std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+static raft_options nodeOptions(const replica_options& options, const recovered_folder& folder)
+{
+    raft_options out;
+    out.self = options.self;
+    out.initialMembers = membershipOfVoters(options.voters);
+    out.dataIncarnation = folder.dataIncarnation;
+    out.startCount = folder.startCount;
+    out.heartbeatInterval = options.heartbeatInterval;
+    out.electionTimeout = options.electionTimeout;
+    out.seed = options.seed;
+    return out;
+}
+
+result<std::unique_ptr<replica>> replica::open(
+    replica_options options, replica_environment environment, state_machine& machine, instant now)
+{
+    log_store_options storeOptions;
+    storeOptions.bootstrap = options.bootstrap;
+    storeOptions.newIncarnation = randomNumber() | 1;
+    storeOptions.startTag = randomNumber();
+    BOOST_OUTCOME_TRY(store, log_store::open(posix_disk(options.dataFolder), storeOptions));
+    auto folder = store.takeRecovered();
+    const auto snapshot = folder.state.snapshot;
+    if (snapshot) {
+        BOOST_OUTCOME_TRYV(machine.installSnapshot(snapshot->data));
+    }
+    logEvent(log_level::info, "replica_opened",
+        { { "replica", options.self.value() }, { "term", folder.state.hard.term }, { "fresh", folder.fresh },
+            { "snapshot_index", snapshot ? snapshot->index : 0 }, { "entries", folder.state.entries.size() },
+            { "cut_bytes", folder.cutBytes } });
+    raft_node node(nodeOptions(options, folder), std::move(folder.state), now);
+    auto made = std::make_shared<impl>(std::move(options), std::move(environment), machine, std::move(node));
+    made->observe(now);
+    made->applied = snapshot ? snapshot->index : 0;
+    made->snapshotIndex = made->applied;
+    made->startDisk(std::move(store));
+    return std::unique_ptr<replica>(new replica(std::move(made)));
+}
+
+void replica::impl::startDisk(log_store store)
+{
+    // A report may be delivered after the replica is gone.
+    auto report = [weak = weak_from_this(), post = environment.post](const detail::disk_report& r) {
+        post([weak, r] {
+            if (const auto self = weak.lock())
+                self->onDiskReport(r);
+        });
+    };
+    disk = std::make_unique<detail::disk_worker<log_store>>(std::move(store), std::move(report));
+}
+
+void replica::impl::onDiskReport(const detail::disk_report& report)
+{
+    if (stopReason)
+        return;
+    if (report.failed)
+        return stop(*report.failed);
+    node.persisted(report.durableNumber, latest);
+    flush();
+}
+
+/// Proposals of one turn of the loop share one append message and one sync.
+void replica::impl::scheduleFlush()
+{
+    if (std::exchange(flushScheduled, true))
+        return;
+    environment.post([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->flushScheduled = false;
+            self->flush();
+        }
+    });
+}
+
+void replica::impl::flush()
+{
+    if (stopReason)
+        return;
+    if (flushing)
+        return scheduleFlush();
+    if (node.dataLost()) {
+        return stop({ failure_code::corrupt,
+            "data folder " + options.dataFolder.string()
+                + " is an old copy: it lacks entries that this replica has acknowledged; remove it to rejoin the "
+                  "group" });
+    }
+    flushing = true;
+    carryOut(node.takeReady(latest));
+    flushing = false;
+    noteLeadership();
+    snapshotIfDue();
+}
+
+void replica::impl::carryOut(raft_ready ready)
+{
+    if (ready.install) {
+        const auto installed = machine.installSnapshot(ready.install->data);
+        if (!installed)
+            return stop(installed.error());
+        applied = ready.install->index;
+        snapshotIndex = applied;
+    }
+    if (!ready.persist.empty())
+        disk->persist(std::move(ready.persist));
+    for (const auto& message : ready.messages)
+        environment.send(message.to, detail::encodeMessage(message));
+    for (const auto& entry : ready.committed)
+        applyCommitted(entry);
+}
+
+void replica::impl::applyCommitted(const log_entry& entry)
+{
+    std::string answer;
+    if (entry.kind == entry_kind::command)
+        answer = machine.apply(entry.index, entry.payload);
+    applied = entry.index;
+    const auto found = proposals.find(entry.index);
+    if (found == proposals.end())
+        return;
+    const auto proposal = std::move(found->second);
+    proposals.erase(found);
+    if (proposal.term == entry.term)
+        proposal.done(std::move(answer));
+    else
+        proposal.done(failure { failure_code::unavailable, "another leader replaced the entry" });
+}
+
+void replica::impl::snapshotIfDue()
+{
+    if (stopReason || applied < snapshotIndex + options.snapshotEvery)
+        return;
+    auto taken = std::make_shared<log_snapshot>();
+    taken->index = applied;
+    taken->term = node.termAt(applied);
+    taken->members = node.membersAt(applied);
+    taken->data = machine.takeSnapshot();
+    snapshotIndex = applied;
+    node.compact(taken);
+    disk->saveSnapshot(taken);
+}
+
+void replica::impl::appended(result<log_position> position, proposal_callback done)
+{
+    if (!position)
+        return done(position.error());
+    proposals[position.value().index] = { position.value().term, std::move(done) };
+    scheduleFlush();
+}
+
+void replica::impl::abandonProposals(const std::string& reason, std::uint64_t beforeTerm)
+{
+    std::vector<proposal_callback> abandoned;
+    std::erase_if(proposals, [&](auto& item) {
+        if (item.second.term >= beforeTerm)
+            return false;
+        abandoned.push_back(std::move(item.second.done));
+        return true;
+    });
+    for (const auto& done : abandoned)
+        done(failure { failure_code::unavailable, reason });
+}
+
+void replica::impl::noteLeadership()
+{
+    const bool leads = node.isLeader();
+    const bool changed = leads != wasLeader || (leads && node.term() != leaderTerm);
+    if (!changed)
+        return;
+    wasLeader = leads;
+    leaderTerm = node.term();
+    logEvent(log_level::info, leads ? "leadership_gained" : "leadership_lost",
+        { { "replica", options.self.value() }, { "term", node.term() } });
+    const auto beforeTerm = leads ? leaderTerm : std::numeric_limits<std::uint64_t>::max();
+    abandonProposals("leadership was lost before the entry was committed", beforeTerm);
+}
+
+void replica::impl::stop(failure reason)
+{
+    if (stopReason)
+        return;
+    stopReason = reason;
+    logEvent(log_level::error, "replica_stopped",
+        { { "replica", options.self.value() }, { "code", toString(reason.code) }, { "reason", reason.message } });
+    abandonProposals("the replica stopped: " + reason.message, std::numeric_limits<std::uint64_t>::max());
+    if (environment.stopped)
+        environment.stopped(reason);
+}
+
+replica::replica(std::shared_ptr<impl> made)
+    : m_impl(std::move(made))
+{
+}
+
+replica::~replica()
+{
+    // Ends the disk thread before the state machine goes; callbacks that are still posted find nothing.
+    m_impl->disk.reset();
+    m_impl.reset();
+}
+
+void replica::tick(instant now)
+{
+    m_impl->observe(now);
+    if (m_impl->stopReason)
+        return;
+    m_impl->node.tick(now);
+    m_impl->flush();
+}
+
+void replica::receive(replica_id from, std::string_view message, instant now)
+{
+    m_impl->observe(now);
+    if (m_impl->stopReason)
+        return;
+    const auto decoded = detail::decodeMessage(message);
+    if (!decoded || decoded.value().from != from) {
+        logEvent(log_level::warning, "replica_message_refused", { { "from", from.value() } });
+        return;
+    }
+    m_impl->node.receive(decoded.value(), now);
+    m_impl->flush();
+}
+
+void replica::propose(std::string payload, instant now, proposal_callback done)
+{
+    m_impl->observe(now);
+    if (m_impl->stopReason)
+        return done(failure { failure_code::not_leader, "the replica stopped: " + m_impl->stopReason->message });
+    m_impl->appended(m_impl->node.propose(std::move(payload), now), std::move(done));
+}
+
+void replica::changeMembership(membership members, instant now, proposal_callback done)
+{
+    m_impl->observe(now);
+    if (m_impl->stopReason)
+        return done(failure { failure_code::not_leader, "the replica stopped: " + m_impl->stopReason->message });
+    m_impl->appended(m_impl->node.proposeMembership(std::move(members), now), std::move(done));
+}
+
+bool replica::isLeader() const { return !m_impl->stopReason && m_impl->node.isLeader(); }
+bool replica::holdsLeaderLease(instant now) const
+{
+    return isLeader() && m_impl->applied >= m_impl->node.termStartIndex() && m_impl->node.holdsLeaderLease(now);
+}
+std::optional<replica_id> replica::leader() const { return m_impl->node.leader(); }
+std::uint64_t replica::term() const { return m_impl->node.term(); }
+std::uint64_t replica::commitIndex() const { return m_impl->node.commitIndex(); }
+std::uint64_t replica::appliedIndex() const { return m_impl->applied; }
+const membership& replica::members() const { return m_impl->node.members(); }
+bool replica::mayVote() const { return !m_impl->stopReason && m_impl->node.mayVote(); }
+std::optional<failure> replica::failed() const { return m_impl->stopReason; }
+
+bool replica::transferLeadership(instant now)
+{
+    m_impl->observe(now);
+    if (m_impl->stopReason)
+        return false;
+    const bool started = m_impl->node.transferLeadership(now);
+    m_impl->flush();
+    return started;
+}
+
+} // namespace poplardeal
