Make the supervisors' library readable for clang 14

clang 14 has no std::source_location with this standard library, so clang-tidy could not read plan.h. The line of the caller now comes from builtins that both compilers have.

--- a/packages/deployment/include/poplardeal/deployment/plan.h
+++ b/packages/deployment/include/poplardeal/deployment/plan.h
@@ -8,11 +8,9 @@
 #include <poplardeal/base/units.h>
 #include <poplardeal/deployment/limits.h>
 #include <poplardeal/deployment/model.h>
-#include <source_location>
 #include <string>
 #include <string_view>
 #include <type_traits>
-#include <utility>
 #include <vector>
 
 namespace poplardeal {
@@ -85,8 +83,8 @@
     template <class From>
     requires std::is_convertible_v<From, T> && requires(From&& value) { T { std::forward<From>(value) }; }
     // NOLINTNEXTLINE(google-explicit-constructor): the field stands for its value.
-    constexpr required(From&& value)
-        : m_value(std::forward<From>(value))
+    constexpr required(const From& value)
+        : m_value(value)
     {
     }
     constexpr const T& value() const { return m_value; }
@@ -207,6 +205,18 @@
     std::int64_t connections { 64 };
 };
 
+/// A line of the supervisor's program.
+struct program_line {
+    const char* file;
+    unsigned line;
+
+    /// The line of the caller of the function that has this as a default argument.
+    static constexpr program_line current(const char* file = __builtin_FILE(), unsigned line = __builtin_LINE())
+    {
+        return { file, line };
+    }
+};
+
 /// A deployment in the making. Mistakes that the compiler cannot see are collected with the line of the supervisor's
 /// program that made them, and `print` reports all of them.
 ///
@@ -227,7 +237,7 @@
 ///     }
 class plan {
 public:
-    using location = std::source_location;
+    using location = program_line;
 
     explicit plan(plan_name name);
     plan(const plan&) = delete; // Handles point to their plan.
--- a/packages/deployment/src/diff.cpp
+++ b/packages/deployment/src/diff.cpp
@@ -114,7 +114,7 @@
     {
         std::string out;
         for (const auto& [key, value] : entry.fields)
-            out += (out.empty() ? "" : ", ") + key + " " + value;
+            out.append(out.empty() ? "" : ", ").append(key).append(" ").append(value);
         return out;
     }
 
--- a/packages/deployment/src/plan.cpp
+++ b/packages/deployment/src/plan.cpp
@@ -52,8 +52,8 @@
 {
     if (holds)
         return;
-    const auto file = std::filesystem::path(where.file_name()).filename().string();
-    m_mistakes.push_back(file + ":" + std::to_string(where.line()) + ": " + subject + ": " + reason);
+    const auto file = std::filesystem::path(where.file).filename().string();
+    m_mistakes.push_back(file + ":" + std::to_string(where.line) + ": " + subject + ": " + reason);
 }
 
 template <class Entry>
--- a/packages/deployment/src/table_reader.cpp
+++ b/packages/deployment/src/table_reader.cpp
@@ -98,7 +98,7 @@
 
 std::string table_reader::name(std::string_view key)
 {
-    const auto value = text(key, limits::deploymentBytes);
+    auto value = text(key, limits::deploymentBytes);
     if (!has(key))
         return value;
     const auto reason = nameFault(value);
