--- a/packages/base/include/poplardeal/base/json.h
+++ b/packages/base/include/poplardeal/base/json.h
@@ -10,7 +10,8 @@
 /// instants and durations in microseconds.
 namespace nlohmann {
 
-template <class Tag, class Rep> struct adl_serializer<poplardeal::strong_id<Tag, Rep>> {
+template<class Tag, class Rep>
+struct adl_serializer<poplardeal::strong_id<Tag, Rep>> {
     static void to_json(json& out, const poplardeal::strong_id<Tag, Rep>& id) { out = id.value(); }
     static void from_json(const json& in, poplardeal::strong_id<Tag, Rep>& id)
     {
@@ -18,7 +19,8 @@
     }
 };
 
-template <class Tag> struct adl_serializer<poplardeal::quantity<Tag>> {
+template<class Tag>
+struct adl_serializer<poplardeal::quantity<Tag>> {
     static void to_json(json& out, const poplardeal::quantity<Tag>& q) { out = q.count(); }
     static void from_json(const json& in, poplardeal::quantity<Tag>& q)
     {
@@ -26,7 +28,8 @@
     }
 };
 
-template <> struct adl_serializer<poplardeal::instant> {
+template<>
+struct adl_serializer<poplardeal::instant> {
     static void to_json(json& out, const poplardeal::instant& t) { out = poplardeal::toMicros(t); }
     static void from_json(const json& in, poplardeal::instant& t)
     {
@@ -34,7 +37,8 @@
     }
 };
 
-template <> struct adl_serializer<poplardeal::duration> {
+template<>
+struct adl_serializer<poplardeal::duration> {
     static void to_json(json& out, const poplardeal::duration& d) { out = d.count(); }
     static void from_json(const json& in, poplardeal::duration& d) { d = poplardeal::duration(in.get<std::int64_t>()); }
 };
