--- a/packages/consensus/include/poplardeal/consensus/raft_node.h
+++ b/packages/consensus/include/poplardeal/consensus/raft_node.h
@@ -75,8 +75,9 @@
     void receive(const raft_message&, instant now);
     /// `not_leader`, `too_large` or `overloaded` if the entry was not appended.
     result<log_position> propose(std::string payload, instant now);
-    /// Changes at most one voter. `conflict` while an earlier change is not committed, `unavailable` before the first
-    /// commit of the term.
+    /// Changes at most one voter; a new voter has to be a learner that has caught up. The data incarnations are filled
+    /// in here. `conflict` while an earlier change is not committed, `unavailable` if the learner lags or before the
+    /// first commit of the term.
     result<log_position> proposeMembership(membership, instant now);
     /// All batches up to this number are durable.
     void persisted(std::uint64_t number, instant now);
--- a/packages/consensus/include/poplardeal/consensus/raft_types.h
+++ b/packages/consensus/include/poplardeal/consensus/raft_types.h
@@ -15,8 +15,10 @@
     learner, ///< Receives the log, neither votes nor counts towards a quorum.
 };
 
-/// One member of the group. A replica may vote only if its latest membership lists it as a voter with its own
-/// data incarnation, which is drawn anew whenever a replica starts with an empty data folder in an existing group.
+/// One member of the group. The data incarnation is drawn anew whenever a replica starts with an empty data folder in
+/// an existing group: what its earlier folder acknowledged or voted says nothing about the new one. A replica campaigns
+/// only if its membership lists it as a voter with its own incarnation, and votes only for candidates whose membership
+/// does.
 struct member {
     replica_id id;
     member_role role { member_role::voter };
@@ -99,6 +101,7 @@
     bool transfer { false }; ///< Vote: the leader asked for this election, so the promise made to it does not hold.
     std::int64_t sentAt { 0 }; ///< Leader's clock at the time of sending, in microseconds; answers repeat it.
     std::uint64_t dataIncarnation { 0 }; ///< Of the sender.
+    std::uint64_t expectedIncarnation { 0 }; ///< Vote requests: of the receiver, in the sender's membership.
     std::uint64_t startCount { 0 }; ///< How often the sender's data folder has been opened.
     std::vector<log_entry> entries;
     std::uint64_t snapshotIndex { 0 };
--- a/packages/consensus/include/poplardeal/consensus/replica.h
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -78,8 +78,9 @@
     std::uint64_t commitIndex() const;
     std::uint64_t appliedIndex() const;
 
-    /// Replaces the membership; at most one voter may be added or removed. New members start with an empty folder and
-    /// without `bootstrap`. Answers like `propose`; `conflict` while an earlier change is not committed.
+    /// Replaces the membership; at most one voter may be added or removed, and a new voter has to be a learner that
+    /// has caught up (`unavailable` otherwise). New members start with an empty folder and without `bootstrap`. Answers
+    /// like `propose`; `conflict` while an earlier change is not committed.
     void changeMembership(membership, instant now, std::function<void(result<std::string>)> done);
     const membership& members() const;
     /// False while this replica has an empty or outdated data folder or is a learner.
--- a/packages/consensus/src/message_codec.cpp
+++ b/packages/consensus/src/message_codec.cpp
@@ -76,7 +76,8 @@
     const auto chunk = m.chunk.empty() ? 0 : bytesOf(out, m.chunk);
     const auto root = raft_wire::CreateMessage(out, static_cast<std::uint8_t>(m.kind), m.from.value(), m.to.value(),
         m.term, m.logIndex, m.logTerm, m.matchIndex, m.commit, m.rejected, m.transfer, m.sentAt, m.dataIncarnation,
-        m.startCount, entries, m.snapshotIndex, m.snapshotTerm, m.snapshotOffset, m.snapshotSize, members, chunk);
+        m.startCount, entries, m.snapshotIndex, m.snapshotTerm, m.snapshotOffset, m.snapshotSize, members, chunk,
+        m.expectedIncarnation);
     raft_wire::FinishMessageBuffer(out, root);
     return std::string(reinterpret_cast<const char*>(out.GetBufferPointer()), out.GetSize());
 }
@@ -114,6 +115,7 @@
     out.transfer = m.transfer();
     out.sentAt = m.sent_at();
     out.dataIncarnation = m.data_incarnation();
+    out.expectedIncarnation = m.expected_incarnation();
     out.startCount = m.start_count();
     out.entries = std::move(entries);
     out.snapshotIndex = m.snapshot_index();
--- a/packages/consensus/src/raft_election.cpp
+++ b/packages/consensus/src/raft_election.cpp
@@ -91,6 +91,7 @@
         request.logIndex = log.lastIndex();
         request.logTerm = log.lastTerm();
         request.transfer = transfer;
+        request.expectedIncarnation = m.dataIncarnation;
         if (kind == message_kind::vote)
             sendWhenDurable(std::move(request));
         else
@@ -117,7 +118,7 @@
 void raft_node::impl::onVoteRequest(const raft_message& m, instant now)
 {
     const bool pre = m.kind == message_kind::pre_vote;
-    if (!mayVote())
+    if (dataLost || m.expectedIncarnation != options.dataIncarnation)
         return;
     if (!m.transfer && hasHeardFromLeader(now))
         return;
--- a/packages/consensus/src/raft_generated.h
+++ b/packages/consensus/src/raft_generated.h
@@ -333,6 +333,7 @@
   uint64_t snapshot_size = 0;
   std::unique_ptr<poplardeal::raft_wire::MembershipT> snapshot_members{};
   std::vector<uint8_t> chunk{};
+  uint64_t expected_incarnation = 0;
   MessageT() = default;
   MessageT(const MessageT &o);
   MessageT(MessageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -363,7 +364,8 @@
     VT_SNAPSHOT_OFFSET = 36,
     VT_SNAPSHOT_SIZE = 38,
     VT_SNAPSHOT_MEMBERS = 40,
-    VT_CHUNK = 42
+    VT_CHUNK = 42,
+    VT_EXPECTED_INCARNATION = 44
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -425,6 +427,9 @@
   const flatbuffers::Vector<uint8_t> *chunk() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_CHUNK);
   }
+  uint64_t expected_incarnation() const {
+    return GetField<uint64_t>(VT_EXPECTED_INCARNATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -451,6 +456,7 @@
            verifier.VerifyTable(snapshot_members()) &&
            VerifyOffset(verifier, VT_CHUNK) &&
            verifier.VerifyVector(chunk()) &&
+           VerifyField<uint64_t>(verifier, VT_EXPECTED_INCARNATION, 8) &&
            verifier.EndTable();
   }
   MessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -522,6 +528,9 @@
   void add_chunk(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> chunk) {
     fbb_.AddOffset(Message::VT_CHUNK, chunk);
   }
+  void add_expected_incarnation(uint64_t expected_incarnation) {
+    fbb_.AddElement<uint64_t>(Message::VT_EXPECTED_INCARNATION, expected_incarnation, 0);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -554,8 +563,10 @@
     uint64_t snapshot_offset = 0,
     uint64_t snapshot_size = 0,
     flatbuffers::Offset<poplardeal::raft_wire::Membership> snapshot_members = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> chunk = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> chunk = 0,
+    uint64_t expected_incarnation = 0) {
   MessageBuilder builder_(_fbb);
+  builder_.add_expected_incarnation(expected_incarnation);
   builder_.add_snapshot_size(snapshot_size);
   builder_.add_snapshot_offset(snapshot_offset);
   builder_.add_snapshot_term(snapshot_term);
@@ -605,7 +616,8 @@
     uint64_t snapshot_offset = 0,
     uint64_t snapshot_size = 0,
     flatbuffers::Offset<poplardeal::raft_wire::Membership> snapshot_members = 0,
-    const std::vector<uint8_t> *chunk = nullptr) {
+    const std::vector<uint8_t> *chunk = nullptr,
+    uint64_t expected_incarnation = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::raft_wire::Entry>>(*entries) : 0;
   auto chunk__ = chunk ? _fbb.CreateVector<uint8_t>(*chunk) : 0;
   return poplardeal::raft_wire::CreateMessage(
@@ -629,7 +641,8 @@
       snapshot_offset,
       snapshot_size,
       snapshot_members,
-      chunk__);
+      chunk__,
+      expected_incarnation);
 }
 
 flatbuffers::Offset<Message> CreateMessage(flatbuffers::FlatBufferBuilder &_fbb, const MessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1061,7 +1074,8 @@
         snapshot_offset(o.snapshot_offset),
         snapshot_size(o.snapshot_size),
         snapshot_members((o.snapshot_members) ? new poplardeal::raft_wire::MembershipT(*o.snapshot_members) : nullptr),
-        chunk(o.chunk) {
+        chunk(o.chunk),
+        expected_incarnation(o.expected_incarnation) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new poplardeal::raft_wire::EntryT(*entries_) : nullptr); }
 }
@@ -1087,6 +1101,7 @@
   std::swap(snapshot_size, o.snapshot_size);
   std::swap(snapshot_members, o.snapshot_members);
   std::swap(chunk, o.chunk);
+  std::swap(expected_incarnation, o.expected_incarnation);
   return *this;
 }
 
@@ -1119,6 +1134,7 @@
   { auto _e = snapshot_size(); _o->snapshot_size = _e; }
   { auto _e = snapshot_members(); if (_e) _o->snapshot_members = std::unique_ptr<poplardeal::raft_wire::MembershipT>(_e->UnPack(_resolver)); }
   { auto _e = chunk(); if (_e) { _o->chunk.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->chunk.begin()); } }
+  { auto _e = expected_incarnation(); _o->expected_incarnation = _e; }
 }
 
 inline flatbuffers::Offset<Message> Message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1149,6 +1165,7 @@
   auto _snapshot_size = _o->snapshot_size;
   auto _snapshot_members = _o->snapshot_members ? CreateMembership(_fbb, _o->snapshot_members.get(), _rehasher) : 0;
   auto _chunk = _o->chunk.size() ? _fbb.CreateVector(_o->chunk) : 0;
+  auto _expected_incarnation = _o->expected_incarnation;
   return poplardeal::raft_wire::CreateMessage(
       _fbb,
       _kind,
@@ -1170,7 +1187,8 @@
       _snapshot_offset,
       _snapshot_size,
       _snapshot_members,
-      _chunk);
+      _chunk,
+      _expected_incarnation);
 }
 
 inline RecordT::RecordT(const RecordT &o)
--- a/packages/consensus/src/raft_membership.cpp
+++ b/packages/consensus/src/raft_membership.cpp
@@ -21,6 +21,24 @@
 {
     if (role != raft_role::leader || transferTarget)
         return failure { failure_code::not_leader, "this replica is not the leader" };
+    membership checked = wanted;
+    for (auto& m : checked.members) {
+        const auto* known = log.members().find(m.id);
+        m.dataIncarnation = known ? known->dataIncarnation : 0;
+        if (m.role != member_role::voter || m.id == options.self || (known && known->role == member_role::voter))
+            continue;
+        // An empty voter counts in the quorum before it can help to form one.
+        const auto peer = peers.find(m.id);
+        if (peer == peers.end() || peer->second.matchIndex == 0 || peer->second.matchIndex < commit) {
+            return failure { failure_code::unavailable,
+                "replica " + std::to_string(m.id.value()) + " has to be a learner that has caught up before it votes" };
+        }
+    }
+    return appendMembership(checked, now);
+}
+
+result<log_position> raft_node::impl::appendMembership(const membership& wanted, instant now)
+{
     // Without a committed entry of its own term, a leader may not know of a change that another leader has committed.
     if (commit < termStartIndex)
         return failure { failure_code::unavailable, "the leader has not committed an entry of its term yet" };
@@ -80,7 +98,7 @@
         entry.role = member_role::learner;
         entry.dataIncarnation = m.dataIncarnation;
     }
-    if (proposeMembership(changed, now)) {
+    if (appendMembership(changed, now)) {
         peer = progress {};
         peer.nextIndex = log.lastIndex() + 1;
     }
@@ -119,7 +137,7 @@
         entry.promoteWhenCaughtUp = false;
     }
     // A refusal is not an error: the next answer of the learner repeats the attempt.
-    static_cast<void>(proposeMembership(changed, now));
+    static_cast<void>(appendMembership(changed, now));
 }
 
 } // namespace poplardeal
--- a/packages/consensus/src/raft_node_impl.h
+++ b/packages/consensus/src/raft_node_impl.h
@@ -124,6 +124,7 @@
 
     // raft_membership.cpp
     result<log_position> proposeMembership(const membership&, instant now);
+    result<log_position> appendMembership(const membership&, instant now);
     bool checkIncarnation(detail::progress&, const raft_message&, instant now);
     bool checkRegression(detail::progress&, const raft_message&, instant now);
     void promoteIfCaughtUp(replica_id, const detail::progress&, instant now);
