--- /dev/null
+++ b/packages/client/src/verbs.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "arguments.h"
+
+namespace poplardeal::detail {
+
+exit_code runCheck(invocation&);
+exit_code runDiff(invocation&);
+exit_code runApply(invocation&);
+exit_code runShow(invocation&);
+exit_code runSubmit(invocation&);
+exit_code runStatus(invocation&);
+exit_code runCancel(invocation&);
+exit_code runCall(invocation&);
+exit_code runDataCentre(invocation&);
+exit_code runTimeline(invocation&);
+
+/// All verbs in the order of the help.
+const std::vector<verb>& allVerbs();
+
+} // namespace poplardeal::detail
