--- a/packages/wire/include/poplardeal/wire/messages_generated.h
+++ b/packages/wire/include/poplardeal/wire/messages_generated.h
@@ -2751,6 +2751,7 @@
   std::string key{};
   std::string request_id{};
   poplardeal::message::verdict verdict = poplardeal::message::verdict::not_run;
+  std::string service{};
 };
 
 struct settle FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2760,7 +2761,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KEY = 4,
     VT_REQUEST_ID = 6,
-    VT_VERDICT = 8
+    VT_VERDICT = 8,
+    VT_SERVICE = 10
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -2771,6 +2773,9 @@
   poplardeal::message::verdict verdict() const {
     return static_cast<poplardeal::message::verdict>(GetField<int8_t>(VT_VERDICT, 0));
   }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -2778,6 +2783,8 @@
            VerifyOffset(verifier, VT_REQUEST_ID) &&
            verifier.VerifyString(request_id()) &&
            VerifyField<int8_t>(verifier, VT_VERDICT, 1) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
            verifier.EndTable();
   }
   settleT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2798,6 +2805,9 @@
   void add_verdict(poplardeal::message::verdict verdict) {
     fbb_.AddElement<int8_t>(settle::VT_VERDICT, static_cast<int8_t>(verdict), 0);
   }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(settle::VT_SERVICE, service);
+  }
   explicit settleBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2813,8 +2823,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<flatbuffers::String> request_id = 0,
-    poplardeal::message::verdict verdict = poplardeal::message::verdict::not_run) {
+    poplardeal::message::verdict verdict = poplardeal::message::verdict::not_run,
+    flatbuffers::Offset<flatbuffers::String> service = 0) {
   settleBuilder builder_(_fbb);
+  builder_.add_service(service);
   builder_.add_request_id(request_id);
   builder_.add_key(key);
   builder_.add_verdict(verdict);
@@ -2830,14 +2842,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *key = nullptr,
     const char *request_id = nullptr,
-    poplardeal::message::verdict verdict = poplardeal::message::verdict::not_run) {
+    poplardeal::message::verdict verdict = poplardeal::message::verdict::not_run,
+    const char *service = nullptr) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
   return poplardeal::message::Createsettle(
       _fbb,
       key__,
       request_id__,
-      verdict);
+      verdict,
+      service__);
 }
 
 flatbuffers::Offset<settle> Createsettle(flatbuffers::FlatBufferBuilder &_fbb, const settleT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3764,6 +3779,7 @@
   { auto _e = key(); if (_e) _o->key = _e->str(); }
   { auto _e = request_id(); if (_e) _o->request_id = _e->str(); }
   { auto _e = verdict(); _o->verdict = _e; }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
 }
 
 inline flatbuffers::Offset<settle> settle::Pack(flatbuffers::FlatBufferBuilder &_fbb, const settleT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3777,11 +3793,13 @@
   auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
   auto _request_id = _o->request_id.empty() ? 0 : _fbb.CreateString(_o->request_id);
   auto _verdict = _o->verdict;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
   return poplardeal::message::Createsettle(
       _fbb,
       _key,
       _request_id,
-      _verdict);
+      _verdict,
+      _service);
 }
 
 inline goodbyeT *goodbye::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
