--- a/packages/placement/tests/scheduler_properties_test.cpp
+++ b/packages/placement/tests/scheduler_properties_test.cpp
@@ -82,6 +82,33 @@
         }
     }
 
+    /// Brings everything back into service and ends all other work of a workspace: its guarantee has to be running
+    /// within 5.4 s, whoever borrows it at that time.
+    void checkReclaim()
+    {
+        for (const auto* name : { "a", "b" })
+            apply(data_centre_ordered { data_centre_name(name), true });
+        m_out.clear();
+        for (std::uint64_t i = 0; i < 8; ++i)
+            join(i, m_instances[i] + 1);
+        answerAll(60s);
+        for (int i = 0; i < 8; ++i)
+            apply(job_submitted { job_id(m_nextJob++), workspace_name("guest"), job_name(i < 6 ? "wide" : "plain") });
+        answerAll(60s);
+        for (const auto& job : m_scheduler.jobs()) {
+            if (job.workspace == workspace_name("film") && !job.endedAt)
+                apply(job_cancelled { job.id });
+        }
+        answerAll(60s);
+        const job_id claimant(m_nextJob++);
+        apply(job_submitted { claimant, workspace_name("film"), job_name("pair") });
+        answerAll(5400ms);
+        RC_ASSERT(m_scheduler.job(claimant)->phase == job_phase::running);
+        RC_ASSERT(m_scheduler.job(claimant)->guaranteed);
+        for (const auto& entry : m_scheduler.guarantees())
+            RC_ASSERT(std::ssize(entry.blocks) == entry.shape.blocks);
+    }
+
     void checkReplay() const
     {
         scheduler second;
@@ -213,6 +240,39 @@
         send(luck < 2 ? task_report_kind::failed : task_report_kind::finished, true);
     }
 
+    /// Workers answer every order within 100 ms; nothing fails and nothing finishes.
+    void answerAll(duration length)
+    {
+        for (const auto end = m_now + length; m_now < end;) {
+            m_now += 100ms;
+            apply(time_passed {});
+            const auto tasks = m_model.tasks();
+            for (const auto& [lease, task] : tasks)
+                answer(lease, task);
+        }
+    }
+
+    void answer(lease_id lease, const worker_model::held_task& task)
+    {
+        const auto id = task.order.task;
+        const auto send = [&](task_report_kind kind) { apply(task_reported { id, lease, kind, "" }); };
+        if (task.leaving) {
+            m_model.tasks().erase(lease);
+            return send(task.started ? task_report_kind::stopped : task_report_kind::released);
+        }
+        if (!task.startIssued)
+            return send(task_report_kind::prepared);
+        if (!task.started && m_scheduler.mayStart(id, lease)) {
+            m_model.everStarted.insert(id.job);
+            m_model.tasks().at(lease).started = true;
+            return send(task_report_kind::started);
+        }
+        if (task.checkpointWanted) {
+            m_model.tasks().at(lease).checkpointWanted = false;
+            return send(task_report_kind::checkpointed);
+        }
+    }
+
     void check()
     {
         const auto jobs = m_scheduler.jobs();
@@ -287,6 +347,7 @@
         const auto steps = *rc::gen::inRange(0, 250);
         for (int i = 0; i < steps; ++i)
             run.step();
+        run.checkReclaim();
         run.checkReplay();
     }));
 }
