--- /dev/null
+++ b/packages/daemon/src/process/entry_report.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "process/control_links.h"
+#include "request/call_router.h"
+
+#include <nlohmann/json.hpp>
+#include <poplardeal/wire/http.h>
+#include <string>
+
+namespace poplardeal::detail {
+
+/// Body of `GET /v1/status` of an entry.
+nlohmann::ordered_json entryStatus(
+    const std::string& name, const control_links&, const call_router&, bool isStopping, instant now);
+
+/// Counters of an entry in the Prometheus text format.
+std::string entryMetrics(const control_links&, const call_router&);
+
+http_response jsonResponse(const nlohmann::ordered_json&);
+http_response textResponse(std::string);
+/// Answer to a request that arrives after the entry has stopped taking them.
+http_response stoppingResponse();
+
+} // namespace poplardeal::detail
