--- a/packages/client/src/arguments.h
+++ b/packages/client/src/arguments.h
@@ -6,6 +6,7 @@
 #include <poplardeal/base/time.h>
 #include <poplardeal/client/client.h>
 #include <poplardeal/wire/address.h>
+#include <poplardeal/wire/event_loop.h>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,7 @@
     std::vector<std::string> operands;
     std::ostream& out;
     std::ostream& err;
+    event_loop& loop;
 };
 
 /// A verb of the command line. `flags` are the names of the options it takes.
--- a/packages/client/src/call_verb.cpp
+++ b/packages/client/src/call_verb.cpp
@@ -70,9 +70,8 @@
     const auto request = makeCall(call);
     if (request.has_error())
         return reportBadInput(call, request.error().message);
-    event_loop loop;
     const bool mayResend = !call.flags.key.empty() || !call.flags.nonIdempotent;
-    const auto answer = sendCall(loop, call.flags.entry, request.value(), call.flags.timeout, mayResend);
+    const auto answer = sendCall(call.loop, call.flags.entry, request.value(), call.flags.timeout, mayResend);
     if (call.flags.json)
         call.out << jsonLine(answerJson(answer)) << "\n";
     else
--- a/packages/client/src/client.cpp
+++ b/packages/client/src/client.cpp
@@ -54,7 +54,7 @@
     }
 
     static exit_code dispatch(
-        const verb& verb, const std::vector<std::string>& words, std::ostream& out, std::ostream& err)
+        event_loop& loop, const verb& verb, const std::vector<std::string>& words, std::ostream& out, std::ostream& err)
     {
         auto parsed = parseArguments(verb, words);
         if (parsed.has_error()) {
@@ -65,30 +65,36 @@
             out << helpText(verb);
             return exit_code::done;
         }
-        invocation call { std::move(parsed.value().flags), std::move(parsed.value().operands), out, err };
+        invocation call { std::move(parsed.value().flags), std::move(parsed.value().operands), out, err, loop };
         return verb.run(call);
     }
 
+    exit_code runClient(event_loop& loop, const std::vector<std::string>& words, std::ostream& out, std::ostream& err)
+    {
+        if (words.empty()) {
+            err << overviewText();
+            return exit_code::bad_input;
+        }
+        if (words[0] == "--help" || words[0] == "-h" || words[0] == "help") {
+            out << overviewText();
+            return exit_code::done;
+        }
+        const auto& verbs = allVerbs();
+        const auto found
+            = std::find_if(verbs.begin(), verbs.end(), [&](const verb& verb) { return verb.name == words[0]; });
+        if (found == verbs.end()) {
+            err << "error: unknown verb \"" << words[0] << "\"; see poplardeal --help\n";
+            return exit_code::bad_input;
+        }
+        return dispatch(loop, *found, { words.begin() + 1, words.end() }, out, err);
+    }
+
 } // namespace detail
 
 exit_code runClient(const std::vector<std::string>& words, std::ostream& out, std::ostream& err)
 {
-    if (words.empty()) {
-        err << detail::overviewText();
-        return exit_code::bad_input;
-    }
-    if (words[0] == "--help" || words[0] == "-h" || words[0] == "help") {
-        out << detail::overviewText();
-        return exit_code::done;
-    }
-    const auto& verbs = detail::allVerbs();
-    const auto found
-        = std::find_if(verbs.begin(), verbs.end(), [&](const detail::verb& verb) { return verb.name == words[0]; });
-    if (found == verbs.end()) {
-        err << "error: unknown verb \"" << words[0] << "\"; see poplardeal --help\n";
-        return exit_code::bad_input;
-    }
-    return detail::dispatch(*found, { words.begin() + 1, words.end() }, out, err);
+    event_loop loop;
+    return detail::runClient(loop, words, out, err);
 }
 
 } // namespace poplardeal
--- a/packages/client/src/control_client.cpp
+++ b/packages/client/src/control_client.cpp
@@ -6,8 +6,12 @@
 
 namespace poplardeal::detail {
 
-/// An election takes about 1.5 s, so that one attempt and a resend fit well within the default timeout.
-static constexpr duration attemptTimeout = std::chrono::seconds(5);
+/// How long one request may take, as a whole and for each attempt.
+struct time_limits {
+    duration whole;
+    duration attempt;
+};
+
 static constexpr duration firstDelay = std::chrono::milliseconds(50);
 static constexpr duration longestDelay = std::chrono::seconds(1);
 /// Hints followed without a pause. Instances that name each other as leader during an election would otherwise be asked
@@ -36,7 +40,7 @@
 /// One request to control with its attempts.
 class exchange {
 public:
-    exchange(event_loop& loop, http_client& http, const std::vector<address>& addresses, duration timeout,
+    exchange(event_loop& loop, http_client& http, const std::vector<address>& addresses, time_limits limits,
         http_request request, bool isOrder)
         : m_loop(loop)
         , m_http(http)
@@ -44,7 +48,8 @@
         , m_target(addresses.front())
         , m_request(std::move(request))
         , m_isOrder(isOrder)
-        , m_deadline(loop.now() + timeout)
+        , m_attemptTimeout(limits.attempt)
+        , m_deadline(loop.now() + limits.whole)
     {
     }
 
@@ -63,7 +68,7 @@
             giveUp();
             return;
         }
-        m_http.send(m_target, m_request, std::min<duration>(remaining, attemptTimeout),
+        m_http.send(m_target, m_request, std::min<duration>(remaining, m_attemptTimeout),
             [this](const http_result& result) { take(result); });
     }
 
@@ -88,7 +93,8 @@
         const auto verdict = verdictOf(body);
         noteFault(status, body);
         if (status / 100 == 2) {
-            finish(verdict.value_or(run_verdict::ran), std::move(body));
+            // What was read may hold a verdict of its own, for instance that of a job.
+            finish(m_isOrder ? verdict.value_or(run_verdict::ran) : run_verdict::ran, std::move(body));
             return;
         }
         if (status == 421) {
@@ -170,6 +176,7 @@
     address m_target;
     http_request m_request;
     bool m_isOrder;
+    duration m_attemptTimeout;
     instant m_deadline;
     std::size_t m_next { 0 };
     std::size_t m_failures { 0 };
@@ -181,11 +188,13 @@
     event_loop::timer m_timer;
 };
 
-control_client::control_client(event_loop& loop, std::vector<address> addresses, duration timeout)
+control_client::control_client(
+    event_loop& loop, std::vector<address> addresses, duration timeout, duration attemptTimeout)
     : m_loop(loop)
     , m_http(loop, 1)
     , m_addresses(std::move(addresses))
     , m_timeout(timeout)
+    , m_attemptTimeout(attemptTimeout)
 {
 }
 
@@ -196,7 +205,7 @@
     request.path = path;
     request.headers["content-type"] = "application/json";
     request.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    return exchange(m_loop, m_http, m_addresses, m_timeout, std::move(request), true).run();
+    return exchange(m_loop, m_http, m_addresses, { m_timeout, m_attemptTimeout }, std::move(request), true).run();
 }
 
 control_answer control_client::read(const std::string& path, const std::string& query)
@@ -204,7 +213,7 @@
     http_request request;
     request.path = path;
     request.query = query;
-    return exchange(m_loop, m_http, m_addresses, m_timeout, std::move(request), false).run();
+    return exchange(m_loop, m_http, m_addresses, { m_timeout, m_attemptTimeout }, std::move(request), false).run();
 }
 
 } // namespace poplardeal::detail
--- a/packages/client/src/control_client.h
+++ b/packages/client/src/control_client.h
@@ -26,8 +26,13 @@
 /// safe as the order keeps its id. Calls run the loop until the answer is there.
 class control_client {
 public:
-    /// `addresses` must not be empty.
-    control_client(event_loop&, std::vector<address> addresses, duration timeout);
+    /// An election takes about 1.5 s, so that several attempts fit into the default timeout of an order.
+    static constexpr duration defaultAttemptTimeout = std::chrono::seconds(5);
+
+    /// `addresses` must not be empty. An attempt without an answer counts as lost after `attemptTimeout`, and the
+    /// request as a whole after `timeout`.
+    control_client(
+        event_loop&, std::vector<address> addresses, duration timeout, duration attemptTimeout = defaultAttemptTimeout);
 
     /// Sends an order. `body` holds its `order_id`.
     control_answer order(const std::string& path, const nlohmann::json& body);
@@ -40,6 +45,7 @@
     http_client m_http;
     std::vector<address> m_addresses;
     duration m_timeout;
+    duration m_attemptTimeout;
 };
 
 } // namespace poplardeal::detail
--- a/packages/client/src/deployment_verbs.cpp
+++ b/packages/client/src/deployment_verbs.cpp
@@ -102,8 +102,7 @@
     const auto file = readDeployment(call.operands[0]);
     if (file.has_error())
         return reportBadInput(call, file.error().message);
-    event_loop loop;
-    auto control = makeControlClient(loop, call);
+    auto control = makeControlClient(call);
     if (control.has_error())
         return reportBadInput(call, control.error().message);
     const auto answer = control.value()->read("/v1/deployment");
@@ -183,8 +182,7 @@
     const auto file = readDeployment(call.operands[0]);
     if (file.has_error())
         return reportBadInput(call, file.error().message);
-    event_loop loop;
-    auto control = makeControlClient(loop, call);
+    auto control = makeControlClient(call);
     if (control.has_error())
         return reportBadInput(call, control.error().message);
     control_answer answer;
@@ -211,8 +209,7 @@
 {
     if (call.flags.version < 0)
         return reportBadInput(call, "--version must not be negative");
-    event_loop loop;
-    auto control = makeControlClient(loop, call);
+    auto control = makeControlClient(call);
     if (control.has_error())
         return reportBadInput(call, control.error().message);
     const auto query = call.flags.version == 0 ? "" : "version=" + std::to_string(call.flags.version);
--- a/packages/client/src/job_verbs.cpp
+++ b/packages/client/src/job_verbs.cpp
@@ -110,7 +110,7 @@
     return verdict == "not-run" || verdict == "not_run" ? exit_code::refused : exit_code::may_have_run;
 }
 
-static exit_code waitForEnd(invocation& call, event_loop& loop, control_client& control, const std::string& id)
+static exit_code waitForEnd(invocation& call, control_client& control, const std::string& id)
 {
     while (true) {
         const auto answer = control.read("/v1/jobs/" + id);
@@ -123,7 +123,7 @@
             printJob(call, answer.body);
             return endedExitCode(answer.body);
         }
-        pause(loop, pollPeriod);
+        pause(call.loop, pollPeriod);
     }
 }
 
@@ -133,8 +133,7 @@
         if (!isName(name))
             return reportBadInput(call, "\"" + name + "\" is no name of a workspace or job; see poplardeal show");
     }
-    event_loop loop;
-    auto control = makeControlClient(loop, call);
+    auto control = makeControlClient(call);
     if (control.has_error())
         return reportBadInput(call, control.error().message);
     auto body = orderBody(call);
@@ -145,7 +144,7 @@
         return reportFailure(call, answer, "See the workspaces and jobs in poplardeal show.");
     const auto id = fieldText(answer.body, "id");
     if (call.flags.wait && isNumber(id))
-        return waitForEnd(call, loop, *control.value(), id);
+        return waitForEnd(call, *control.value(), id);
     call.out << (call.flags.json ? jsonLine(answer.body) : "job " + id + " is accepted; see poplardeal status " + id)
              << "\n";
     return exit_code::done;
@@ -156,8 +155,7 @@
     const auto& id = call.operands[0];
     if (!isNumber(id))
         return reportBadInput(call, "\"" + id + "\" is no job number; see poplardeal status");
-    event_loop loop;
-    auto control = makeControlClient(loop, call);
+    auto control = makeControlClient(call);
     if (control.has_error())
         return reportBadInput(call, control.error().message);
     const auto answer = control.value()->order("/v1/jobs/" + id + "/cancel", orderBody(call));
@@ -175,8 +173,7 @@
         return reportBadInput(call, "\"" + state + "\" must be out or in; see poplardeal data-centre --help");
     if (!isName(name))
         return reportBadInput(call, "\"" + name + "\" is no name of a data centre; see poplardeal status");
-    event_loop loop;
-    auto control = makeControlClient(loop, call);
+    auto control = makeControlClient(call);
     if (control.has_error())
         return reportBadInput(call, control.error().message);
     auto body = orderBody(call);
@@ -214,19 +211,18 @@
 {
     if (!call.operands.empty() && !isNumber(call.operands[0]))
         return reportBadInput(call, "\"" + call.operands[0] + "\" is no job number; see poplardeal status");
-    event_loop loop;
-    auto control = makeControlClient(loop, call);
+    auto control = makeControlClient(call);
     if (control.has_error())
         return reportBadInput(call, control.error().message);
     bool isInterrupted = false;
     if (call.flags.watch)
-        loop.onTerminate([&] {
+        call.loop.onTerminate([&] {
             isInterrupted = true;
-            loop.quit();
+            call.loop.quit();
         });
     auto code = printStatusOnce(call, *control.value());
     while (call.flags.watch && !isInterrupted && code == exit_code::done) {
-        pause(loop, watchPeriod);
+        pause(call.loop, watchPeriod);
         if (!isInterrupted)
             code = printStatusOnce(call, *control.value());
     }
--- a/packages/client/src/output.cpp
+++ b/packages/client/src/output.cpp
@@ -141,12 +141,12 @@
     return exit_code::refused;
 }
 
-result<std::unique_ptr<control_client>> makeControlClient(event_loop& loop, const invocation& call)
+result<std::unique_ptr<control_client>> makeControlClient(const invocation& call)
 {
     if (call.flags.control.empty())
         return failure { failure_code::invalid_argument,
             "no control address: give --control IP:PORT,... or set POPLARDEAL_CONTROL" };
-    return std::make_unique<control_client>(loop, call.flags.control, call.flags.timeout);
+    return std::make_unique<control_client>(call.loop, call.flags.control, call.flags.timeout);
 }
 
 nlohmann::json orderBody(const invocation& call)
--- a/packages/client/src/output.h
+++ b/packages/client/src/output.h
@@ -37,7 +37,7 @@
 exit_code reportFailure(invocation&, const control_answer&, const std::string& nextStep);
 
 /// A client for the control addresses, or `invalid_argument` if none are known.
-result<std::unique_ptr<control_client>> makeControlClient(event_loop&, const invocation&);
+result<std::unique_ptr<control_client>> makeControlClient(const invocation&);
 
 /// An order body with its id and operator.
 nlohmann::json orderBody(const invocation&);
--- a/packages/client/src/timeline.cpp
+++ b/packages/client/src/timeline.cpp
@@ -3,6 +3,7 @@
 #include "output.h"
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdio>
 #include <optional>
 #include <tuple>
@@ -27,7 +28,7 @@
     const auto midnight = std::chrono::sys_days(date).time_since_epoch();
     const auto time = midnight + std::chrono::hours(hours) + std::chrono::minutes(minutes);
     constexpr double microsPerSecond = 1e6;
-    return std::chrono::microseconds(time).count() + static_cast<std::int64_t>(seconds * microsPerSecond + 0.5);
+    return std::chrono::microseconds(time).count() + std::llround(seconds * microsPerSecond);
 }
 
 static std::optional<timeline_event> parseEvent(std::string_view line)
--- a/packages/client/src/verbs.h
+++ b/packages/client/src/verbs.h
@@ -18,4 +18,7 @@
 /// All verbs in the order of the help.
 const std::vector<verb>& allVerbs();
 
+/// `poplardeal::runClient` on a loop of the caller.
+exit_code runClient(event_loop&, const std::vector<std::string>& words, std::ostream& out, std::ostream& err);
+
 } // namespace poplardeal::detail
