--- a/packages/placement/src/events.cpp
+++ b/packages/placement/src/events.cpp
@@ -119,6 +119,8 @@
     record.present = false;
     m_reservationsDue = true;
     const auto reason = "worker " + record.spec.id.value() + " was lost";
+    while (!record.claims.empty())
+        dropClaim(m_jobs.at(m_leases.at(*record.claims.begin()).task.job.value()));
     std::set<job_number> affected;
     const auto leases = std::vector(record.leases.begin(), record.leases.end());
     for (const auto number : leases) {
--- a/packages/placement/src/lifecycle.cpp
+++ b/packages/placement/src/lifecycle.cpp
@@ -187,11 +187,11 @@
     while (!m_timers.empty() && std::get<0>(*m_timers.begin()) <= m_now) {
         const auto [due, kind, subject] = *m_timers.begin();
         m_timers.erase(m_timers.begin());
-        fire(kind, subject);
+        fire(due, kind, subject);
     }
 }
 
-void scheduler_core::fire(timer_kind kind, std::uint64_t subject)
+void scheduler_core::fire(instant due, timer_kind kind, std::uint64_t subject)
 {
     if (kind == timer_kind::wake) {
         m_capacityGrew = true;
@@ -210,7 +210,8 @@
     const auto isWaiting = job->phase == job_phase::waiting && !job->claiming;
     if (kind == timer_kind::backoff_over && isWaiting && job->notBefore <= m_now)
         return enqueue(*job);
-    if (job->phaseDeadline > m_now)
+    // A timer of an earlier phase is void even if the present phase is due as well.
+    if (job->phaseDeadline != due)
         return;
     if (kind == timer_kind::claim_late && job->claiming)
         onClaimLate(*job);
--- a/packages/placement/src/reports.cpp
+++ b/packages/placement/src/reports.cpp
@@ -31,12 +31,8 @@
 
 void scheduler_core::onPrepareRefused(lease_record& lease, const std::string& detail)
 {
-    if (lease.state == lease_state::releasing) {
-        endLease(lease.number);
-        return;
-    }
-    if (lease.state != lease_state::preparing)
-        return;
+    if (lease.state != lease_state::preparing && lease.state != lease_state::prepared)
+        return onEnded(lease, task_report_kind::released, detail);
     avoidWorker(lease.spot.worker, avoidanceAfterRefusal);
     auto& job = m_jobs.at(lease.task.job.value());
     auto reason = "worker " + m_cluster.worker(lease.spot.worker).spec.id.value() + " refused a task";
@@ -71,33 +67,30 @@
         issueStops(job);
 }
 
-/// A report that contradicts what was asked for, such as `finished` of a task that was never to start, is ignored;
+/// After each of these reports the worker holds nothing for the task, whatever was asked of it, so the lease ends.
 /// `released` of a task whose start was issued means that it never ran.
 void scheduler_core::onEnded(lease_record& lease, task_report_kind kind, const std::string& detail)
 {
     const auto startIssued = lease.state != lease_state::preparing && lease.state != lease_state::prepared
         && lease.state != lease_state::releasing;
-    if (!startIssued && kind != task_report_kind::released)
-        return;
-    if (kind == task_report_kind::released && lease.started)
-        return;
     auto* job = findJob(lease.task.job.value());
     const auto state = lease.state;
     const auto worker = lease.spot.worker;
     const auto started = lease.started;
     endLease(lease.number);
-    if (job == nullptr || state == lease_state::releasing)
+    if (job == nullptr)
+        return;
+    job->everStarted |= kind == task_report_kind::finished;
+    if (state == lease_state::releasing)
         return;
     countOutcome(worker, job->number, kind);
     const auto& workerName = m_cluster.worker(worker).spec.id.value();
     if (!startIssued)
-        return releaseGang(*job, "worker " + workerName + " released a prepared task", true);
-    if (kind == task_report_kind::finished) {
-        job->everStarted = true;
+        return releaseGang(*job, "worker " + workerName + " gave up a prepared task", true);
+    if (kind == task_report_kind::finished)
         ++job->finishedTasks;
-    } else if (kind != task_report_kind::released) {
+    else if (kind != task_report_kind::released)
         job->uncertain |= !started;
-    }
     if (kind == task_report_kind::failed) {
         ++job->failures;
         job->failedWorkers.insert(worker);
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -70,7 +70,7 @@
     void endJob(job_record&, job_phase, const std::string& reason);
     void cancel(job_record&);
     void fireTimers();
-    void fire(timer_kind, std::uint64_t subject);
+    void fire(instant due, timer_kind, std::uint64_t subject);
     void onPrepareLate(job_record&);
     void onStartLate(job_record&);
     void onStopLate(job_record&);
--- a/packages/placement/tests/scheduler_properties_test.cpp
+++ b/packages/placement/tests/scheduler_properties_test.cpp
@@ -103,6 +103,7 @@
         const job_id claimant(m_nextJob++);
         apply(job_submitted { claimant, workspace_name("film"), job_name("pair") });
         answerAll(5400ms);
+        RC_LOG() << toString(m_scheduler.job(claimant)->phase) << ": " << m_scheduler.job(claimant)->reason << "\n";
         RC_ASSERT(m_scheduler.job(claimant)->phase == job_phase::running);
         RC_ASSERT(m_scheduler.job(claimant)->guaranteed);
         for (const auto& entry : m_scheduler.guarantees())
