--- a/packages/consensus/include/poplardeal/consensus/replica.h
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -26,7 +26,8 @@
     virtual result<void> installSnapshot(std::string_view) = 0;
 };
 
-/// How replicas reach one another and the loop. The functions must not block.
+/// How replicas reach one another and the loop. The functions must not block, and stay callable until the destructor of
+/// the replica has returned.
 struct replica_environment {
     /// Sends an encoded message to another replica; loss is allowed.
     std::function<void(replica_id, std::string)> send;
--- a/packages/consensus/src/raft_log.cpp
+++ b/packages/consensus/src/raft_log.cpp
@@ -92,9 +92,9 @@
         m_memberships.emplace_front(snapshot->index, snapshot->members);
     }
 
-    void raft_log::compact(const shared_snapshot& snapshot, std::uint64_t base)
+    void raft_log::compact(shared_snapshot snapshot, std::uint64_t base)
     {
-        m_snapshot = snapshot;
+        m_snapshot = std::move(snapshot);
         if (base <= m_baseIndex)
             return;
         auto baseMembers = membersAt(base);
--- a/packages/consensus/src/raft_log.h
+++ b/packages/consensus/src/raft_log.h
@@ -26,7 +26,7 @@
     void installSnapshot(const shared_snapshot&, bool discard);
 
     /// Takes a snapshot of this replica's own state machine and drops the entries up to `base`.
-    void compact(const shared_snapshot&, std::uint64_t base);
+    void compact(shared_snapshot, std::uint64_t base);
 
     const shared_snapshot& snapshot() const { return m_snapshot; }
     const membership& members() const { return m_memberships.back().second; }
--- a/packages/consensus/src/raft_membership.cpp
+++ b/packages/consensus/src/raft_membership.cpp
@@ -17,12 +17,11 @@
     return changed;
 }
 
-result<log_position> raft_node::impl::proposeMembership(const membership& wanted, instant now)
+result<log_position> raft_node::impl::proposeMembership(membership wanted, instant now)
 {
     if (role != raft_role::leader || transferTarget)
         return failure { failure_code::not_leader, "this replica is not the leader" };
-    membership checked = wanted;
-    for (auto& m : checked.members) {
+    for (auto& m : wanted.members) {
         const auto* known = log.members().find(m.id);
         m.dataIncarnation = known ? known->dataIncarnation : 0;
         if (m.role != member_role::voter || m.id == options.self || (known && known->role == member_role::voter))
@@ -34,7 +33,7 @@
                 "replica " + std::to_string(m.id.value()) + " has to be a learner that has caught up before it votes" };
         }
     }
-    return appendMembership(checked, now);
+    return appendMembership(wanted, now);
 }
 
 result<log_position> raft_node::impl::appendMembership(const membership& wanted, instant now)
--- a/packages/consensus/src/raft_node.cpp
+++ b/packages/consensus/src/raft_node.cpp
@@ -202,10 +202,10 @@
 }
 result<log_position> raft_node::proposeMembership(membership members, instant now)
 {
-    return m_impl->proposeMembership(members, now);
+    return m_impl->proposeMembership(std::move(members), now);
 }
 void raft_node::persisted(std::uint64_t number, instant now) { m_impl->persisted(number, now); }
-void raft_node::compact(shared_snapshot snapshot) { m_impl->compact(snapshot); }
+void raft_node::compact(shared_snapshot snapshot) { m_impl->compact(std::move(snapshot)); }
 bool raft_node::transferLeadership(instant now) { return m_impl->transferLeadership(now); }
 raft_ready raft_node::takeReady(instant now) { return m_impl->takeReady(now); }
 bool raft_node::isLeader() const { return m_impl->role == raft_role::leader; }
--- a/packages/consensus/src/raft_node_impl.h
+++ b/packages/consensus/src/raft_node_impl.h
@@ -120,10 +120,10 @@
     void onSnapshotAnswer(const raft_message&, instant now);
     void startSnapshot(detail::progress&);
     void sendSnapshotChunk(replica_id, detail::progress&, instant now);
-    void compact(const shared_snapshot&);
+    void compact(shared_snapshot);
 
     // raft_membership.cpp
-    result<log_position> proposeMembership(const membership&, instant now);
+    result<log_position> proposeMembership(membership, instant now);
     result<log_position> appendMembership(const membership&, instant now);
     bool checkIncarnation(detail::progress&, const raft_message&, instant now);
     bool checkRegression(detail::progress&, const raft_message&, instant now);
--- a/packages/consensus/src/raft_snapshot.cpp
+++ b/packages/consensus/src/raft_snapshot.cpp
@@ -116,7 +116,7 @@
     sendWhenDurable(std::move(answer));
 }
 
-void raft_node::impl::compact(const shared_snapshot& snapshot)
+void raft_node::impl::compact(shared_snapshot snapshot)
 {
     const auto previous = log.snapshot() ? log.snapshot()->index : 0;
     if (snapshot->index <= previous || snapshot->index > emitted)
@@ -124,7 +124,7 @@
     auto base = snapshot->index - std::min(snapshot->index, options.retainedEntries);
     if (firstUnsent != 0)
         base = std::min(base, firstUnsent - 1);
-    log.compact(snapshot, base);
+    log.compact(std::move(snapshot), base);
 }
 
 } // namespace poplardeal
--- a/packages/consensus/tests/replica_group.h
+++ b/packages/consensus/tests/replica_group.h
@@ -66,6 +66,11 @@
     {
     }
 
+    replica_group(const replica_group&) = delete;
+    replica_group& operator=(const replica_group&) = delete;
+    /// The disk threads post until their replicas are gone.
+    ~replica_group() { replicas.clear(); }
+
     result<void> start(std::uint32_t number, bool bootstrap)
     {
         const replica_id id(number);
