--- a/packages/wire/include/poplardeal/wire/settings.h
+++ b/packages/wire/include/poplardeal/wire/settings.h
@@ -28,7 +28,7 @@
 
 struct control_settings {
     replica_id replica;
-    bool bootstrap { false }; ///< An empty data folder starts a new group instead of joining as a learner.
+    bool bootstrap { false }; ///< Set by the command line only: an empty data folder starts a new group.
     std::string dataFolder;
     address listen; ///< Frames.
     address http;
--- a/packages/wire/src/settings.cpp
+++ b/packages/wire/src/settings.cpp
@@ -69,11 +69,9 @@
 
     static control_settings readControl(const toml::table& table, settings_faults& faults)
     {
-        const settings_table section(
-            table, "control.", { "replica", "bootstrap", "data_folder", "listen", "http", "peer" }, faults);
+        const settings_table section(table, "control.", { "replica", "data_folder", "listen", "http", "peer" }, faults);
         control_settings control;
         control.replica = replica_id(section.number("replica", 1, maxReplica));
-        control.bootstrap = section.flag("bootstrap");
         control.dataFolder = section.text("data_folder");
         if (!isFolder(control.dataFolder))
             section.fault("data_folder", "folder '" + control.dataFolder + "' does not exist");
