placement: list the tasks on a worker

Cause: a session that opens has to be compared with what the scheduler placed there, without walking all jobs. Change: scheduler::tasksOn.

--- a/packages/placement/include/poplardeal/placement/scheduler.h
+++ b/packages/placement/include/poplardeal/placement/scheduler.h
@@ -91,6 +91,9 @@
     /// Commands that are still unanswered for one worker, to be sent again to a new session or by a new leader.
     std::vector<placement_command> outstandingCommands(const worker_id&) const;
 
+    /// Tasks that hold resources of one worker.
+    std::vector<task_placement> tasksOn(const worker_id&) const;
+
     std::optional<job_status> job(job_id) const;
     /// All jobs kept, in order of their ids. Ended jobs are kept up to a bound.
     std::vector<job_status> jobs() const;
--- a/packages/placement/src/scheduler.cpp
+++ b/packages/placement/src/scheduler.cpp
@@ -32,6 +32,8 @@
     return m_impl->core.outstandingCommands(worker);
 }
 
+std::vector<task_placement> scheduler::tasksOn(const worker_id& worker) const { return m_impl->core.tasksOn(worker); }
+
 std::optional<job_status> scheduler::job(job_id id) const { return m_impl->core.job(id); }
 
 std::vector<job_status> scheduler::jobs() const { return m_impl->core.jobs(); }
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -25,6 +25,7 @@
     std::optional<instant> nextDeadline() const;
     bool mayStart(const task_id&, lease_id) const;
     std::vector<placement_command> outstandingCommands(const worker_id&) const;
+    std::vector<task_placement> tasksOn(const worker_id&) const;
     std::optional<job_status> job(job_id) const;
     std::vector<job_status> jobs() const;
     std::vector<guarantee_status> guarantees() const;
--- a/packages/placement/src/status.cpp
+++ b/packages/placement/src/status.cpp
@@ -90,6 +90,20 @@
         return commands;
     }
 
+    std::vector<task_placement> scheduler_core::tasksOn(const worker_id& worker) const
+    {
+        std::vector<task_placement> tasks;
+        const auto known = m_cluster.findWorker(worker);
+        if (!known)
+            return tasks;
+        for (const auto number : m_cluster.worker(*known).leases) {
+            const auto& lease = m_leases.at(number);
+            tasks.push_back(
+                { lease.task, lease_id(number), worker, maskIndexes(lease.spot.accelerators), lease.started });
+        }
+        return tasks;
+    }
+
     run_verdict scheduler_core::verdictOf(const job_record& job) const
     {
         if (job.everStarted)
