standins: enforce the lease at the worker

Cause: a lease that only the sidecar keeps does not stop tasks when the sidecar dies. Change: POST /v1/lease, boot_id in the capacity, release refused while a task runs, checkpoints shared by JOB.INDEX.

--- a/packages/standins/include/poplardeal/standins/worker.h
+++ b/packages/standins/include/poplardeal/standins/worker.h
@@ -17,22 +17,24 @@
     double usageFactor { 1 }; ///< Reported usage divided by declared size.
     bool failAll { false };
     std::set<std::string> failCommands; ///< Tasks with these commands fail.
+    std::uint64_t bootId { 1 }; ///< Grows with every restart.
     std::string checkpointFolder; ///< Shared by workers, so that a task resumes elsewhere; empty: memory only.
 };
 
 /// The platform's worker program as the worker HTTP API of the design page describes it. Tasks do nothing but take
 /// time.
 ///
-/// - `GET /v1/capacity`: {cores, memory_mib, accelerators}
+/// - `GET /v1/capacity`: {cores, memory_mib, accelerators, boot_id}
+/// - `POST /v1/lease` {lease_ms}: all tasks stop by themselves when the last lease has expired.
 /// - `PUT /v1/tasks/ID` {cores, memory_mib, accelerators: [index], run_time_ms, command}: 201, or 409 if the resources
 /// or
 ///   an accelerator index are held, or the id is known with other content; a repetition gives 200.
 /// - `POST /v1/tasks/ID/start|stop|checkpoint|throttle`: 200, or 409 in a state that does not allow it.
-/// - `DELETE /v1/tasks/ID`: 200; a running task is stopped first.
+/// - `DELETE /v1/tasks/ID`: 200, or 409 while the task runs.
 /// - `GET /v1/tasks`: {tasks: [{id, state, cores, memory_mib, accelerators, run_time_ms, command, progress_ms,
 ///   checkpoint_ms, throttled, usage: {cores, memory_mib}}]}
 ///
-/// A task resumes at its last checkpoint; ids that differ only behind the last '.' (the attempt) share it. A throttled
+/// A task resumes at its last checkpoint; ids JOB.INDEX.ATTEMPT.LEASE of one JOB.INDEX share it. A throttled
 /// task runs at half speed. Prepared and running tasks hold their resources.
 class standin_worker {
 public:
--- a/packages/standins/src/checkpoints.h
+++ b/packages/standins/src/checkpoints.h
@@ -39,7 +39,12 @@
     }
 
 private:
-    static std::string keyOf(const std::string& taskId) { return taskId.substr(0, taskId.rfind('.')); }
+    /// "JOB.INDEX": a later attempt of a task resumes from the checkpoint of an earlier one.
+    static std::string keyOf(const std::string& taskId)
+    {
+        const auto afterJob = taskId.find('.');
+        return afterJob == std::string::npos ? taskId : taskId.substr(0, taskId.find('.', afterJob + 1));
+    }
 
     std::string m_folder;
     std::map<std::string, std::int64_t> m_progress;
--- a/packages/standins/src/worker.cpp
+++ b/packages/standins/src/worker.cpp
@@ -47,6 +47,9 @@
 
 } // namespace detail
 
+/// A longer lease would let tasks run on for too long beside their successors.
+static constexpr std::int64_t maxLeaseMs = 3600 * 1000;
+
 struct standin_worker::impl {
     impl(standin_worker_options o, ledger_sink l)
         : options(std::move(o))
@@ -70,6 +73,7 @@
 
     void advance(instant now, instant wallClock)
     {
+        stopUnleased(now, wallClock);
         for (auto& [id, task] : tasks) {
             task.advance(now, options.timeScale);
             if (task.state != detail::task_state::running)
@@ -131,6 +135,8 @@
         using detail::task_state;
         const bool running = task.state == task_state::running;
         if (action == "start") {
+            if (isLeaseExpired(now))
+                return detail::refusal(409, failure_code::conflict, "the lease has expired");
             if (!running && task.state != task_state::prepared)
                 return detail::wrongState(task);
             if (!running)
@@ -171,9 +177,10 @@
         saved.save(task.id, task.checkpointMs);
     }
 
-    http_response release(detail::worker_task& task, instant wallClock)
+    http_response release(detail::worker_task& task)
     {
-        stop(task, wallClock);
+        if (task.state == detail::task_state::running)
+            return detail::wrongState(task);
         auto shown = detail::jsonResponse(200, detail::describe(task, options.usageFactor));
         tasks.erase(std::string(task.id));
         return shown;
@@ -183,7 +190,31 @@
     {
         return detail::jsonResponse(200,
             { { "cores", options.capacity.cpu.count() }, { "memory_mib", options.capacity.memory.count() },
-                { "accelerators", options.capacity.accelerator.count() } });
+                { "accelerators", options.capacity.accelerator.count() }, { "boot_id", options.bootId } });
+    }
+
+    http_response renewLease(const std::string& body, instant now)
+    {
+        const auto json = nlohmann::json::parse(body, nullptr, false);
+        if (!json.is_object() || !json.contains("lease_ms") || !json["lease_ms"].is_number_unsigned())
+            return detail::refusal(400, failure_code::invalid_argument, "lease_ms must be a whole number");
+        leaseEnd = now + std::chrono::milliseconds(std::min(json["lease_ms"].get<std::int64_t>(), maxLeaseMs));
+        return detail::jsonResponse(200, nlohmann::json::object());
+    }
+
+    bool isLeaseExpired(instant now) const { return leaseEnd && now >= *leaseEnd; }
+
+    /// Fences the tasks: control may start them elsewhere once the lease has expired.
+    void stopUnleased(instant now, instant wallClock)
+    {
+        if (!isLeaseExpired(now))
+            return;
+        for (auto& [id, task] : tasks) {
+            if (task.holdsResources()) {
+                stop(task, wallClock);
+                task.detail = "the lease expired";
+            }
+        }
     }
 
     http_response list() const
@@ -200,6 +231,8 @@
             return capacity();
         if (request.method == "GET" && request.path == "/v1/tasks")
             return list();
+        if (request.method == "POST" && request.path == "/v1/lease")
+            return renewLease(request.body, now);
         const auto path = detail::readTaskPath(request.path);
         if (!path)
             return detail::notFound();
@@ -211,7 +244,7 @@
         if (request.method == "POST")
             return act(task->second, path->action, now, wallClock);
         if (request.method == "DELETE" && path->action.empty())
-            return release(task->second, wallClock);
+            return release(task->second);
         return detail::refusal(405, failure_code::invalid_argument, "method not allowed");
     }
 
@@ -219,6 +252,7 @@
     ledger_sink ledger;
     detail::checkpoints saved;
     std::map<std::string, detail::worker_task> tasks;
+    std::optional<instant> leaseEnd; ///< Nothing before the first lease was given.
 };
 
 standin_worker::standin_worker(standin_worker_options options, ledger_sink ledger)
--- a/packages/standins/src/worker_main.cpp
+++ b/packages/standins/src/worker_main.cpp
@@ -61,7 +61,9 @@
         return 2;
     }
     event_loop loop;
-    standin_worker worker(optionsFromFlags(), std::move(ledger.value()));
+    auto options = optionsFromFlags();
+    options.bootId = static_cast<std::uint64_t>(toMicros(loop.wallClock()));
+    standin_worker worker(std::move(options), std::move(ledger.value()));
     const auto tick = loop.every(std::chrono::milliseconds(10), [&] { worker.advance(loop.now(), loop.wallClock()); });
     return detail::serve(loop, FLAGS_listen, [&](const http_request& request, const http_responder& respond) {
         respond(worker.handle(request, loop.now(), loop.wallClock()));
--- a/packages/standins/src/worker_task.cpp
+++ b/packages/standins/src/worker_task.cpp
@@ -78,6 +78,7 @@
         { "command", task.spec.command },
         { "progress_ms", static_cast<std::int64_t>(task.progressMs) },
         { "checkpoint_ms", task.checkpointMs },
+        { "detail", task.detail },
         { "throttled", task.throttled },
         { "usage",
             { { "cores", used(task.spec.size.cpu.count()) }, { "memory_mib", used(task.spec.size.memory.count()) } } },
--- a/packages/standins/src/worker_task.h
+++ b/packages/standins/src/worker_task.h
@@ -43,6 +43,7 @@
     double progressMs { 0 }; ///< Declared run time done, up to `progressAt`.
     instant progressAt;
     std::int64_t checkpointMs { 0 };
+    std::string detail; ///< Why the task ended, if it did not end by itself.
 
     bool holdsResources() const { return state == task_state::prepared || state == task_state::running; }
 
--- a/packages/standins/tests/worker_test.cpp
+++ b/packages/standins/tests/worker_test.cpp
@@ -89,6 +89,22 @@
     BOOST_TEST(prepare("3.0.1", { 1, 2 }) == 201);
 }
 
+// Guards against tasks that go on after control may have started them elsewhere.
+BOOST_AUTO_TEST_CASE(tasks_stop_when_the_lease_expires)
+{
+    BOOST_REQUIRE(prepare("1.0.1.7", { 0 }) == 201);
+    BOOST_TEST(ask("POST", "/v1/lease", R"({"lease_ms": 500})") == 200);
+    BOOST_TEST(act("1.0.1.7", "start") == 200);
+    BOOST_TEST(ask("DELETE", "/v1/tasks/1.0.1.7") == 409);
+    nowMs += 499;
+    BOOST_TEST(task("1.0.1.7")["state"] == "running");
+    nowMs += 1;
+    BOOST_TEST(task("1.0.1.7")["state"] == "stopped");
+    BOOST_REQUIRE(prepare("2.0.1.8", { 0 }) == 201);
+    BOOST_TEST(act("2.0.1.8", "start") == 409);
+    BOOST_TEST(ask("POST", "/v1/lease", R"({"lease_ms": "long"})") == 400);
+}
+
 // Guards against tasks that end early, late, twice or without a record.
 BOOST_AUTO_TEST_CASE(task_runs_for_its_scaled_time)
 {
