--- a/packages/placement/include/poplardeal/placement/scheduler.h
+++ b/packages/placement/include/poplardeal/placement/scheduler.h
@@ -106,6 +106,7 @@
     std::uint64_t digest() const;
 
 private:
+    friend scheduler makeFirstFitFifo();
     struct impl;
     std::unique_ptr<impl> m_impl;
 };
--- a/packages/placement/src/guarantees.cpp
+++ b/packages/placement/src/guarantees.cpp
@@ -11,6 +11,8 @@
 {
     auto former = std::move(m_reservations);
     m_reservations.clear();
+    if (m_policy == placement_policy::first_fit_fifo)
+        return;
     for (const auto& [name, record] : m_workspaces) {
         if (!record.defined)
             continue;
--- a/packages/placement/src/queue.cpp
+++ b/packages/placement/src/queue.cpp
@@ -211,6 +211,8 @@
 /// when capacity grew or jobs have aged.
 void scheduler_core::placeWaiting()
 {
+    if (m_policy == placement_policy::first_fit_fifo)
+        return placeInOrder();
     addStartTokens();
     reviewReservations();
     if (m_capacityGrew)
--- a/packages/placement/src/scheduler.cpp
+++ b/packages/placement/src/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "scheduler_core.h"
 
 #include <nlohmann/json.hpp>
+#include <poplardeal/placement/baseline.h>
 #include <poplardeal/placement/scheduler.h>
 #include <xxhash.h>
 
@@ -14,6 +15,14 @@
     : m_impl(std::make_unique<impl>())
 {
 }
+
+scheduler makeFirstFitFifo()
+{
+    scheduler baseline;
+    baseline.m_impl->core = detail::scheduler_core(detail::placement_policy::first_fit_fifo);
+    return baseline;
+}
+
 scheduler::~scheduler() = default;
 scheduler::scheduler(scheduler&&) noexcept = default;
 scheduler& scheduler::operator=(scheduler&&) noexcept = default;
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -18,9 +18,19 @@
 /// Tasks, cores, memory, accelerators, scope, and whether lower priorities may be preempted.
 using demand_key = std::tuple<std::int64_t, std::int64_t, std::int64_t, std::int64_t, scope, bool>;
 
+enum class placement_policy {
+    guarantees,
+    first_fit_fifo,
+};
+
 /// State and rules of the scheduler.
 class scheduler_core {
 public:
+    explicit scheduler_core(placement_policy policy = placement_policy::guarantees)
+        : m_policy(policy)
+    {
+    }
+
     std::vector<placement_command> apply(const placement_event&, instant now);
     std::optional<instant> nextDeadline() const;
     bool mayStart(const task_id&, lease_id) const;
@@ -137,6 +147,11 @@
     wait_view waitView() const;
     std::string waitReason(const job_record&, const wait_view&) const;
 
+    // first_fit.cpp
+    std::vector<task_spot> fillInOrder(const job_record&, const std::vector<std::uint32_t>& workers) const;
+    std::vector<task_spot> firstFit(const job_record&) const;
+    void placeInOrder();
+
     // feasibility.cpp
     /// Empty if the job could run on the empty cluster, otherwise why it never can.
     std::string neverRuns(const workspace_record&, const job_template&) const;
@@ -149,6 +164,7 @@
     job_record* findJob(job_number);
     lease_record* findLease(const task_id&, lease_id);
 
+    placement_policy m_policy;
     instant m_now;
     std::vector<placement_command> m_out;
     std::vector<worker_pool> m_pools;
