--- a/packages/placement/bench/simulation_bench.cpp
+++ b/packages/placement/bench/simulation_bench.cpp
@@ -227,7 +227,7 @@
     drop(lease);
     apply(task_reported { order.task, order.lease, kind, "" });
     auto& job = m_jobs.at(order.task.job.value());
-    if (job.endedAt || kind == task_report_kind::stopped || kind == task_report_kind::released)
+    if (job.endedAt || kind == task_report_kind::released)
         return;
     if (const auto status = m_subject.job(order.task.job); status && status->endedAt)
         job.endedAt = m_now;
@@ -328,8 +328,10 @@
             usable += (mask & block) == block ? largest : 0;
         }
     }
-    if (free > 0 && m_now < m_input.submissions.back().at) {
-        m_fragmentationSum += step * (1 - static_cast<double>(usable) / static_cast<double>(free));
+    if (m_now < m_input.submissions.back().at) {
+        // With nothing free, nothing is unusable.
+        if (free > 0)
+            m_fragmentationSum += step * (1 - static_cast<double>(usable) / static_cast<double>(free));
         m_fragmentationTime += step;
     }
     if (!m_outSince.empty() && isWaiting) {
--- a/packages/placement/src/preemption.cpp
+++ b/packages/placement/src/preemption.cpp
@@ -133,7 +133,7 @@
         return lostWork(lease);
     };
     for (const auto& [worker, cells] : ownCells(job.workspace)) {
-        if (!isOffered(worker))
+        if (!isOffered(worker) || avoidsWorker(job, worker))
             continue;
         auto allowed = worker_offer { cells, shareOf(worker, cells) };
         const auto& record = m_cluster.worker(worker);
@@ -170,7 +170,7 @@
     std::vector<vacatable_worker> workers;
     for (std::uint32_t i = 0; i < m_cluster.workers().size(); ++i) {
         const auto& capacity = m_cluster.worker(i).spec.capacity;
-        if (isOffered(i) && !m_cluster.worker(i).onProbation)
+        if (isOffered(i) && !m_cluster.worker(i).onProbation && !avoidsWorker(job, i))
             workers.push_back(
                 vacatable(m_cluster, m_leases, i, { fullMask(capacity.accelerator.count()), capacity }, costOf));
     }
@@ -182,6 +182,65 @@
     return true;
 }
 
+/// True if the leases could all move to free blocks outside the given spots.
+bool scheduler_core::canRehost(const std::vector<lease_number>& leases, const std::vector<task_spot>& without) const
+{
+    std::map<std::uint32_t, accelerator_mask> excluded;
+    for (const auto& spot : without)
+        excluded[spot.worker] |= spot.accelerators;
+    std::map<std::int64_t, std::int64_t, std::greater<>> wanted;
+    for (const auto number : leases)
+        ++wanted[m_leases.at(number).amount.accelerator.count()];
+    for (std::uint32_t i = 0; i < m_cluster.workers().size() && !wanted.empty(); ++i) {
+        if (!isOffered(i) || m_cluster.worker(i).onProbation)
+            continue;
+        auto free = m_cluster.freeOffer(i).accelerators;
+        if (const auto found = excluded.find(i); found != excluded.end())
+            free &= ~found->second;
+        for (auto& [size, count] : wanted) {
+            for (auto start = findBlock(free, size); count > 0 && start >= 0; start = findBlock(free, size)) {
+                free &= ~blockMask(start, size);
+                --count;
+            }
+        }
+        std::erase_if(wanted, [](const auto& entry) { return entry.second == 0; });
+    }
+    return wanted.empty();
+}
+
+/// Moves single small borrowers into free fragments elsewhere if that opens a block for the job.
+bool scheduler_core::claimByConsolidation(job_record& job)
+{
+    const auto size = job.spec.perTask.accelerator.count();
+    if (size < 2 || m_now < m_nextConsolidation || m_now - job.acceptedAt < minWaitForConsolidation)
+        return false;
+    ++m_searches;
+    m_nextConsolidation = m_now + consolidationInterval;
+    const auto costOf = [&](const lease_record& lease) -> std::optional<std::int64_t> {
+        const auto* holder = &m_jobs.at(lease.task.job.value());
+        const auto isMovable = lease.state == lease_state::running && !lease.secured && holder->spec.tasks == 1
+            && lease.amount.accelerator.count() < size && lease.amount.accelerator.count() > 0
+            && holder->spec.priority != job_priority::urgent && m_now - holder->attemptStartedAt >= minRunBeforeMove;
+        if (!isMovable)
+            return std::nullopt;
+        return lostWork(lease);
+    };
+    std::vector<vacatable_worker> workers;
+    for (std::uint32_t i = 0; i < m_cluster.workers().size(); ++i) {
+        const auto& record = m_cluster.worker(i);
+        if (!isOffered(i) || record.onProbation || avoidsWorker(job, i) || m_drainedWorkers.contains(i))
+            continue;
+        workers.push_back(vacatable(
+            m_cluster, m_leases, i, { fullMask(record.spec.capacity.accelerator.count()), record.spec.capacity }, costOf));
+    }
+    const auto found = placeVacating(m_cluster, demandOf(job), workers);
+    if (found.spots.empty() || !canRehost(found.leaving, found.spots))
+        return false;
+    vacate(jobsOf(found.leaving), job);
+    claimGang(job, found.spots, false);
+    return true;
+}
+
 /// Chooses the place that is expected to become free first for an aged job. Tasks there run to their end; what is
 /// placed there meanwhile is backfill and may be preempted by the job, so wrong run times delay it no further.
 void scheduler_core::drainFor(job_record& job)
@@ -194,7 +253,7 @@
     std::vector<vacatable_worker> workers;
     for (std::uint32_t i = 0; i < m_cluster.workers().size(); ++i) {
         const auto& record = m_cluster.worker(i);
-        if (!m_cluster.isUsable(i, m_now) || record.onProbation || m_drainedWorkers.contains(i))
+        if (!m_cluster.isUsable(i, m_now) || record.onProbation || m_drainedWorkers.contains(i) || avoidsWorker(job, i))
             continue;
         // Cells of guarantees are left out: a place there could be taken back at any time.
         const auto all = fullMask(record.spec.capacity.accelerator.count()) & ~record.reserved;
--- a/packages/placement/src/queue.cpp
+++ b/packages/placement/src/queue.cpp
@@ -78,6 +78,11 @@
     return ratio * 1024 / (256 + dominant);
 }
 
+bool scheduler_core::avoidsWorker(const job_record& job, std::uint32_t worker) const
+{
+    return m_now < job.avoidFailedUntil && job.failedWorkers.contains(worker);
+}
+
 /// Usable, and within the rate at which a data centre that returned is filled.
 bool scheduler_core::isOffered(std::uint32_t worker) const
 {
@@ -132,7 +137,7 @@
             m_cluster, demand,
             [&](std::uint32_t worker) -> std::optional<worker_offer> {
                 const auto& record = m_cluster.worker(worker);
-                if (!job.spec.perTask.fitsIn(record.free) || !isOffered(worker))
+                if (!job.spec.perTask.fitsIn(record.free) || !isOffered(worker) || avoidsWorker(job, worker))
                     return std::nullopt;
                 auto offer = m_cluster.freeOffer(worker);
                 if (!onReserved)
@@ -141,8 +146,6 @@
                 const auto drained = m_drainedWorkers.empty() ? m_drainedWorkers.end() : m_drainedWorkers.find(worker);
                 if (drained != m_drainedWorkers.end() && drained->second != job.number)
                     offer.penalty += 2;
-                if (job.failedWorkers.contains(worker))
-                    offer.penalty += 4;
                 return offer;
             },
             m_scratch);
@@ -172,8 +175,12 @@
             return true;
         if (job.spec.priority == job_priority::urgent && claimByPreemption(job))
             return true;
-        m_failedDemands.insert(key);
+        // The failure of a job that avoids some workers says nothing about others.
+        if (job.failedWorkers.empty())
+            m_failedDemands.insert(key);
     }
+    if (claimByConsolidation(job))
+        return true;
     if (!m_draining.contains(job.number) && m_draining.size() < maxDrainingJobs && isAged(job)) {
         ++m_searches;
         drainFor(job);
--- a/packages/placement/src/records.h
+++ b/packages/placement/src/records.h
@@ -92,6 +92,7 @@
     std::vector<lease_number> leases; ///< By task index; 0 once the lease ended.
     std::int64_t finishedTasks { 0 };
     std::set<std::uint32_t> failedWorkers;
+    instant avoidFailedUntil; ///< Until then none of `failedWorkers` is used.
     bool claiming { false }; ///< Waits, with claims instead of leases, for preempted tasks to leave.
     std::vector<task_spot> shadow; ///< Place that is drained for this job; others use it as backfill.
     job_number backfilledBefore { 0 }; ///< This job may preempt it.
--- a/packages/placement/src/reports.cpp
+++ b/packages/placement/src/reports.cpp
@@ -94,6 +94,8 @@
     if (kind == task_report_kind::failed) {
         ++job->failures;
         job->failedWorkers.insert(worker);
+        job->avoidFailedUntil = m_now + avoidanceAfterFailure;
+        addTimer(avoidanceAfterFailure, timer_kind::review, 0);
         auto reason = "a task failed on worker " + workerName;
         if (!detail.empty())
             reason += ": " + detail;
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -103,6 +103,9 @@
     std::int64_t remainingWork(const lease_record&) const;
     bool claimGuarantee(job_record&);
     bool claimByPreemption(job_record&);
+    bool claimByConsolidation(job_record&);
+    bool canRehost(const std::vector<lease_number>&, const std::vector<task_spot>& without) const;
+    bool avoidsWorker(const job_record&, std::uint32_t worker) const;
     void drainFor(job_record&);
     bool claimDrained(job_record&);
     void endDrain(job_record&);
@@ -188,6 +191,7 @@
     std::int64_t m_searches { 0 };
     instant m_nextReview;
     instant m_nextRepack;
+    instant m_nextConsolidation;
 
     std::vector<reservation> m_reservations;
     std::set<std::tuple<job_priority, instant, job_number>> m_claiming;
--- a/packages/placement/src/scheduler_limits.h
+++ b/packages/placement/src/scheduler_limits.h
@@ -49,6 +49,15 @@
 constexpr std::size_t failedJobsBeforeProbation = 3;
 constexpr duration pauseAfterFailedProbe = 60s;
 
+/// A job that failed on a worker is not placed there for this time, so that a bad worker does not use up its restarts.
+constexpr duration avoidanceAfterFailure = 10min;
+
+/// Small borrowers are moved together, to open a block for a job that waits, at most this often, and only if the job
+/// waited and they ran for some time since they started. A move costs a checkpoint and a restart.
+constexpr duration consolidationInterval = 10s;
+constexpr duration minWaitForConsolidation = 30s;
+constexpr duration minRunBeforeMove = 2min;
+
 constexpr duration firstBackoff = 1s;
 constexpr std::int64_t maxBackoffDoublings = 6;
 
--- a/packages/placement/src/state_codec.cpp
+++ b/packages/placement/src/state_codec.cpp
@@ -47,7 +47,7 @@
     {
         a(j.number, j.workspace, j.spec, j.phase, j.cause, j.reason, j.attempt, j.failures, j.refusals, j.acceptedAt,
             j.notBefore, j.attemptStartedAt, j.phaseDeadline, j.startedAt, j.endedAt, j.leases, j.finishedTasks,
-            j.failedWorkers, j.claiming, j.shadow, j.backfilledBefore, j.everStarted, j.uncertain);
+            j.failedWorkers, j.avoidFailedUntil, j.claiming, j.shadow, j.backfilledBefore, j.everStarted, j.uncertain);
     }
 
     template <class Archive> void describeFields(Archive& a, worker_record& w)
@@ -81,7 +81,7 @@
     {
         a(m_policy, m_now, m_pools, m_cluster, m_workspaces, m_jobs, m_leases, m_waiting, m_ended, m_timers,
             m_nextLease, m_lastEvicted, m_placementDue, m_capacityGrew, m_reservationsDue, m_newHeads, m_failedDemands,
-            m_nextReview, m_nextRepack, m_reservations, m_claiming, m_draining, m_drainedWorkers, m_runTimeRatios);
+            m_nextReview, m_nextRepack, m_nextConsolidation, m_reservations, m_claiming, m_draining, m_drainedWorkers, m_runTimeRatios);
     }
 
     nlohmann::json scheduler_core::toJson() const
