--- a/packages/placement/src/claims.cpp
+++ b/packages/placement/src/claims.cpp
@@ -94,9 +94,8 @@
 }
 
 /// Called before the successor claims the places: dropping a claim gives up every accelerator that it covers.
-void scheduler_core::vacate(const std::vector<job_number>& victims, const job_record& successor)
+void scheduler_core::vacate(const std::vector<job_number>& victims, const std::string& reason)
 {
-    const auto reason = "made room for job " + std::to_string(successor.number);
     for (const auto number : victims) {
         auto& victim = m_jobs.at(number);
         if (victim.claiming)
--- a/packages/placement/src/gang_search.h
+++ b/packages/placement/src/gang_search.h
@@ -14,6 +14,8 @@
     scope within { scope::anywhere };
 };
 
+inline gang_demand demandOf(const job_template& spec) { return { spec.tasks, spec.perTask, spec.within }; }
+
 /// A worker that can take `count` tasks; the worker with the lowest cost is filled first.
 struct gang_candidate {
     std::uint32_t worker { 0 };
--- a/packages/placement/src/preemption.cpp
+++ b/packages/placement/src/preemption.cpp
@@ -6,6 +6,8 @@
 
 namespace poplardeal::detail {
 
+static std::string madeRoomFor(const job_record& job) { return "made room for job " + std::to_string(job.number); }
+
 /// Waiting for a task that is already on its way out costs less than stopping another one.
 static constexpr std::int64_t costOfLeaving = 1;
 /// Dominates every amount of lost work, so that a lower priority is always stopped first.
@@ -50,69 +52,6 @@
     return 2 * costOfLeaving + left.count() * std::max<std::int64_t>(lease.amount.accelerator.count(), 1);
 }
 
-namespace {
-
-    /// The worker as a gang finds it. `costOf(lease)` is empty for leases that have to stay.
-    template <class CostOf>
-    vacatable_worker vacatable(const cluster& tree, const std::map<lease_number, lease_record>& leases,
-        std::uint32_t index, const worker_offer& allowed, const CostOf& costOf)
-    {
-        const auto& record = tree.worker(index);
-        vacatable_worker result { index, allowed.accelerators, record.free, record.free, {} };
-        result.budget -= record.claimedAmount;
-        result.free -= record.claimedAmount;
-        const auto consider = [&](lease_number number) {
-            const auto& lease = leases.at(number);
-            const std::optional<std::int64_t> cost = costOf(lease);
-            if (!cost) {
-                result.usable &= ~lease.spot.accelerators;
-                return;
-            }
-            result.budget += lease.amount;
-            result.leases.push_back({ number, lease.spot.accelerators, lease.amount, *cost });
-        };
-        std::ranges::for_each(record.leases, consider);
-        std::ranges::for_each(record.claims, consider);
-        result.budget.cpu = std::min(result.budget.cpu, allowed.free.cpu);
-        result.budget.memory = std::min(result.budget.memory, allowed.free.memory);
-        result.budget.accelerator = std::min(result.budget.accelerator, allowed.free.accelerator);
-        return result;
-    }
-
-    /// Places the gang at the least cost and returns the places with the jobs that have to leave them.
-    struct vacating_placement {
-        std::vector<task_spot> spots;
-        std::vector<lease_number> leaving;
-    };
-
-    vacating_placement placeVacating(
-        const cluster& tree, const gang_demand& demand, const std::vector<vacatable_worker>& workers)
-    {
-        std::vector<vacatable_place> places;
-        for (const auto& worker : workers)
-            addPlaces(worker, demand, places);
-        vacating_placement result { chooseCheapest(tree, demand, places), {} };
-        for (const auto& worker : workers) {
-            accelerator_mask needed = 0;
-            resources amount;
-            for (const auto& spot : result.spots) {
-                if (spot.worker != worker.worker)
-                    continue;
-                needed |= spot.accelerators;
-                amount += demand.perTask;
-            }
-            if (amount == resources {})
-                continue;
-            const auto leaving = leasesToVacate(worker, needed, amount);
-            result.leaving.insert(result.leaving.end(), leaving.begin(), leaving.end());
-        }
-        return result;
-    }
-
-    gang_demand demandOf(const job_record& job) { return { job.spec.tasks, job.spec.perTask, job.spec.within }; }
-
-} // namespace
-
 std::vector<job_number> scheduler_core::jobsOf(const std::vector<lease_number>& leases) const
 {
     std::set<job_number> jobs;
@@ -146,10 +85,10 @@
         std::ranges::for_each(record.claims, charge);
         workers.push_back(vacatable(m_cluster, m_leases, worker, allowed, costOf));
     }
-    const auto found = placeVacating(m_cluster, demandOf(job), workers);
+    const auto found = placeVacating(m_cluster, demandOf(job.spec), workers);
     if (found.spots.empty())
         return false;
-    vacate(jobsOf(found.leaving), job);
+    vacate(jobsOf(found.leaving), madeRoomFor(job));
     claimGang(job, found.spots, true);
     return true;
 }
@@ -174,76 +113,31 @@
             workers.push_back(
                 vacatable(m_cluster, m_leases, i, { fullMask(capacity.accelerator.count()), capacity }, costOf));
     }
-    const auto found = placeVacating(m_cluster, demandOf(job), workers);
+    const auto found = placeVacating(m_cluster, demandOf(job.spec), workers);
     if (found.spots.empty())
         return false;
-    vacate(jobsOf(found.leaving), job);
+    vacate(jobsOf(found.leaving), madeRoomFor(job));
     claimGang(job, found.spots, false);
     return true;
 }
 
-/// True if the leases could all move to free blocks outside the given spots.
-bool scheduler_core::canRehost(const std::vector<lease_number>& leases, const std::vector<task_spot>& without) const
-{
-    std::map<std::uint32_t, accelerator_mask> excluded;
-    for (const auto& spot : without)
-        excluded[spot.worker] |= spot.accelerators;
-    std::map<std::int64_t, std::int64_t, std::greater<>> wanted;
-    for (const auto number : leases)
-        ++wanted[m_leases.at(number).amount.accelerator.count()];
-    for (std::uint32_t i = 0; i < m_cluster.workers().size() && !wanted.empty(); ++i) {
-        if (!isOffered(i) || m_cluster.worker(i).onProbation)
-            continue;
-        auto free = m_cluster.freeOffer(i).accelerators;
-        if (const auto found = excluded.find(i); found != excluded.end())
-            free &= ~found->second;
-        for (auto& [size, count] : wanted) {
-            for (auto start = findBlock(free, size); count > 0 && start >= 0; start = findBlock(free, size)) {
-                free &= ~blockMask(start, size);
-                --count;
-            }
-        }
-        std::erase_if(wanted, [](const auto& entry) { return entry.second == 0; });
-    }
-    return wanted.empty();
-}
-
-/// Moves single small borrowers into free fragments elsewhere if that opens a block for the job.
-bool scheduler_core::claimByConsolidation(job_record& job)
+/// Chooses the place that is expected to become free first for an aged job. Tasks there run to their end; what is
+/// placed there meanwhile is backfill and may be preempted by the job, so wrong run times delay it no further. Cells of
+/// guarantees are used only if there is no other place: there the job could be stopped at any time.
+void scheduler_core::drainFor(job_record& job)
 {
-    const auto size = job.spec.perTask.accelerator.count();
-    if (size < 2 || m_now < m_nextConsolidation || m_now - job.acceptedAt < minWaitForConsolidation)
-        return false;
-    ++m_searches;
-    m_nextConsolidation = m_now + consolidationInterval;
-    const auto costOf = [&](const lease_record& lease) -> std::optional<std::int64_t> {
-        const auto* holder = &m_jobs.at(lease.task.job.value());
-        const auto isMovable = lease.state == lease_state::running && !lease.secured && holder->spec.tasks == 1
-            && lease.amount.accelerator.count() < size && lease.amount.accelerator.count() > 0
-            && holder->spec.priority != job_priority::urgent && m_now - holder->attemptStartedAt >= minRunBeforeMove;
-        if (!isMovable)
-            return std::nullopt;
-        return lostWork(lease);
-    };
-    std::vector<vacatable_worker> workers;
-    for (std::uint32_t i = 0; i < m_cluster.workers().size(); ++i) {
-        const auto& record = m_cluster.worker(i);
-        if (!isOffered(i) || record.onProbation || avoidsWorker(job, i) || m_drainedWorkers.contains(i))
-            continue;
-        workers.push_back(vacatable(
-            m_cluster, m_leases, i, { fullMask(record.spec.capacity.accelerator.count()), record.spec.capacity }, costOf));
-    }
-    const auto found = placeVacating(m_cluster, demandOf(job), workers);
-    if (found.spots.empty() || !canRehost(found.leaving, found.spots))
-        return false;
-    vacate(jobsOf(found.leaving), job);
-    claimGang(job, found.spots, false);
-    return true;
+    auto spots = findDrainable(job, false);
+    if (spots.empty() && !m_reservations.empty())
+        spots = findDrainable(job, true);
+    if (spots.empty())
+        return;
+    job.shadow = std::move(spots);
+    m_draining.insert(job.number);
+    for (const auto& spot : job.shadow)
+        m_drainedWorkers.emplace(spot.worker, job.number);
 }
 
-/// Chooses the place that is expected to become free first for an aged job. Tasks there run to their end; what is
-/// placed there meanwhile is backfill and may be preempted by the job, so wrong run times delay it no further.
-void scheduler_core::drainFor(job_record& job)
+std::vector<task_spot> scheduler_core::findDrainable(const job_record& job, bool onReserved) const
 {
     const auto costOf = [&](const lease_record& lease) -> std::optional<std::int64_t> {
         if (lease.state == lease_state::claimed)
@@ -253,19 +147,15 @@
     std::vector<vacatable_worker> workers;
     for (std::uint32_t i = 0; i < m_cluster.workers().size(); ++i) {
         const auto& record = m_cluster.worker(i);
-        if (!m_cluster.isUsable(i, m_now) || record.onProbation || m_drainedWorkers.contains(i) || avoidsWorker(job, i))
+        const auto isExcluded = record.onProbation || m_drainedWorkers.contains(i) || avoidsWorker(job, i);
+        if (!m_cluster.isUsable(i, m_now) || isExcluded)
             continue;
-        // Cells of guarantees are left out: a place there could be taken back at any time.
-        const auto all = fullMask(record.spec.capacity.accelerator.count()) & ~record.reserved;
+        auto all = fullMask(record.spec.capacity.accelerator.count());
+        if (!onReserved)
+            all &= ~record.reserved;
         workers.push_back(vacatable(m_cluster, m_leases, i, { all, record.spec.capacity }, costOf));
     }
-    auto found = placeVacating(m_cluster, demandOf(job), workers);
-    if (found.spots.empty())
-        return;
-    job.shadow = std::move(found.spots);
-    m_draining.insert(job.number);
-    for (const auto& spot : job.shadow)
-        m_drainedWorkers.emplace(spot.worker, job.number);
+    return placeVacating(m_cluster, demandOf(job.spec), workers).spots;
 }
 
 void scheduler_core::endDrain(job_record& job)
@@ -307,7 +197,7 @@
         leaving.insert(leaving.end(), part.begin(), part.end());
     }
     const auto spots = job.shadow;
-    vacate(jobsOf(leaving), job);
+    vacate(jobsOf(leaving), madeRoomFor(job));
     claimGang(job, spots, false);
     return true;
 }
--- a/packages/placement/src/queue.cpp
+++ b/packages/placement/src/queue.cpp
@@ -243,6 +243,7 @@
     }
     m_newHeads.clear();
     placeHeads(heads);
+    compact();
     for (const auto& entry : heads) {
         const auto& job = m_jobs.at(std::get<3>(entry));
         m_newHeads.emplace(job.workspace, job.spec.name);
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -5,6 +5,7 @@
 #include "gang_search.h"
 #include "records.h"
 #include "shape_packer.h"
+#include "vacate_search.h"
 #include <deque>
 #include <nlohmann/json_fwd.hpp>
 #include <poplardeal/placement/scheduler.h>
@@ -95,7 +96,7 @@
     bool activateClaim(job_record&);
     void dropClaim(job_record&);
     void reviewClaims();
-    void vacate(const std::vector<job_number>& victims, const job_record& successor);
+    void vacate(const std::vector<job_number>& victims, const std::string& reason);
 
     // preemption.cpp
     bool isLeaving(const lease_record&) const;
@@ -103,14 +104,21 @@
     std::int64_t remainingWork(const lease_record&) const;
     bool claimGuarantee(job_record&);
     bool claimByPreemption(job_record&);
-    bool claimByConsolidation(job_record&);
-    bool canRehost(const std::vector<lease_number>&, const std::vector<task_spot>& without) const;
     bool avoidsWorker(const job_record&, std::uint32_t worker) const;
     void drainFor(job_record&);
+    std::vector<task_spot> findDrainable(const job_record&, bool onReserved) const;
     bool claimDrained(job_record&);
     void endDrain(job_record&);
     std::vector<job_number> jobsOf(const std::vector<lease_number>&) const;
 
+    // consolidation.cpp
+    bool claimByConsolidation(job_record&);
+    void compact();
+    bool isMovable(const lease_record&, std::int64_t size) const;
+    bool canRehost(const std::vector<lease_number>&, const std::vector<task_spot>& without, std::int64_t size) const;
+    std::vector<vacatable_worker> movableWorkers(std::int64_t size, const job_record* successor) const;
+    std::int64_t largestBlock() const;
+
     // guarantees.cpp
     using cell_map = std::map<std::uint32_t, accelerator_mask>;
     void rebuildReservations();
@@ -192,6 +200,7 @@
     instant m_nextReview;
     instant m_nextRepack;
     instant m_nextConsolidation;
+    instant m_nextCompaction;
 
     std::vector<reservation> m_reservations;
     std::set<std::tuple<job_priority, instant, job_number>> m_claiming;
--- a/packages/placement/src/state_codec.cpp
+++ b/packages/placement/src/state_codec.cpp
@@ -81,7 +81,8 @@
     {
         a(m_policy, m_now, m_pools, m_cluster, m_workspaces, m_jobs, m_leases, m_waiting, m_ended, m_timers,
             m_nextLease, m_lastEvicted, m_placementDue, m_capacityGrew, m_reservationsDue, m_newHeads, m_failedDemands,
-            m_nextReview, m_nextRepack, m_nextConsolidation, m_reservations, m_claiming, m_draining, m_drainedWorkers, m_runTimeRatios);
+            m_nextReview, m_nextRepack, m_nextConsolidation, m_nextCompaction, m_reservations, m_claiming, m_draining,
+            m_drainedWorkers, m_runTimeRatios);
     }
 
     nlohmann::json scheduler_core::toJson() const
--- a/packages/placement/src/vacate_search.cpp
+++ b/packages/placement/src/vacate_search.cpp
@@ -121,4 +121,28 @@
     return spots;
 }
 
+vacating_placement placeVacating(
+    const cluster& tree, const gang_demand& demand, const std::vector<vacatable_worker>& workers)
+{
+    std::vector<vacatable_place> places;
+    for (const auto& worker : workers)
+        addPlaces(worker, demand, places);
+    vacating_placement result { chooseCheapest(tree, demand, places), {} };
+    for (const auto& worker : workers) {
+        accelerator_mask needed = 0;
+        resources amount;
+        for (const auto& spot : result.spots) {
+            if (spot.worker != worker.worker)
+                continue;
+            needed |= spot.accelerators;
+            amount += demand.perTask;
+        }
+        if (amount == resources {})
+            continue;
+        const auto leaving = leasesToVacate(worker, needed, amount);
+        result.leaving.insert(result.leaving.end(), leaving.begin(), leaving.end());
+    }
+    return result;
+}
+
 } // namespace poplardeal::detail
--- a/packages/placement/src/vacate_search.h
+++ b/packages/placement/src/vacate_search.h
@@ -44,4 +44,39 @@
 /// ones until cores and memory suffice.
 std::vector<lease_number> leasesToVacate(const vacatable_worker&, accelerator_mask needed, const resources& amount);
 
+/// Spots for a gang at the least cost, and the leases that have to leave them.
+struct vacating_placement {
+    std::vector<task_spot> spots;
+    std::vector<lease_number> leaving;
+};
+
+vacating_placement placeVacating(const cluster&, const gang_demand&, const std::vector<vacatable_worker>&);
+
+/// The worker as a gang finds it. `costOf(lease)` is empty for leases that have to stay.
+template <class CostOf>
+vacatable_worker vacatable(const cluster& tree, const std::map<lease_number, lease_record>& leases, std::uint32_t index,
+    const worker_offer& allowed, const CostOf& costOf)
+{
+    const auto& record = tree.worker(index);
+    vacatable_worker result { index, allowed.accelerators, record.free, record.free, {} };
+    result.budget -= record.claimedAmount;
+    result.free -= record.claimedAmount;
+    const auto consider = [&](lease_number number) {
+        const auto& lease = leases.at(number);
+        const std::optional<std::int64_t> cost = costOf(lease);
+        if (!cost) {
+            result.usable &= ~lease.spot.accelerators;
+            return;
+        }
+        result.budget += lease.amount;
+        result.leases.push_back({ number, lease.spot.accelerators, lease.amount, *cost });
+    };
+    std::ranges::for_each(record.leases, consider);
+    std::ranges::for_each(record.claims, consider);
+    result.budget.cpu = std::min(result.budget.cpu, allowed.free.cpu);
+    result.budget.memory = std::min(result.budget.memory, allowed.free.memory);
+    result.budget.accelerator = std::min(result.budget.accelerator, allowed.free.accelerator);
+    return result;
+}
+
 } // namespace poplardeal::detail
