--- a/packages/consensus/src/replica.cpp
+++ b/packages/consensus/src/replica.cpp
@@ -34,7 +34,7 @@
     void snapshotIfDue();
     void appended(result<log_position>, proposal_callback);
     void abandonProposals(const std::string& reason, std::uint64_t beforeTerm);
-    void noteLeadership();
+    void noteRoleChange();
     void stop(failure);
     void observe(instant now) { latest = std::max(latest, now); }
 
@@ -49,6 +49,7 @@
     bool flushScheduled { false };
     bool flushing { false };
     bool wasLeader { false };
+    bool wasVoter { false };
     std::uint64_t leaderTerm { 0 };
     std::optional<failure> stopReason;
     std::unique_ptr<detail::disk_worker<log_store>> disk;
@@ -149,7 +150,7 @@
     flushing = true;
     carryOut(node.takeReady(latest));
     flushing = false;
-    noteLeadership();
+    noteRoleChange();
     snapshotIfDue();
 }
 
@@ -222,8 +223,12 @@
         done(failure { failure_code::unavailable, reason });
 }
 
-void replica::impl::noteLeadership()
+void replica::impl::noteRoleChange()
 {
+    if (std::exchange(wasVoter, node.mayVote()) != node.mayVote()) {
+        logEvent(log_level::info, wasVoter ? "replica_may_vote" : "replica_may_not_vote",
+            { { "replica", options.self.value() }, { "term", node.term() }, { "applied", applied } });
+    }
     const bool leads = node.isLeader();
     const bool changed = leads != wasLeader || (leads && node.term() != leaderTerm);
     if (!changed)
@@ -245,7 +250,7 @@
         { { "replica", options.self.value() }, { "code", toString(reason.code) }, { "reason", reason.message } });
     abandonProposals("the replica stopped: " + reason.message, std::numeric_limits<std::uint64_t>::max());
     if (environment.stopped)
-        environment.stopped(reason);
+        environment.post([stopped = environment.stopped, reason = std::move(reason)] { stopped(reason); });
 }
 
 replica::replica(std::shared_ptr<impl> made)
@@ -265,7 +270,7 @@
     m_impl->observe(now);
     if (m_impl->stopReason)
         return;
-    m_impl->node.tick(now);
+    m_impl->node.tick(m_impl->latest);
     m_impl->flush();
 }
 
@@ -279,7 +284,7 @@
         logEvent(log_level::warning, "replica_message_refused", { { "from", from.value() } });
         return;
     }
-    m_impl->node.receive(decoded.value(), now);
+    m_impl->node.receive(decoded.value(), m_impl->latest);
     m_impl->flush();
 }
 
@@ -288,7 +293,7 @@
     m_impl->observe(now);
     if (m_impl->stopReason)
         return done(failure { failure_code::not_leader, "the replica stopped: " + m_impl->stopReason->message });
-    m_impl->appended(m_impl->node.propose(std::move(payload), now), std::move(done));
+    m_impl->appended(m_impl->node.propose(std::move(payload), m_impl->latest), std::move(done));
 }
 
 void replica::changeMembership(membership members, instant now, proposal_callback done)
@@ -296,7 +301,7 @@
     m_impl->observe(now);
     if (m_impl->stopReason)
         return done(failure { failure_code::not_leader, "the replica stopped: " + m_impl->stopReason->message });
-    m_impl->appended(m_impl->node.proposeMembership(std::move(members), now), std::move(done));
+    m_impl->appended(m_impl->node.proposeMembership(std::move(members), m_impl->latest), std::move(done));
 }
 
 bool replica::isLeader() const { return !m_impl->stopReason && m_impl->node.isLeader(); }
@@ -317,7 +322,7 @@
     m_impl->observe(now);
     if (m_impl->stopReason)
         return false;
-    const bool started = m_impl->node.transferLeadership(now);
+    const bool started = m_impl->node.transferLeadership(m_impl->latest);
     m_impl->flush();
     return started;
 }
