consensus: hold the simulated clock of the tests while a disk write is pending

The tests let simulated time pass 2 ms after the last activity, so that a slow sync could look like a lost leader. replica::isPersisting tells whether the disk thread has work; the clock of the test group stands still meanwhile.

--- a/packages/consensus/include/poplardeal/consensus/replica.h
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -86,6 +86,8 @@
     const membership& members() const;
     /// False while this replica has an empty or outdated data folder or is a learner.
     bool mayVote() const;
+    /// True while the disk thread has work whose end has not been reported here.
+    bool isPersisting() const;
     /// Why this replica stopped, if it did: it no longer votes, answers or applies until the process restarts.
     std::optional<failure> failed() const;
 
--- a/packages/consensus/src/disk_worker.h
+++ b/packages/consensus/src/disk_worker.h
@@ -8,9 +8,10 @@
 
 namespace poplardeal::detail {
 
-/// What the disk thread reports: everything up to a batch number is durable, or why it stopped.
+/// What the disk thread reports: what is durable so far, or why it stopped.
 struct disk_report {
-    std::uint64_t durableNumber { 0 };
+    std::uint64_t durableNumber { 0 }; ///< Of the last batch written.
+    std::uint64_t snapshotIndex { 0 }; ///< Of the last own snapshot saved.
     std::optional<failure> failed;
 };
 
@@ -64,14 +65,23 @@
     {
         std::vector<persist_batch> batches;
         shared_snapshot snapshot;
+        disk_report done;
         while (takeWork(batches, snapshot)) {
             auto outcome = m_store.write(batches);
-            if (outcome && !batches.empty())
-                m_report({ batches.back().number, std::nullopt });
-            if (outcome && snapshot)
+            if (outcome && !batches.empty()) {
+                done.durableNumber = batches.back().number;
+                m_report(done);
+            }
+            if (outcome && snapshot) {
                 outcome = m_store.saveSnapshot(*snapshot);
-            if (!outcome)
-                return m_report({ 0, outcome.error() });
+                done.snapshotIndex = snapshot->index;
+                if (outcome)
+                    m_report(done);
+            }
+            if (!outcome) {
+                done.failed = outcome.error();
+                return m_report(done);
+            }
         }
     }
 
--- a/packages/consensus/src/replica.cpp
+++ b/packages/consensus/src/replica.cpp
@@ -46,6 +46,9 @@
     std::uint64_t applied { 0 };
     std::uint64_t snapshotIndex { 0 };
     std::map<std::uint64_t, pending_proposal> proposals; ///< By index.
+    std::uint64_t requestedNumber { 0 }; ///< Last batch given to the disk thread.
+    std::uint64_t requestedSnapshot { 0 }; ///< Last own snapshot given to the disk thread.
+    detail::disk_report lastReport;
     bool flushScheduled { false };
     bool flushing { false };
     bool wasLeader { false };
@@ -118,6 +121,7 @@
         return;
     if (report.failed)
         return stop(*report.failed);
+    lastReport = report;
     node.persisted(report.durableNumber, latest);
     flush();
 }
@@ -163,8 +167,10 @@
         applied = ready.install->index;
         snapshotIndex = applied;
     }
-    if (!ready.persist.empty())
+    if (!ready.persist.empty()) {
+        requestedNumber = ready.persist.number;
         disk->persist(std::move(ready.persist));
+    }
     for (const auto& message : ready.messages)
         environment.send(message.to, detail::encodeMessage(message));
     for (const auto& entry : ready.committed)
@@ -199,6 +205,7 @@
     taken->data = machine.takeSnapshot();
     snapshotIndex = applied;
     node.compact(taken);
+    requestedSnapshot = applied;
     disk->saveSnapshot(taken);
 }
 
@@ -315,6 +322,14 @@
 std::uint64_t replica::appliedIndex() const { return m_impl->applied; }
 const membership& replica::members() const { return m_impl->node.members(); }
 bool replica::mayVote() const { return !m_impl->stopReason && m_impl->node.mayVote(); }
+bool replica::isPersisting() const
+{
+    const auto& reported = m_impl->lastReport;
+    const bool done
+        = reported.durableNumber == m_impl->requestedNumber && reported.snapshotIndex == m_impl->requestedSnapshot;
+    return !m_impl->stopReason && !done;
+}
+
 std::optional<failure> replica::failed() const { return m_impl->stopReason; }
 
 bool replica::transferLeadership(instant now)
--- a/packages/consensus/tests/replica_group.h
+++ b/packages/consensus/tests/replica_group.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <filesystem>
@@ -56,7 +57,7 @@
     std::vector<std::string> applied;
 };
 
-/// Replicas in one process on a simulated clock: the clock moves on when neither messages nor disk reports are pending.
+/// Replicas in one process on a simulated clock, which stands still while messages or disk writes are pending.
 class replica_group {
 public:
     explicit replica_group(std::uint32_t size, std::uint64_t snapshotEvery = 10000, std::uint64_t seed = 1)
@@ -119,7 +120,7 @@
         machines.erase(number);
     }
 
-    /// Delivers what is pending; then waits briefly for the disk threads, or moves the clock on.
+    /// Delivers what is pending, waits for the disk threads, or moves the clock on.
     void step(duration tick = std::chrono::milliseconds(10))
     {
         runPosted();
@@ -130,10 +131,12 @@
         }
         if (!m_messages.empty())
             return;
+        const bool persisting = std::any_of(
+            replicas.begin(), replicas.end(), [](const auto& item) { return item.second->isPersisting(); });
         {
             std::unique_lock lock(m_mutex);
-            // Gives a running sync time to finish, so that simulated time does not race ahead of the disk.
-            m_wake.wait_for(lock, std::chrono::milliseconds(2), [this] { return !m_posted.empty(); });
+            if (persisting)
+                m_wake.wait(lock, [this] { return !m_posted.empty(); });
             if (!m_posted.empty())
                 return;
         }
