--- a/packages/wire/include/poplardeal/wire/channel.h
+++ b/packages/wire/include/poplardeal/wire/channel.h
@@ -66,6 +66,8 @@
     /// Called at each new connection, before any frame.
     void onUp(std::function<void()>);
     void onDown(std::function<void()>);
+    /// Called before `onDown` with the reason; `corrupt` and `too_large` mean a faulty peer.
+    void onLost(std::function<void(const failure&)>);
     void onFrame(std::function<void(frame)>);
     void start();
 
--- a/packages/wire/include/poplardeal/wire/http.h
+++ b/packages/wire/include/poplardeal/wire/http.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -49,6 +50,8 @@
     void stopListening();
     /// Requests whose headers have arrived and that are not yet answered to the last byte. A planned stop waits for 0.
     std::size_t inFlight() const;
+    /// Requests answered 4xx that never reached the handler.
+    std::uint64_t refused() const;
 
 private:
     struct impl;
--- a/packages/wire/src/dialer.cpp
+++ b/packages/wire/src/dialer.cpp
@@ -26,12 +26,13 @@
 
         std::function<void()> onUp;
         std::function<void()> onDown;
+        std::function<void(const failure&)> onLost;
         std::function<void(frame)> onFrame;
 
     private:
         void finishDial(GSocketClient*, GAsyncResult*);
         void comeUp(object_ptr<GSocketConnection>);
-        void goDown();
+        void goDown(const failure&);
         void dialLater();
 
         static constexpr duration dialTimeout = std::chrono::seconds(2);
@@ -99,21 +100,25 @@
             if (handler)
                 handler(std::move(f));
         });
-        m_channel->onClosed([this](const failure&) { goDown(); });
+        m_channel->onClosed([this](const failure& reason) { goDown(reason); });
         const auto handler = onUp;
         if (handler)
             handler();
     }
 
-    void redialer::goDown()
+    void redialer::goDown(const failure& reason)
     {
         const auto self = shared_from_this();
         m_earlierBytes += m_channel->bytesTransferred();
         m_channel.reset();
         dialLater();
-        const auto handler = onDown;
-        if (handler)
-            handler();
+        // Copies, because a handler may destroy the dialer.
+        const auto lost = onLost;
+        const auto down = onDown;
+        if (lost)
+            lost(reason);
+        if (down && !m_stopped)
+            down();
     }
 
     void redialer::dialLater()
@@ -146,6 +151,7 @@
 
 void dialer::onUp(std::function<void()> handler) { m_impl->state->onUp = std::move(handler); }
 void dialer::onDown(std::function<void()> handler) { m_impl->state->onDown = std::move(handler); }
+void dialer::onLost(std::function<void(const failure&)> handler) { m_impl->state->onLost = std::move(handler); }
 void dialer::onFrame(std::function<void(frame)> handler) { m_impl->state->onFrame = std::move(handler); }
 void dialer::start() { m_impl->state->dial(); }
 bool dialer::isUp() const { return m_impl->state->isUp(); }
--- a/packages/wire/src/http_server.cpp
+++ b/packages/wire/src/http_server.cpp
@@ -78,6 +78,8 @@
         , stopped(std::make_shared<bool>(false))
         , connections(std::make_shared<std::size_t>(0))
     {
+        g_object_set_data(G_OBJECT(server.get()), implKey, this);
+        g_signal_connect(server.get(), "request-started", G_CALLBACK(onStarted), this);
         soup_server_add_early_handler(server.get(), nullptr, onHeaders, this, nullptr);
         soup_server_add_handler(server.get(), nullptr, onRequest, this, nullptr);
     }
@@ -86,6 +88,9 @@
     {
         for (const auto& [message, exchange] : exchanges)
             g_signal_handlers_disconnect_by_data(message, this);
+        g_signal_handlers_disconnect_by_data(server.get(), this);
+        // A message that is still read may outlive this object together with the libsoup server.
+        g_object_set_data(G_OBJECT(server.get()), implKey, nullptr);
         soup_server_remove_handler(server.get(), nullptr);
         soup_server_disconnect(server.get());
     }
@@ -116,6 +121,7 @@
 
     void refuse(SoupServerMessage* message, const std::string& statusLine, const std::string& reason)
     {
+        ++refused;
         auto* remote = soup_server_message_get_remote_address(message);
         auto socket = detail::shareObject(G_SOCKET(g_object_get_data(G_OBJECT(remote), socketKey)));
         detail::object_ptr<GIOStream> stream(soup_server_message_steal_connection(message));
@@ -126,9 +132,24 @@
                 + std::to_string(reason.size()) + "\r\n\r\n" + reason);
     }
 
+    static void onStarted(SoupServer* server, SoupServerMessage* message, gpointer)
+    {
+        g_signal_connect_object(message, "wrote-headers", G_CALLBACK(onWroteHeaders), server, GConnectFlags(0));
+    }
+
+    /// Counts what libsoup refuses before its handlers see it, such as a malformed request line.
+    static void onWroteHeaders(SoupServerMessage* message, gpointer server)
+    {
+        auto* self = static_cast<impl*>(g_object_get_data(G_OBJECT(server), implKey));
+        const bool seen = g_object_get_data(G_OBJECT(message), seenKey) != nullptr;
+        if (self != nullptr && !seen && soup_server_message_get_status(message) >= SOUP_STATUS_BAD_REQUEST)
+            ++self->refused;
+    }
+
     static void onHeaders(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data)
     {
         auto& self = *static_cast<impl*>(data);
+        g_object_set_data(G_OBJECT(message), seenKey, data);
         auto* headers = soup_server_message_get_request_headers(message);
         const char* length = soup_message_headers_get_list(headers, "Content-Length");
         if (detail::headersSize(headers) > maxHeaders)
@@ -167,6 +188,7 @@
         auto* uri = soup_server_message_get_uri(message);
         auto path = detail::decodePath(g_uri_get_path(uri));
         if (!path) {
+            ++refused;
             soup_server_message_set_status(message, SOUP_STATUS_BAD_REQUEST, nullptr);
             return;
         }
@@ -196,6 +218,8 @@
         static_cast<impl*>(data)->exchanges.erase(message);
     }
 
+    static constexpr const char* implKey = "poplardeal-http-server";
+    static constexpr const char* seenKey = "poplardeal-seen";
     static constexpr const char* socketKey = "poplardeal-socket";
     static constexpr std::size_t maxHeaders = std::size_t { 32 } * 1024;
     static constexpr std::size_t maxConnections = 4096;
@@ -210,6 +234,7 @@
     std::shared_ptr<bool> stopped;
     std::shared_ptr<std::size_t> connections;
     detail::exchange_table exchanges;
+    std::uint64_t refused { 0 };
 };
 
 result<std::unique_ptr<http_server>> http_server::open(event_loop& loop, const address& local, std::size_t maxBody,
@@ -242,4 +267,6 @@
 
 std::size_t http_server::inFlight() const { return m_impl->exchanges.size(); }
 
+std::uint64_t http_server::refused() const { return m_impl->refused; }
+
 } // namespace poplardeal
--- a/packages/wire/tests/channel_test.cpp
+++ b/packages/wire/tests/channel_test.cpp
@@ -119,6 +119,21 @@
     BOOST_TEST(received.empty());
 }
 
+// Guards against a corrupt answer that is only seen as a lost connection.
+BOOST_AUTO_TEST_CASE(dialer_tells_why_the_connection_was_lost)
+{
+    const auto listening = raw_socket::listenOnLoopback();
+    std::vector<failure> lost;
+    client = std::make_unique<dialer>(loop, listening.local(), 1);
+    client->onLost([&](const failure& reason) { lost.push_back(reason); });
+    client->start();
+    BOOST_REQUIRE(runUntil([this] { return client->isUp(); }));
+    const auto peer = listening.acceptNow();
+    peer.send(std::string(frameHeaderSize, 'x'));
+    BOOST_REQUIRE(runUntil([&] { return lost.size() == 1; }));
+    BOOST_TEST((lost[0].code == failure_code::corrupt));
+}
+
 // Guards against a use of freed memory when the owner drops the channel while it delivers frames.
 BOOST_AUTO_TEST_CASE(owner_may_destroy_the_channel_in_a_handler)
 {
