Bound the HTTP client's pending requests

Every queue needs a bound and an answer when it is full: above 4096 requests under way the client refuses as overloaded, not_run. A listener may now be destroyed by its accept handler, and a second start of a dialer does nothing.

--- a/packages/standins/src/runner_main.cpp
+++ b/packages/standins/src/runner_main.cpp
@@ -34,5 +34,5 @@
     event_loop loop;
     standin_runner runner(loop, std::move(options), std::move(ledger.value()));
     return detail::serve(loop, FLAGS_listen,
-        [&](http_request request, http_responder respond) { runner.handle(std::move(request), std::move(respond)); });
+        [&](http_request request, const http_responder& respond) { runner.handle(std::move(request), respond); });
 }
--- a/packages/wire/include/poplardeal/wire/http.h
+++ b/packages/wire/include/poplardeal/wire/http.h
@@ -87,13 +87,15 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// Calls `done` once, never from within `send`; a failure has code `timed_out`, `unavailable`, `too_large` or
-    /// `invalid_argument`. GET, HEAD and OPTIONS requests without `idempotency-key` use a kept connection, others a
+    /// Calls `done` once, never from within `send`; a failure has code `timed_out`, `unavailable`, `too_large`,
+    /// `corrupt`, `overloaded` or `invalid_argument`. GET, HEAD and OPTIONS requests without `idempotency-key` use a kept connection, others a
     /// fresh one.
     void send(const address& server, http_request, duration timeout, std::function<void(http_result)> done);
     void send(
         const address& server, http_request, duration timeout, connection_use, std::function<void(http_result)> done);
 
+    /// Requests under way or waiting for a connection; more are refused as `overloaded`.
+    static constexpr std::size_t maxPending = 4096;
     static constexpr std::size_t maxResponseBody = std::size_t { 16 } * 1024 * 1024;
 
 private:
--- a/packages/wire/src/acceptor.cpp
+++ b/packages/wire/src/acceptor.cpp
@@ -74,7 +74,9 @@
     error_slot error;
     const object_ptr<GSocket> accepted(g_socket_accept(m_socket.get(), nullptr, error.out()));
     if (accepted) {
-        m_accept(object_ptr<GSocketConnection>(g_socket_connection_factory_create_connection(accepted.get())));
+        // A copy, because the handler may destroy this object.
+        const auto accept = m_accept;
+        accept(object_ptr<GSocketConnection>(g_socket_connection_factory_create_connection(accepted.get())));
         return;
     }
     if (error.is(G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
--- a/packages/wire/src/acceptor.h
+++ b/packages/wire/src/acceptor.h
@@ -8,7 +8,7 @@
 
 namespace poplardeal::detail {
 
-/// A listening socket. Gives each accepted connection to its handler, which must not destroy the acceptor.
+/// A listening socket. Gives each accepted connection to its handler.
 class acceptor {
 public:
     using handler = std::function<void(object_ptr<GSocketConnection>)>;
--- a/packages/wire/src/dialer.cpp
+++ b/packages/wire/src/dialer.cpp
@@ -2,6 +2,7 @@
 #include "event_loop_access.h"
 #include "reconnect_delay.h"
 #include "socket_address.h"
+#include <utility>
 
 namespace poplardeal {
 namespace detail {
@@ -16,7 +17,7 @@
         {
         }
 
-        void dial();
+        void start();
         void stop();
 
         bool isUp() const { return m_channel != nullptr; }
@@ -30,6 +31,7 @@
         std::function<void(frame)> onFrame;
 
     private:
+        void dial();
         void finishDial(GSocketClient*, GAsyncResult*);
         void comeUp(object_ptr<GSocketConnection>);
         void goDown(const failure&);
@@ -40,6 +42,7 @@
         event_loop& m_loop;
         address m_peer;
         reconnect_delay m_delay;
+        bool m_started { false };
         bool m_stopped { false };
         object_ptr<GCancellable> m_dial;
         event_loop::timer m_timer;
@@ -60,6 +63,12 @@
         return m_earlierBytes + (m_channel ? m_channel->bytesTransferred() : 0);
     }
 
+    void redialer::start()
+    {
+        if (!std::exchange(m_started, true))
+            dial();
+    }
+
     void redialer::dial()
     {
         const auto target = toSocketAddress(m_peer);
@@ -153,7 +162,7 @@
 void dialer::onDown(std::function<void()> handler) { m_impl->state->onDown = std::move(handler); }
 void dialer::onLost(std::function<void(const failure&)> handler) { m_impl->state->onLost = std::move(handler); }
 void dialer::onFrame(std::function<void(frame)> handler) { m_impl->state->onFrame = std::move(handler); }
-void dialer::start() { m_impl->state->dial(); }
+void dialer::start() { m_impl->state->start(); }
 bool dialer::isUp() const { return m_impl->state->isUp(); }
 bool dialer::send(const frame& f) { return m_impl->state->send(f); }
 const address& dialer::peer() const { return m_impl->state->peer(); }
--- a/packages/wire/src/http_client.cpp
+++ b/packages/wire/src/http_client.cpp
@@ -267,10 +267,10 @@
 namespace detail {
 
     /// Reports a request that cannot be sent, later, because `done` is never called from within `send`.
-    static void refuseLater(event_loop& loop, const std::shared_ptr<bool>& alive, client_call::done_handler done)
+    static void refuseLater(
+        event_loop& loop, const std::shared_ptr<bool>& alive, failure cause, client_call::done_handler done)
     {
-        loop.post([client = std::weak_ptr<bool>(alive), done = std::move(done)] {
-            const failure cause { failure_code::invalid_argument, "malformed method, path or query" };
+        loop.post([client = std::weak_ptr<bool>(alive), cause = std::move(cause), done = std::move(done)] {
             if (!client.expired())
                 done(http_failure { cause, run_verdict::not_run });
         });
@@ -303,7 +303,13 @@
 {
     const auto uri = detail::makeUri(server, request);
     if (!uri || !detail::isToken(request.method)) {
-        detail::refuseLater(m_impl->loop, m_impl->alive, std::move(done));
+        failure malformed { failure_code::invalid_argument, "malformed method, path or query" };
+        detail::refuseLater(m_impl->loop, m_impl->alive, std::move(malformed), std::move(done));
+        return;
+    }
+    if (m_impl->calls.size() >= maxPending) {
+        failure full { failure_code::overloaded, "too many requests under way" };
+        detail::refuseLater(m_impl->loop, m_impl->alive, std::move(full), std::move(done));
         return;
     }
     detail::object_ptr<SoupMessage> message(soup_message_new_from_uri(request.method.c_str(), uri.get()));
--- a/packages/wire/tests/http_test.cpp
+++ b/packages/wire/tests/http_test.cpp
@@ -316,6 +316,39 @@
     BOOST_TEST(seen.size() == 2);
 }
 
+// Guards against a loop that blocks on the rest of a response after its time is over.
+BOOST_DATA_TEST_CASE_F(http_fixture, stalled_response_times_out,
+    boost::unit_test::data::make(
+        { "Content-Length: 10\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n" }),
+    sent)
+{
+    const auto listening = raw_socket::listenOnLoopback();
+    std::optional<http_result> got;
+    send(listening.local(), post("x"), std::chrono::milliseconds(100), got);
+    auto peer = acceptRequest(listening);
+    peer.send(std::string("HTTP/1.1 200 OK\r\n") + sent);
+    BOOST_REQUIRE(runUntil([&] { return got.has_value(); }));
+    BOOST_REQUIRE(got->has_error());
+    BOOST_TEST((got->error().cause.code == failure_code::timed_out));
+    BOOST_TEST((got->error().verdict == run_verdict::may_have_run));
+    std::string rest;
+    BOOST_TEST(runUntil([&] { return !peer.receiveNow(rest); }));
+}
+
+// Guards against a queue without bound in front of a slow server.
+BOOST_AUTO_TEST_CASE(requests_over_the_bound_are_not_run)
+{
+    answerLater = true;
+    std::vector<http_result> ended;
+    for (std::size_t i = 0; i < http_client::maxPending + 2; ++i)
+        client->send(server->local(), {}, patience, [&](http_result r) { ended.push_back(std::move(r)); });
+    BOOST_REQUIRE(runUntil([&] { return ended.size() == 2; }));
+    for (const auto& end : ended) {
+        BOOST_TEST((end.error().cause.code == failure_code::overloaded));
+        BOOST_TEST((end.error().verdict == run_verdict::not_run));
+    }
+}
+
 // Guards against a crash when the caller has gone before its answer.
 BOOST_AUTO_TEST_CASE(answering_after_the_peer_has_gone_is_harmless)
 {
