Deliver 421 responses to callers of the HTTP client

libsoup sends a request again after 421 (misdirected request). http_client cancels such a second sending, so that the response that names the leader came out as "connection closed before the response" with may_have_run. The handler of libsoup is now kept from running for 421.

http_server no longer appends an empty body, for which libsoup logged a critical warning at each empty response.

Without the changes in src, every_status_reaches_the_caller fails for 421 and empty_response_logs_no_warning fails; with them wire_test passes, three runs.

--- a/packages/wire/src/http_client.cpp
+++ b/packages/wire/src/http_client.cpp
@@ -37,6 +37,7 @@
 
         static void onStarting(SoupMessage*, gpointer self) { static_cast<client_call*>(self)->m_sending = true; }
         static void onRestarted(SoupMessage*, gpointer self);
+        static void onGotBody(SoupMessage*, gpointer);
         void finishSend(SoupSession*, GAsyncResult*);
         void openBody();
         void readBody();
@@ -70,6 +71,7 @@
         });
         g_signal_connect(m_message.get(), "starting", G_CALLBACK(onStarting), this);
         g_signal_connect(m_message.get(), "restarted", G_CALLBACK(onRestarted), this);
+        g_signal_connect(m_message.get(), "got-body", G_CALLBACK(onGotBody), this);
         const auto finish = [](GObject* source, GAsyncResult* result, gpointer data) {
             take(data)->finishSend(SOUP_SESSION(source), result);
         };
@@ -82,6 +84,14 @@
         g_cancellable_cancel(static_cast<client_call*>(self)->m_cancellable.get());
     }
 
+    /// libsoup reacts to 421 by sending the request again on a new connection. Its handler is connected after this one
+    /// and is kept from running: the response names the leader and belongs to the caller.
+    void client_call::onGotBody(SoupMessage* message, gpointer)
+    {
+        if (soup_message_get_status(message) == SOUP_STATUS_MISDIRECTED_REQUEST)
+            g_signal_stop_emission_by_name(message, "got-body");
+    }
+
     void client_call::abandon()
     {
         m_done = nullptr;
--- a/packages/wire/src/http_server.cpp
+++ b/packages/wire/src/http_server.cpp
@@ -28,8 +28,11 @@
                 soup_message_headers_replace(headers, "Connection", "close");
             const bool isStatus = response.status >= 200 && response.status <= 999;
             soup_server_message_set_status(m_message.get(), isStatus ? response.status : 500, nullptr);
-            const auto body = makeBytes(std::move(response.body));
-            soup_message_body_append_bytes(soup_server_message_get_response_body(m_message.get()), body.get());
+            // libsoup logs a critical warning for an empty part.
+            if (!response.body.empty()) {
+                const auto body = makeBytes(std::move(response.body));
+                soup_message_body_append_bytes(soup_server_message_get_response_body(m_message.get()), body.get());
+            }
             soup_server_message_unpause(m_message.get());
         }
 
--- a/packages/wire/tests/http_test.cpp
+++ b/packages/wire/tests/http_test.cpp
@@ -1,6 +1,7 @@
 #include "loop_fixture.h"
 #include "raw_socket.h"
 #include <boost/test/data/test_case.hpp>
+#include <glib.h>
 #include <optional>
 #include <poplardeal/wire/http.h>
 
@@ -107,6 +108,45 @@
     BOOST_TEST(!seen[0].headers.contains("x-smuggled"));
 }
 
+const int passedStatuses[] = { 201, 302, 401, 404, 407, 408, 421, 500, 503 };
+
+// Guards against libsoup acting on a status by itself: it sends a request again after 421, which names the leader.
+BOOST_DATA_TEST_CASE_F(
+    http_fixture, every_status_reaches_the_caller, boost::unit_test::data::make(passedStatuses), status)
+{
+    answerLater = true;
+    std::optional<http_result> got;
+    send(server->local(), post("abc"), patience, got);
+    BOOST_REQUIRE(runUntil([&] { return !waiting.empty(); }));
+    waiting[0]({ status, {}, "leader" });
+    BOOST_REQUIRE(runUntil([&] { return got.has_value(); }));
+    BOOST_REQUIRE(got->has_value());
+    BOOST_TEST(got->value().status == status);
+    BOOST_TEST(got->value().body == "leader");
+    BOOST_TEST(seen.size() == 1u);
+}
+
+// Guards against a use of libsoup that it answers with a critical warning in the log.
+BOOST_AUTO_TEST_CASE(empty_response_logs_no_warning)
+{
+    static int warnings = 0;
+    warnings = 0;
+    const auto count = [](const gchar*, GLogLevelFlags level, const gchar*, gpointer) {
+        warnings += (level & (G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING)) != 0 ? 1 : 0;
+    };
+    auto* before = g_log_set_default_handler(count, nullptr);
+    answerLater = true;
+    std::optional<http_result> got;
+    send(server->local(), post("abc"), patience, got);
+    BOOST_TEST(runUntil([&] { return !waiting.empty(); }));
+    waiting.at(0)({ 200, {}, "" });
+    BOOST_TEST(runUntil([&] { return got.has_value(); }));
+    g_log_set_default_handler(before, nullptr);
+    BOOST_REQUIRE(got->has_value());
+    BOOST_TEST(got->value().body.empty());
+    BOOST_TEST(warnings == 0);
+}
+
 // Guards against large bodies that are cut, and against memory taken for bodies over the limit.
 BOOST_AUTO_TEST_CASE(bodies_over_the_limit_never_reach_the_handler)
 {
