--- a/packages/control/include/poplardeal/control/worker_sessions.h
+++ b/packages/control/include/poplardeal/control/worker_sessions.h
@@ -11,11 +11,11 @@
 /// Times of the worker session lease. The sidecar counts its lease from the moment it sent the renewal, control from
 /// the moment it received it, so control's view always ends later.
 struct session_times {
-    duration lease { std::chrono::seconds(15) };
+    duration lease { std::chrono::seconds(30) };
     /// Added before a worker counts as lost. Covers differences of clock rates and the time to stop tasks.
     duration margin { std::chrono::seconds(5) };
-    /// Without a renewal for this long nothing new is placed on the worker.
-    duration suspectAfter { std::chrono::seconds(8) };
+    /// Without a renewal for this long nothing new is placed on the worker. Longer than the interval of renewals.
+    duration suspectAfter { std::chrono::seconds(15) };
 };
 
 /// The session leases of all workers, held in the memory of the control leader.
@@ -29,8 +29,11 @@
 
     void open(const worker_id&, incarnation, instant now);
 
-    /// False if there is no open session of this incarnation; the sidecar has to open one.
-    bool renew(const worker_id&, incarnation, instant now);
+    /// False if the worker has no open session; the sidecar has to open one.
+    bool renew(const worker_id&, instant now);
+
+    /// The connection of the session was closed: the worker is suspected at once.
+    void disconnect(const worker_id&);
 
     /// State changes that are due: `worker_suspected`, `worker_recovered` and `worker_lost`, each reported once.
     std::vector<placement_event> collectDue(instant now);
@@ -50,6 +53,7 @@
         incarnation instance;
         instant renewedAt;
         reported_state reported { reported_state::online };
+        bool connected { true };
     };
 
     session_times m_times;
--- a/packages/control/src/connections.cpp
+++ b/packages/control/src/connections.cpp
@@ -5,8 +5,9 @@
 
 namespace poplardeal::detail {
 
-connections::connections(frame_handler handler)
+connections::connections(frame_handler handler, closed_handler closed)
     : m_handler(std::move(handler))
+    , m_closed(std::move(closed))
 {
 }
 
@@ -22,7 +23,10 @@
         if (const auto found = m_open.find(id); found != m_open.end()) {
             if (found->second.worker)
                 m_byWorker.erase(*found->second.worker);
+            const auto ended = std::move(found->second);
             m_open.erase(found);
+            m_bytesOfClosed += ended.link->bytesTransferred();
+            m_closed(ended);
         }
     });
     m_open[id].link = std::move(link);
@@ -53,6 +57,14 @@
         open.link->close();
 }
 
+std::uint64_t connections::bytesTransferred() const
+{
+    auto sum = m_bytesOfClosed;
+    for (const auto& [id, open] : m_open)
+        sum += open.link->bytesTransferred();
+    return sum;
+}
+
 connection* connections::find(connection_id id)
 {
     const auto found = m_open.find(id);
--- a/packages/control/src/connections.h
+++ b/packages/control/src/connections.h
@@ -18,6 +18,7 @@
 struct connection {
     std::unique_ptr<channel> link;
     std::optional<message::helloT> hello; ///< Nothing before the first frame.
+    deployment_version held; ///< Version that the peer said it holds.
     std::optional<worker_id> worker; ///< Set while the session of a worker runs over it.
 };
 
@@ -26,10 +27,14 @@
 public:
     using frame_handler = std::function<void(connection_id, connection&, const frame&)>;
 
-    explicit connections(frame_handler);
+    using closed_handler = std::function<void(const connection&)>;
+
+    connections(frame_handler, closed_handler);
 
     void accept(std::unique_ptr<channel>);
     void closeAll();
+    /// Over all connections since the start, closed ones included.
+    std::uint64_t bytesTransferred() const;
 
     /// Nothing if the connection is gone.
     connection* find(connection_id);
@@ -38,6 +43,9 @@
     void bindWorker(connection_id, const worker_id&);
     void unbindWorkers();
 
+    /// All open connections, in the order in which they were accepted.
+    const std::map<connection_id, connection>& all() const { return m_open; }
+
     /// Sends to all connections of entries and sidecars.
     void sendToClients(const frame&);
 
@@ -47,9 +55,11 @@
     void handle(connection_id, const frame&);
 
     frame_handler m_handler;
+    closed_handler m_closed;
     std::map<connection_id, connection> m_open;
     std::map<worker_id, connection_id> m_byWorker;
     std::uint64_t m_lastId { 0 };
+    std::uint64_t m_bytesOfClosed { 0 };
 };
 
 } // namespace poplardeal::detail
--- a/packages/control/src/control_context.h
+++ b/packages/control/src/control_context.h
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <poplardeal/base/failure.h>
+#include <poplardeal/base/metrics.h>
 #include <poplardeal/consensus/replica.h>
 #include <poplardeal/control/control_command.h>
 #include <poplardeal/control/control_state.h>
@@ -18,6 +19,7 @@
     control_state state;
     std::unique_ptr<replica> member;
     bool stopping { false };
+    metrics_registry metrics;
     std::function<std::optional<address>()> leaderFrames; ///< Where sidecars and entries reach the leader.
     std::function<std::optional<address>()> leaderHttp; ///< Where operators reach the leader.
 
--- a/packages/control/src/control_role.cpp
+++ b/packages/control/src/control_role.cpp
@@ -79,15 +79,18 @@
 control_role::impl::impl(event_loop& eventLoop, const daemon_settings& daemonSettings)
     : loop(eventLoop)
     , settings(daemonSettings)
-    , context { eventLoop, {}, {}, false, [this] { return addressOfLeader(false); },
+    , context { eventLoop, {}, {}, false, {}, [this] { return addressOfLeader(false); },
         [this] { return addressOfLeader(true); } }
     , peers(eventLoop, daemonSettings)
-    , connections([this](detail::connection_id id, detail::connection& open, const frame& received) {
-        handle(id, open, received);
-    })
+    , connections([this](detail::connection_id id, detail::connection& open,
+                      const frame& received) { handle(id, open, received); },
+          [this](const detail::connection& ended) {
+              if (ended.worker)
+                  workers.disconnected(*ended.worker);
+          })
     , workers(context, connections)
     , claims(context, connections)
-    , api(context, daemonSettings.name, daemonSettings.control->replica)
+    , api(context, connections, peers, daemonSettings.name, daemonSettings.control->replica)
 {
     context.state.onDeploymentChanged([this] { publishDeployment(); });
 }
@@ -165,6 +168,10 @@
         if (open.hello->role == message::process_role::control)
             context.member->receive(replica_id(open.hello->replica), received.body, loop.now());
         return;
+    case frame_kind::deployment_ack:
+        if (const auto ack = unpackMessage<message::deployment_ack>(received.body); ack.has_value())
+            open.held = deployment_version(ack.value().version);
+        return;
     case frame_kind::session_open:
         return workers.openSession(id, received);
     case frame_kind::session_renew:
--- a/packages/control/src/operator_api.cpp
+++ b/packages/control/src/operator_api.cpp
@@ -1,6 +1,7 @@
 #include "operator_api.h"
 
 #include <charconv>
+#include <map>
 #include <poplardeal/base/json.h>
 #include <poplardeal/base/log.h>
 #include <vector>
@@ -102,8 +103,11 @@
         { "ended_at_us", optionalTime(job.endedAt) }, { "tasks", tasks } };
 }
 
-operator_api::operator_api(control_context& context, std::string process, replica_id self)
+operator_api::operator_api(
+    control_context& context, const connections& open, const peer_links& peers, std::string process, replica_id self)
     : m_context(context)
+    , m_connections(open)
+    , m_peers(peers)
     , m_process(std::move(process))
     , m_self(self)
 {
@@ -175,6 +179,8 @@
             m_context.stopping ? http_response { 503, {}, "stopping\n" } : http_response { 200, {}, "ok\n" });
     if (path.size() == 2 && path[1] == "status")
         return respondTo(showStatus());
+    if (path.size() == 1 && path[0] == "metrics")
+        return respondTo(showMetrics());
     if (!m_context.leads())
         return respondTo(notLeader());
     if (path.size() == 2 && path[1] == "deployment")
@@ -218,15 +224,50 @@
     for (const auto& worker : m_context.state.workers())
         workers.push_back({ { "id", worker.spec.id }, { "data_centre", worker.spec.dataCentre },
             { "rack", worker.spec.rack }, { "state", toString(worker.state) } });
+    std::size_t clients = 0;
+    std::size_t current = 0;
+    for (const auto& [id, open] : m_connections.all()) {
+        if (!open.hello || open.hello->role == message::process_role::control)
+            continue;
+        ++clients;
+        current += open.held == m_context.state.version();
+    }
     json body
         = { { "process", m_process }, { "replica", m_self }, { "role", m_context.leads() ? "leader" : "follower" },
               { "term", m_context.member->term() }, { "applied", m_context.member->appliedIndex() },
-              { "version", m_context.state.version() }, { "data_centres", dataCentres }, { "workers", workers } };
+              { "version", m_context.state.version() }, { "clients", clients }, { "clients_at_version", current },
+              { "data_centres", dataCentres }, { "workers", workers } };
     if (const auto leader = m_context.leaderHttp())
         body["leader"] = toString(*leader);
     return respond(200, body);
 }
 
+http_response operator_api::showMetrics() const
+{
+    auto& metrics = m_context.metrics;
+    const auto set = [&](const char* name, const char* help, double value) { metrics.getGauge(name, help).set(value); };
+    set("poplardeal_leader", "1 while this replica leads", m_context.leads() ? 1 : 0);
+    set("poplardeal_term", "Raft term", static_cast<double>(m_context.member->term()));
+    set("poplardeal_applied_index", "Last applied log entry", static_cast<double>(m_context.member->appliedIndex()));
+    set("poplardeal_deployment_version", "Deployment version in force",
+        static_cast<double>(m_context.state.version().value()));
+    set("poplardeal_accepted_bytes", "Bytes over accepted connections",
+        static_cast<double>(m_connections.bytesTransferred()));
+    set("poplardeal_peer_bytes", "Bytes over dialed connections to other replicas",
+        static_cast<double>(m_peers.bytesTransferred()));
+    std::map<std::string, double> phases;
+    for (const auto& job : m_context.state.placement().jobs())
+        ++phases[std::string(toString(job.phase))];
+    for (const auto& [phase, count] : phases)
+        metrics.getGauge("poplardeal_jobs", "Jobs kept, by phase", { { "phase", phase } }).set(count);
+    std::map<std::string, double> states;
+    for (const auto& worker : m_context.state.workers())
+        ++states[std::string(toString(worker.state))];
+    for (const auto& [state, count] : states)
+        metrics.getGauge("poplardeal_workers", "Workers known, by state", { { "state", state } }).set(count);
+    return { 200, { { "content-type", metrics_registry::contentType } }, metrics.exposition() };
+}
+
 http_response operator_api::showJobs() const
 {
     auto jobs = json::array();
--- a/packages/control/src/operator_api.h
+++ b/packages/control/src/operator_api.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "connections.h"
 #include "control_context.h"
+#include "peer_links.h"
 
 #include <poplardeal/wire/http.h>
 
@@ -10,7 +12,7 @@
 /// leader.
 class operator_api {
 public:
-    operator_api(control_context&, std::string process, replica_id self);
+    operator_api(control_context&, const connections&, const peer_links&, std::string process, replica_id self);
 
     void handle(const http_request&, const http_responder&);
 
@@ -23,10 +25,13 @@
     http_response notLeader() const;
     http_response showDeployment(const std::string& query) const;
     http_response showStatus() const;
+    http_response showMetrics() const;
     http_response showJob(const std::string& id) const;
     http_response showJobs() const;
 
     control_context& m_context;
+    const connections& m_connections;
+    const peer_links& m_peers;
     std::string m_process;
     replica_id m_self;
 };
--- a/packages/control/src/worker_service.cpp
+++ b/packages/control/src/worker_service.cpp
@@ -285,14 +285,13 @@
     }
 }
 
+void worker_service::disconnected(const worker_id& worker) { m_sessions.disconnect(worker); }
+
 void worker_service::renewSession(connection_id id, const frame& received)
 {
-    const auto read = unpackMessage<message::session_renew>(received.body);
-    if (read.has_error())
-        return;
-    const bool renewed = m_context.leads()
-        && m_sessions.renew(
-            worker_id(read.value().worker), incarnation(read.value().incarnation), m_context.loop.now());
+    const auto* open = m_connections.find(id);
+    const bool renewed
+        = open && open->worker && m_context.leads() && m_sessions.renew(*open->worker, m_context.loop.now());
     if (!renewed)
         return refuseSession(id, received.correlation);
     message::session_ackT ack;
--- a/packages/control/src/worker_service.h
+++ b/packages/control/src/worker_service.h
@@ -22,6 +22,8 @@
 
     void openSession(connection_id, const frame&);
     void renewSession(connection_id, const frame&);
+    /// The connection that carried the worker's session is gone.
+    void disconnected(const worker_id&);
     void takeReport(connection_id, const frame&);
     void answerPermit(connection_id, const frame&);
 
--- a/packages/control/src/worker_sessions.cpp
+++ b/packages/control/src/worker_sessions.cpp
@@ -18,17 +18,23 @@
 {
     const auto found = m_sessions.find(worker);
     if (found == m_sessions.end() || found->second.instance != instance) {
-        m_sessions[worker] = { instance, now, reported_state::online };
+        m_sessions[worker] = { instance, now, reported_state::online, true };
         return;
     }
     found->second.renewedAt = now;
+    found->second.connected = true;
 }
 
-bool worker_sessions::renew(const worker_id& worker, incarnation instance, instant now)
+void worker_sessions::disconnect(const worker_id& worker)
+{
+    if (const auto found = m_sessions.find(worker); found != m_sessions.end())
+        found->second.connected = false;
+}
+
+bool worker_sessions::renew(const worker_id& worker, instant now)
 {
     const auto found = m_sessions.find(worker);
-    if (found == m_sessions.end() || found->second.instance != instance
-        || found->second.reported == reported_state::lost)
+    if (found == m_sessions.end() || found->second.reported == reported_state::lost)
         return false;
     found->second.renewedAt = now;
     return true;
@@ -43,7 +49,7 @@
             if (open.reported != reported_state::lost)
                 due.emplace_back(worker_lost { worker, open.instance });
             open.reported = reported_state::lost;
-        } else if (silence >= m_times.suspectAfter) {
+        } else if (silence >= m_times.suspectAfter || !open.connected) {
             if (open.reported == reported_state::online) {
                 due.emplace_back(worker_suspected { worker, open.instance });
                 open.reported = reported_state::suspected;
--- a/packages/daemon/src/control_session.cpp
+++ b/packages/daemon/src/control_session.cpp
@@ -9,7 +9,9 @@
 
     constexpr duration tickInterval = std::chrono::milliseconds(100);
     constexpr duration openInterval = std::chrono::milliseconds(500);
-    constexpr duration renewInterval = std::chrono::seconds(5);
+    /// A third of the lease, so that two renewals may be lost. A shorter interval would not fit the leader's share of
+    /// 23 KB/s at 1,400 workers.
+    constexpr duration renewInterval = std::chrono::seconds(10);
     /// A renewal unanswered for this long means that the leader is gone or no longer leads.
     constexpr duration ackTimeout = std::chrono::seconds(2);
 
@@ -86,11 +88,7 @@
 {
     const auto now = m_loop.now();
     m_lastRenewal = now;
-    const auto opening = m_callbacks.opening();
-    message::session_renewT renewal;
-    renewal.worker = opening.worker;
-    renewal.incarnation = opening.incarnation;
-    send(packMessage(frame_kind::session_renew, noteSent(now), renewal));
+    send(packMessage(frame_kind::session_renew, noteSent(now), message::session_renewT {}));
 }
 
 void control_session::handleAck(std::size_t control, const frame& received)
--- a/packages/daemon/src/worker_api.cpp
+++ b/packages/daemon/src/worker_api.cpp
@@ -56,6 +56,8 @@
         worker_task task;
         task.id = id.value();
         task.state = taskStates.at(row.at("state").get<std::string>());
+        task.declared.cpu = cores(row.at("cores").get<std::int64_t>());
+        task.declared.memory = mebibytes(row.at("memory_mib").get<std::int64_t>());
         const auto& used = row.at("usage");
         task.used.cpu = cores(used.at("cores").get<std::int64_t>());
         task.used.memory = mebibytes(used.at("memory_mib").get<std::int64_t>());
--- a/packages/daemon/src/worker_api.h
+++ b/packages/daemon/src/worker_api.h
@@ -38,6 +38,7 @@
 struct worker_task {
     leased_task id;
     worker_task_state state { worker_task_state::prepared };
+    resources declared;
     resources used;
     std::string detail;
 };
--- a/packages/daemon/src/worker_sidecar.cpp
+++ b/packages/daemon/src/worker_sidecar.cpp
@@ -1,6 +1,7 @@
 #include "control_session.h"
 #include "worker_api.h"
 
+#include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <poplardeal/base/log.h>
@@ -79,6 +80,7 @@
     void poll();
     void takeTasks(const std::vector<detail::worker_task>&);
     void handle(const frame&);
+    void takeDeployment(const frame&);
     void prepare(const frame&);
     void requestPermit(const detail::leased_task&);
     void handlePermit(const frame&);
@@ -117,6 +119,8 @@
     instant lastUsage;
     event_loop::timer timer;
     event_loop::timer stopTimer;
+    std::uint64_t heldVersion { 0 }; ///< Highest deployment version received; it never goes back.
+    bool isInService { true }; ///< As of that version.
     bool polling { false };
     std::function<void()> stopped;
 };
@@ -237,7 +241,9 @@
         return;
     lastUsage = loop.now();
     for (const auto& task : listed) {
-        if (task.state != detail::worker_task_state::running)
+        // Usage within the declaration changes nothing at control, and reporting that of 11,000 tasks would take more
+        // than the control traffic budget.
+        if (task.state != detail::worker_task_state::running || task.used.fitsIn(task.declared))
             continue;
         message::task_reportT usage;
         usage.worker = settings.name;
@@ -259,6 +265,7 @@
         return handlePermit(received);
     case frame_kind::task_report_ack:
         return acknowledge(received.correlation);
+    case frame_kind::deployment_update:
     case frame_kind::start_task:
     case frame_kind::stop_task:
     case frame_kind::checkpoint_task:
@@ -268,6 +275,8 @@
     default:
         return;
     }
+    if (received.kind == frame_kind::deployment_update)
+        return takeDeployment(received);
     const auto order = unpackMessage<message::task_order>(received.body);
     if (order.has_error())
         return logEvent(log_level::warning, "message_refused", { { "reason", order.error().message } });
@@ -286,6 +295,22 @@
         worker.act(id, "throttle", [](const result<void>&) {});
 }
 
+void worker_sidecar::impl::takeDeployment(const frame& received)
+{
+    const auto update = unpackMessage<message::deployment_update>(received.body);
+    if (update.has_error())
+        return;
+    if (update.value().version > heldVersion) {
+        const auto& out = update.value().out_of_service;
+        heldVersion = update.value().version;
+        isInService = std::find(out.begin(), out.end(), settings.dataCentre.value()) == out.end();
+        logEvent(log_level::info, "deployment_in_force", { { "version", heldVersion }, { "in_service", isInService } });
+    }
+    message::deployment_ackT ack;
+    ack.version = heldVersion;
+    session->broadcast(packMessage(frame_kind::deployment_ack, 0, ack));
+}
+
 void worker_sidecar::impl::prepare(const frame& received)
 {
     const auto order = unpackMessage<message::prepare_task>(received.body);
@@ -336,7 +361,7 @@
         return;
     const auto permit = waiting->second;
     permits.erase(waiting);
-    if (answer.value().granted && loop.now() - permit.sentAt < detail::permitValidity)
+    if (answer.value().granted && isInService && loop.now() - permit.sentAt < detail::permitValidity)
         return startTask(permit.task);
     logEvent(log_level::info, "start_not_permitted",
         { { "task", toString(permit.task.task) }, { "reason", answer.value().reason } });
--- a/packages/wire/include/poplardeal/wire/messages_generated.h
+++ b/packages/wire/include/poplardeal/wire/messages_generated.h
@@ -704,29 +704,14 @@
 
 struct session_renewT : public flatbuffers::NativeTable {
   typedef session_renew TableType;
-  std::string worker{};
-  uint64_t incarnation = 0;
 };
 
 struct session_renew FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef session_renewT NativeTableType;
   typedef session_renewBuilder Builder;
   struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_WORKER = 4,
-    VT_INCARNATION = 6
-  };
-  const flatbuffers::String *worker() const {
-    return GetPointer<const flatbuffers::String *>(VT_WORKER);
-  }
-  uint64_t incarnation() const {
-    return GetField<uint64_t>(VT_INCARNATION, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_WORKER) &&
-           verifier.VerifyString(worker()) &&
-           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            verifier.EndTable();
   }
   session_renewT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -738,12 +723,6 @@
   typedef session_renew Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
-    fbb_.AddOffset(session_renew::VT_WORKER, worker);
-  }
-  void add_incarnation(uint64_t incarnation) {
-    fbb_.AddElement<uint64_t>(session_renew::VT_INCARNATION, incarnation, 0);
-  }
   explicit session_renewBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -756,12 +735,8 @@
 };
 
 inline flatbuffers::Offset<session_renew> Createsession_renew(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> worker = 0,
-    uint64_t incarnation = 0) {
+    flatbuffers::FlatBufferBuilder &_fbb) {
   session_renewBuilder builder_(_fbb);
-  builder_.add_incarnation(incarnation);
-  builder_.add_worker(worker);
   return builder_.Finish();
 }
 
@@ -770,17 +745,6 @@
   static auto constexpr Create = Createsession_renew;
 };
 
-inline flatbuffers::Offset<session_renew> Createsession_renewDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *worker = nullptr,
-    uint64_t incarnation = 0) {
-  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
-  return poplardeal::message::Createsession_renew(
-      _fbb,
-      worker__,
-      incarnation);
-}
-
 flatbuffers::Offset<session_renew> Createsession_renew(flatbuffers::FlatBufferBuilder &_fbb, const session_renewT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct session_ackT : public flatbuffers::NativeTable {
@@ -3081,8 +3045,6 @@
 inline void session_renew::UnPackTo(session_renewT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
-  { auto _e = incarnation(); _o->incarnation = _e; }
 }
 
 inline flatbuffers::Offset<session_renew> session_renew::Pack(flatbuffers::FlatBufferBuilder &_fbb, const session_renewT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3093,12 +3055,8 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const session_renewT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
-  auto _incarnation = _o->incarnation;
   return poplardeal::message::Createsession_renew(
-      _fbb,
-      _worker,
-      _incarnation);
+      _fbb);
 }
 
 inline session_ackT *session_ack::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
