--- a/packages/placement/src/consolidation.cpp
+++ b/packages/placement/src/consolidation.cpp
@@ -98,8 +98,8 @@
     std::int64_t largest = 0;
     for (const auto& entry : m_reservations)
         largest = std::max(largest, entry.shape.blockAccelerators);
-    for (const auto& [key, queue] : m_waiting)
-        largest = std::max(largest, m_jobs.at(queue.begin()->second).spec.perTask.accelerator.count());
+    for (const auto& [key, group] : m_waiting)
+        largest = std::max(largest, m_jobs.at(group.jobs.begin()->second).spec.perTask.accelerator.count());
     return blockSize(largest);
 }
 
--- a/packages/placement/src/first_fit.cpp
+++ b/packages/placement/src/first_fit.cpp
@@ -51,7 +51,7 @@
     reviewClaims();
     std::set<std::pair<instant, job_number>> heads;
     for (const auto& [key, queue] : m_waiting)
-        heads.insert(*queue.begin());
+        heads.insert(*queue.jobs.begin());
     while (!heads.empty()) {
         auto& job = m_jobs.at(heads.begin()->second);
         const auto key = job_group_key { job.workspace, job.spec.name };
@@ -65,7 +65,7 @@
         activateClaim(job);
         const auto group = m_waiting.find(key);
         if (group != m_waiting.end())
-            heads.insert(*group->second.begin());
+            heads.insert(*group->second.jobs.begin());
     }
     m_capacityGrew = false;
     m_placementDue = false;
--- a/packages/placement/src/gang_search.h
+++ b/packages/placement/src/gang_search.h
@@ -34,10 +34,11 @@
 /// Candidates are in order of their worker index.
 std::vector<task_spot> placeGang(const cluster&, const gang_demand&, std::vector<gang_candidate>&);
 
-/// Places the gang on what `offer(worker index)` gives as `std::optional<worker_offer>`.
+/// Places the gang on what `offer(worker index)` gives as `std::optional<worker_offer>`. `room`
+/// receives the number of tasks that fit on all workers together.
 template <class Offer>
-std::vector<task_spot> findGang(
-    const cluster& tree, const gang_demand& demand, Offer&& offer, std::vector<gang_candidate>& scratch)
+std::vector<task_spot> findGang(const cluster& tree, const gang_demand& demand, Offer&& offer,
+    std::vector<gang_candidate>& scratch, std::int64_t* room = nullptr)
 {
     scratch.clear();
     std::int64_t total = 0;
@@ -52,6 +53,8 @@
         scratch.push_back({ i, count, placementCost(*given, demand.perTask, capacity), *given });
         total += std::min(count, demand.tasks);
     }
+    if (room != nullptr)
+        *room = total;
     if (total < demand.tasks)
         return {};
     return placeGang(tree, demand, scratch);
--- a/packages/placement/src/guarantees.cpp
+++ b/packages/placement/src/guarantees.cpp
@@ -180,9 +180,9 @@
         accelerators(part) };
 }
 
-bool scheduler_core::mayUseGuarantee(const job_record& job) const
+bool mayUseGuarantee(const job_template& spec)
 {
-    return job.spec.priority != job_priority::borrowed && job.spec.perTask.accelerator.count() > 0;
+    return spec.priority != job_priority::borrowed && spec.perTask.accelerator.count() > 0;
 }
 
 /// Decides anew which tasks lie on reservations of their workspaces. A gang is secured as a whole or not at all; gangs
@@ -195,7 +195,7 @@
             job->leases, [this](lease_number lease) { return lease != 0 && m_leases.at(lease).secured; });
     };
     for (auto& [number, job] : m_jobs) {
-        if (!job.leases.empty() && job.phase != job_phase::stopping && mayUseGuarantee(job))
+        if (!job.leases.empty() && job.phase != job_phase::stopping && mayUseGuarantee(job.spec))
             candidates.push_back(&job);
     }
     std::ranges::stable_partition(candidates, isSecured);
--- a/packages/placement/src/lifecycle.cpp
+++ b/packages/placement/src/lifecycle.cpp
@@ -35,7 +35,8 @@
         if (found == m_leases.end())
             continue;
         found->second.state = lease_state::releasing;
-        found->second.secured = false;
+        if (std::exchange(found->second.secured, false))
+            noteUnsecured(job.workspace);
         m_out.push_back(commandFor(found->second, job));
     }
     job.leases.clear();
@@ -55,7 +56,8 @@
         if (number == 0)
             continue;
         auto& lease = m_leases.at(number);
-        lease.secured = false;
+        if (std::exchange(lease.secured, false))
+            noteUnsecured(job.workspace);
         if (!withCheckpoint || lease.state != lease_state::running)
             continue;
         lease.state = lease_state::checkpointing;
@@ -97,8 +99,10 @@
     auto* job = findJob(lease.task.job.value());
     if (job != nullptr && lease.task.index < job->leases.size() && job->leases[lease.task.index] == number)
         job->leases[lease.task.index] = 0;
+    noteFreed(lease);
+    if (lease.secured)
+        noteUnsecured(lease.workspace);
     m_leases.erase(found);
-    m_capacityGrew = true;
 }
 
 void scheduler_core::finishAttemptIfDone(job_record& job)
@@ -201,7 +205,7 @@
     if (kind == timer_kind::refill)
         return addStartTokens();
     if (kind == timer_kind::review) {
-        m_placementDue = true;
+        m_reviewDue = true;
         return;
     }
     auto* job = findJob(subject);
--- a/packages/placement/src/queue.cpp
+++ b/packages/placement/src/queue.cpp
@@ -6,26 +6,72 @@
 
 namespace poplardeal::detail {
 
+demand_key demandKey(const job_template& spec)
+{
+    const auto& amount = spec.perTask;
+    return { spec.tasks, amount.cpu.count(), amount.memory.count(), amount.accelerator.count(), spec.within,
+        spec.priority == job_priority::urgent };
+}
+
 void scheduler_core::enqueue(job_record& job)
 {
     const job_group_key key { job.workspace, job.spec.name };
-    auto& queue = m_waiting[key];
-    const auto inserted = queue.emplace(job.acceptedAt, job.number).first;
-    if (inserted == queue.begin())
-        m_newHeads.insert(key);
+    auto& group = m_waiting[key];
+    const auto inserted = group.jobs.emplace(job.acceptedAt, job.number).first;
+    if (inserted == group.jobs.begin())
+        noteHead(key, group);
 }
 
 void scheduler_core::dequeue(job_record& job)
 {
-    const auto group = m_waiting.find({ job.workspace, job.spec.name });
-    if (group == m_waiting.end())
+    const auto found = m_waiting.find({ job.workspace, job.spec.name });
+    if (found == m_waiting.end())
         return;
-    const auto wasHead = group->second.begin()->second == job.number;
-    group->second.erase({ job.acceptedAt, job.number });
-    if (group->second.empty())
-        m_waiting.erase(group);
+    auto& group = found->second;
+    const auto wasHead = group.jobs.begin()->second == job.number;
+    group.jobs.erase({ job.acceptedAt, job.number });
+    if (group.jobs.empty())
+        m_waiting.erase(found);
     else if (wasHead)
-        m_newHeads.insert(group->first);
+        noteHead(found->first, group);
+}
+
+void scheduler_core::noteHead(const job_group_key& key, waiting_group& group)
+{
+    const auto& spec = m_jobs.at(group.jobs.begin()->second).spec;
+    group.demand = demandKey(spec);
+    group.usesGuarantee = mayUseGuarantee(spec);
+    m_newHeads.insert(key);
+}
+
+/// False if the head of the group would find no place for certain.
+bool scheduler_core::isWorthTrying(const job_group_key& key, const waiting_group& group) const
+{
+    return !m_failedDemands.contains(group.demand) || (group.usesGuarantee && !m_guaranteeFull.contains(key))
+        || m_draining.contains(group.jobs.begin()->second);
+}
+
+/// A worker became freer. The gain of a demand is at most what the worker can take now.
+void scheduler_core::noteFreed(const lease_record& lease)
+{
+    m_placementDue = true;
+    const auto offer = m_cluster.freeOffer(lease.spot.worker);
+    for (auto entry = m_failedDemands.begin(); entry != m_failedDemands.end();) {
+        const auto& [tasks, cpu, memory, accelerator, within, urgent] = entry->first;
+        const auto count = countTasks(offer, { cores(cpu), mebibytes(memory), accelerators(accelerator) });
+        entry->second -= count;
+        auto mayFit = count > 0 && (within != scope::anywhere || entry->second <= 0);
+        if (within == scope::worker)
+            mayFit = count >= tasks;
+        // Urgent jobs also take what others hold, which this worker may have more of.
+        entry = mayFit || urgent ? m_failedDemands.erase(entry) : std::next(entry);
+    }
+}
+
+void scheduler_core::noteUnsecured(const workspace_name& owner)
+{
+    m_placementDue = true;
+    std::erase_if(m_guaranteeFull, [&](const job_group_key& key) { return key.first == owner; });
 }
 
 bool scheduler_core::fitsQuota(const job_record& job) const
@@ -131,6 +177,7 @@
 bool scheduler_core::placeOnFree(job_record& job)
 {
     const gang_demand demand { job.spec.tasks, job.spec.perTask, job.spec.within };
+    std::int64_t room = 0;
     const auto search = [&](bool onReserved) {
         ++m_searches;
         return findGang(
@@ -148,13 +195,17 @@
                     offer.penalty += 2;
                 return offer;
             },
-            m_scratch);
+            m_scratch, &room);
     };
     auto spots = search(false);
     if (spots.empty() && !m_reservations.empty() && job.spec.perTask.accelerator.count() > 0)
         spots = search(true);
-    if (spots.empty())
+    if (spots.empty()) {
+        // The failure of a job that avoids some workers says nothing about others.
+        if (job.failedWorkers.empty())
+            m_failedDemands[demandKey(job.spec)] = std::max(job.spec.tasks - room, std::int64_t { 1 });
         return false;
+    }
     claimGang(job, spots, false);
     return true;
 }
@@ -163,21 +214,19 @@
 {
     if (!fitsQuota(job))
         return false;
-    if (mayUseGuarantee(job) && claimGuarantee(job))
-        return true;
+    if (mayUseGuarantee(job.spec)) {
+        if (claimGuarantee(job))
+            return true;
+        if (job.failedWorkers.empty())
+            m_guaranteeFull.emplace(job.workspace, job.spec.name);
+    }
     if (m_draining.contains(job.number) && claimDrained(job))
         return true;
-    const auto& amount = job.spec.perTask;
-    const demand_key key { job.spec.tasks, amount.cpu.count(), amount.memory.count(), amount.accelerator.count(),
-        job.spec.within, job.spec.priority == job_priority::urgent };
-    if (!m_failedDemands.contains(key)) {
+    if (!m_failedDemands.contains(demandKey(job.spec))) {
         if (placeOnFree(job))
             return true;
         if (job.spec.priority == job_priority::urgent && claimByPreemption(job))
             return true;
-        // The failure of a job that avoids some workers says nothing about others.
-        if (job.failedWorkers.empty())
-            m_failedDemands.insert(key);
     }
     if (claimByConsolidation(job))
         return true;
@@ -205,7 +254,7 @@
         }
         const auto group = m_waiting.find(key);
         if (group != m_waiting.end())
-            heads.insert(passEntry(m_jobs.at(group->second.begin()->second)));
+            heads.insert(passEntry(m_jobs.at(group->second.jobs.begin()->second)));
     }
 }
 
@@ -214,33 +263,45 @@
     return { job.spec.priority, -scoreOf(job), job.acceptedAt, job.number };
 }
 
-/// One pass over the heads of the waiting queues. A new job costs only its own search; the others are tried again
-/// when capacity grew or jobs have aged.
+/// Heads that are new or, after a change, may find a place. When jobs have aged, all of them.
+std::set<scheduler_core::pass_entry> scheduler_core::headsToTry()
+{
+    std::set<pass_entry> heads;
+    const auto add
+        = [&](const waiting_group& group) { heads.insert(passEntry(m_jobs.at(group.jobs.begin()->second))); };
+    if (m_reviewDue || m_placementDue) {
+        for (const auto& [key, group] : m_waiting) {
+            if (m_reviewDue || isWorthTrying(key, group))
+                add(group);
+        }
+        return heads;
+    }
+    for (const auto& key : m_newHeads) {
+        if (const auto group = m_waiting.find(key); group != m_waiting.end())
+            add(group->second);
+    }
+    return heads;
+}
+
+/// One pass over the waiting queues. A new job costs only its own search.
 void scheduler_core::placeWaiting()
 {
     if (m_policy == placement_policy::first_fit_fifo)
         return placeInOrder();
     addStartTokens();
     reviewReservations();
-    if (m_capacityGrew)
+    if (m_capacityGrew || m_placementDue)
         reviewClaims();
-    const auto all = m_capacityGrew || m_placementDue;
-    if (m_capacityGrew)
+    if (m_capacityGrew) {
         m_failedDemands.clear();
+        m_guaranteeFull.clear();
+        m_placementDue = true;
+    }
+    auto heads = headsToTry();
     m_capacityGrew = false;
     m_placementDue = false;
+    m_reviewDue = false;
     m_searches = 0;
-    std::set<pass_entry> heads;
-    if (all) {
-        for (const auto& [key, queue] : m_waiting)
-            heads.insert(passEntry(m_jobs.at(queue.begin()->second)));
-    } else {
-        for (const auto& key : m_newHeads) {
-            const auto group = m_waiting.find(key);
-            if (group != m_waiting.end())
-                heads.insert(passEntry(m_jobs.at(group->second.begin()->second)));
-        }
-    }
     m_newHeads.clear();
     placeHeads(heads);
     compact();
@@ -248,7 +309,7 @@
         const auto& job = m_jobs.at(std::get<3>(entry));
         m_newHeads.emplace(job.workspace, job.spec.name);
     }
-    if (!m_newHeads.empty() || m_capacityGrew)
+    if (!m_newHeads.empty() || m_capacityGrew || m_placementDue)
         addTimer(1ms, timer_kind::review, 0);
     if (!m_waiting.empty() && m_nextReview <= m_now) {
         m_nextReview = m_now + reviewInterval;
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -14,11 +14,22 @@
 
 /// Waiting jobs of one template, the one accepted first at the front.
 using job_group_key = std::pair<workspace_name, job_name>;
-using waiting_queue = std::set<std::pair<instant, job_number>>;
 
 /// Tasks, cores, memory, accelerators, scope, and whether lower priorities may be preempted.
 using demand_key = std::tuple<std::int64_t, std::int64_t, std::int64_t, std::int64_t, scope, bool>;
 
+demand_key demandKey(const job_template&);
+
+/// Only jobs of the two upper priorities that need accelerators run on a guarantee.
+bool mayUseGuarantee(const job_template&);
+
+/// The queue of a group, with what is known of its first job.
+struct waiting_group {
+    std::set<std::pair<instant, job_number>> jobs;
+    demand_key demand;
+    bool usesGuarantee { false };
+};
+
 enum class placement_policy {
     guarantees,
     first_fit_fifo,
@@ -134,11 +145,17 @@
     bool takeShare(const job_record&, const cell_map&, share_map&) const;
     cell_map ownCells(const workspace_name&) const;
     resources shareOf(std::uint32_t worker, accelerator_mask cells) const;
-    bool mayUseGuarantee(const job_record&) const;
 
     // queue.cpp
+    /// Priority, negative score, time of acceptance, number: the order of one pass.
+    using pass_entry = std::tuple<job_priority, std::int64_t, instant, job_number>;
     void enqueue(job_record&);
     void dequeue(job_record&);
+    void noteHead(const job_group_key&, waiting_group&);
+    bool isWorthTrying(const job_group_key&, const waiting_group&) const;
+    void noteFreed(const lease_record&);
+    void noteUnsecured(const workspace_name&);
+    std::set<pass_entry> headsToTry();
     void placeWaiting();
     bool tryPlace(job_record&);
     bool placeOnFree(job_record&);
@@ -150,8 +167,6 @@
     bool isRefilling(const data_centre_record&) const;
     void addStartTokens();
     void takeStartTokens(const std::vector<task_spot>&);
-    /// Priority, negative score, time of acceptance, number: the order of one pass.
-    using pass_entry = std::tuple<job_priority, std::int64_t, instant, job_number>;
     pass_entry passEntry(const job_record&) const;
     void placeHeads(std::set<pass_entry>&);
     bool isOffered(std::uint32_t worker) const;
@@ -184,18 +199,23 @@
     std::map<workspace_name, workspace_record> m_workspaces;
     std::map<job_number, job_record> m_jobs;
     std::map<lease_number, lease_record> m_leases;
-    std::map<job_group_key, waiting_queue> m_waiting;
+    std::map<job_group_key, waiting_group> m_waiting;
     std::deque<job_number> m_ended; ///< Kept jobs that ended, the oldest first.
     std::set<timer> m_timers;
     lease_number m_nextLease { 1 };
     job_number m_lastEvicted { 0 };
-    /// Work of the next pass: all groups, or those that got a new head.
+    /// What the next pass has to look at: groups that may find a place after some resources became free, all groups
+    /// because they aged, all demands because capacity changed in another way, or only groups with a new head.
     bool m_placementDue { false };
+    bool m_reviewDue { false };
     bool m_capacityGrew { false };
     bool m_reservationsDue { false };
     std::set<job_group_key> m_newHeads;
-    /// Demands that found no place since capacity last grew; they are not searched for again.
-    std::set<demand_key> m_failedDemands;
+    /// Demands that found no place, with the number of tasks that are short at least. They are searched for again only
+    /// when workers that could make up for these became freer.
+    std::map<demand_key, std::int64_t> m_failedDemands;
+    /// Groups whose guarantee is in use by their own workspace.
+    std::set<job_group_key> m_guaranteeFull;
     std::int64_t m_searches { 0 };
     instant m_nextReview;
     instant m_nextRepack;
--- a/packages/placement/src/scheduler_limits.h
+++ b/packages/placement/src/scheduler_limits.h
@@ -33,7 +33,7 @@
 /// Free places searched for in one pass. It bounds the time of one event when many different demands wait.
 constexpr std::int64_t maxSearchesPerPass = 64;
 /// Waiting jobs are looked at this often even if nothing happens, because they age.
-constexpr duration reviewInterval = 30s;
+constexpr duration reviewInterval = 10s;
 /// Jobs that places are drained for at the same time. Each one keeps capacity in less efficient use.
 constexpr std::size_t maxDrainingJobs = 4;
 /// A job is aged when it waited for this multiple of its estimated run time, or for the longer time.
--- a/packages/placement/src/state_codec.cpp
+++ b/packages/placement/src/state_codec.cpp
@@ -70,6 +70,8 @@
 
     template <class Archive> void describeFields(Archive& a, reservation& r) { a(r.owner, r.shape, r.cells); }
 
+    template <class Archive> void describeFields(Archive& a, waiting_group& g) { a(g.jobs, g.demand, g.usesGuarantee); }
+
     template <class Archive> void describeFields(Archive& a, workspace_record& w)
     {
         a(w.definition, w.defined, w.held);
@@ -80,9 +82,9 @@
     template <class Archive> void scheduler_core::describe(Archive& a)
     {
         a(m_policy, m_now, m_pools, m_cluster, m_workspaces, m_jobs, m_leases, m_waiting, m_ended, m_timers,
-            m_nextLease, m_lastEvicted, m_placementDue, m_capacityGrew, m_reservationsDue, m_newHeads, m_failedDemands,
-            m_nextReview, m_nextRepack, m_nextConsolidation, m_nextCompaction, m_reservations, m_claiming, m_draining,
-            m_drainedWorkers, m_runTimeRatios);
+            m_nextLease, m_lastEvicted, m_placementDue, m_reviewDue, m_capacityGrew, m_reservationsDue, m_newHeads,
+            m_failedDemands, m_guaranteeFull, m_nextReview, m_nextRepack, m_nextConsolidation, m_nextCompaction,
+            m_reservations, m_claiming, m_draining, m_drainedWorkers, m_runTimeRatios);
     }
 
     nlohmann::json scheduler_core::toJson() const
