--- a/packages/placement/bench/placement_bench.cpp
+++ b/packages/placement/bench/placement_bench.cpp
@@ -40,6 +40,7 @@
     };
     line("completion_time_mean", "s", &measurements::meanCompletion);
     line("completion_time_p99", "s", &measurements::p99Completion);
+    line("waiting_time_mean", "s", &measurements::meanWait);
     line("unfinished_jobs", "1", &measurements::unfinished);
     line("fragmentation", "1", &measurements::fragmentation);
     line("work_during_change", "1", &measurements::changeWork);
--- a/packages/placement/bench/simulation.h
+++ b/packages/placement/bench/simulation.h
@@ -13,6 +13,7 @@
 struct measurements {
     double meanCompletion { 0 };
     double p99Completion { 0 };
+    double meanWait { 0 }; ///< Completion time beyond the actual run time.
     double unfinished { 0 };
     double fragmentation { 0 };
     double changeWork { 0 };
--- a/packages/placement/bench/simulation_bench.cpp
+++ b/packages/placement/bench/simulation_bench.cpp
@@ -360,6 +360,7 @@
         m_result.unfinished += job.endedAt ? 0 : 1;
         const auto age = job.endedAt.value_or(m_input.end) - job.input->at;
         completions.push_back(static_cast<double>(age.count()) / 1e6);
+        m_result.meanWait += static_cast<double>((age - job.input->runTime).count()) / 1e6;
     }
     const auto percentile = [](std::vector<double>& values, double share) {
         const auto index = static_cast<std::size_t>(static_cast<double>(values.size() - 1) * share);
@@ -368,6 +369,7 @@
     };
     for (const auto value : completions)
         m_result.meanCompletion += value / static_cast<double>(completions.size());
+    m_result.meanWait /= static_cast<double>(completions.size());
     m_result.p99Completion = percentile(completions, 0.99);
     m_result.fragmentation = m_fragmentationTime > 0 ? m_fragmentationSum / m_fragmentationTime : 0;
     m_result.changeWork = m_changeCapacity > 0 ? (m_changeUsed - m_changeLost) / m_changeCapacity : 0;
--- a/packages/placement/src/consolidation.cpp
+++ b/packages/placement/src/consolidation.cpp
@@ -2,6 +2,7 @@
 
 #include "scheduler_limits.h"
 #include <algorithm>
+#include <bit>
 
 namespace poplardeal::detail {
 
@@ -27,7 +28,8 @@
     std::vector<vacatable_worker> workers;
     for (std::uint32_t i = 0; i < m_cluster.workers().size(); ++i) {
         const auto& record = m_cluster.worker(i);
-        if (!isOffered(i) || record.onProbation || m_drainedWorkers.contains(i))
+        if (record.spec.capacity.accelerator.count() < size || !isOffered(i) || record.onProbation
+            || m_drainedWorkers.contains(i))
             continue;
         if (successor != nullptr && avoidsWorker(*successor, i))
             continue;
@@ -76,14 +78,26 @@
     return wanted.empty();
 }
 
+/// Moving tasks does not make accelerators free, so a block opens only if as many are free already.
+bool scheduler_core::hasFreeAccelerators(std::int64_t count) const
+{
+    for (std::uint32_t i = 0; i < m_cluster.workers().size() && count > 0; ++i) {
+        if (m_cluster.worker(i).spec.capacity.accelerator.count() > 0 && isOffered(i))
+            count -= std::popcount(m_cluster.freeOffer(i).accelerators);
+    }
+    return count <= 0;
+}
+
 /// Moves single small borrowers into free fragments elsewhere if that opens a block for the job.
 bool scheduler_core::claimByConsolidation(job_record& job)
 {
     const auto size = job.spec.perTask.accelerator.count();
-    if (size < 2 || m_now < m_nextConsolidation || m_now - job.acceptedAt < minWaitForConsolidation)
+    if (size < 2 || !m_consolidationDue || m_now - job.acceptedAt < minWaitForConsolidation)
+        return false;
+    if (!hasFreeAccelerators(size * job.spec.tasks))
         return false;
     ++m_searches;
-    m_nextConsolidation = m_now + consolidationInterval;
+    m_consolidationDue = false;
     const auto found = placeVacating(m_cluster, demandOf(job.spec), movableWorkers(size, &job));
     if (found.spots.empty() || !canRehost(found.leaving, found.spots, size))
         return false;
@@ -111,7 +125,7 @@
         return;
     m_nextCompaction = m_now + compactionInterval;
     const auto size = largestBlock();
-    if (size < 2 || size > maxAccelerators)
+    if (size < 2 || size > maxAccelerators || !hasFreeAccelerators(size))
         return;
     const gang_demand block { 1, { cores(0), mebibytes(0), accelerators(size) }, scope::worker };
     std::vector<vacatable_place> places;
--- a/packages/placement/src/preemption.cpp
+++ b/packages/placement/src/preemption.cpp
@@ -109,7 +109,8 @@
     std::vector<vacatable_worker> workers;
     for (std::uint32_t i = 0; i < m_cluster.workers().size(); ++i) {
         const auto& capacity = m_cluster.worker(i).spec.capacity;
-        if (isOffered(i) && !m_cluster.worker(i).onProbation && !avoidsWorker(job, i))
+        if (job.spec.perTask.fitsIn(capacity) && isOffered(i) && !m_cluster.worker(i).onProbation
+            && !avoidsWorker(job, i))
             workers.push_back(
                 vacatable(m_cluster, m_leases, i, { fullMask(capacity.accelerator.count()), capacity }, costOf));
     }
@@ -126,6 +127,8 @@
 /// guarantees are used only if there is no other place: there the job could be stopped at any time.
 void scheduler_core::drainFor(job_record& job)
 {
+    m_drainTried = true;
+    job.drainAfter = m_now + drainRetryInterval;
     auto spots = findDrainable(job, false);
     if (spots.empty() && !m_reservations.empty())
         spots = findDrainable(job, true);
@@ -148,7 +151,7 @@
     for (std::uint32_t i = 0; i < m_cluster.workers().size(); ++i) {
         const auto& record = m_cluster.worker(i);
         const auto isExcluded = record.onProbation || m_drainedWorkers.contains(i) || avoidsWorker(job, i);
-        if (!m_cluster.isUsable(i, m_now) || isExcluded)
+        if (!job.spec.perTask.fitsIn(record.spec.capacity) || !m_cluster.isUsable(i, m_now) || isExcluded)
             continue;
         auto all = fullMask(record.spec.capacity.accelerator.count());
         if (!onReserved)
--- a/packages/placement/src/queue.cpp
+++ b/packages/placement/src/queue.cpp
@@ -214,11 +214,12 @@
 {
     if (!fitsQuota(job))
         return false;
-    if (mayUseGuarantee(job.spec)) {
+    const job_group_key key { job.workspace, job.spec.name };
+    if (mayUseGuarantee(job.spec) && !m_guaranteeFull.contains(key)) {
         if (claimGuarantee(job))
             return true;
         if (job.failedWorkers.empty())
-            m_guaranteeFull.emplace(job.workspace, job.spec.name);
+            m_guaranteeFull.insert(key);
     }
     if (m_draining.contains(job.number) && claimDrained(job))
         return true;
@@ -230,13 +231,19 @@
     }
     if (claimByConsolidation(job))
         return true;
-    if (!m_draining.contains(job.number) && m_draining.size() < maxDrainingJobs && isAged(job)) {
+    if (mayDrain(job)) {
         ++m_searches;
         drainFor(job);
     }
     return false;
 }
 
+bool scheduler_core::mayDrain(const job_record& job) const
+{
+    return !m_drainTried && m_draining.size() < maxDrainingJobs && !m_draining.contains(job.number)
+        && job.drainAfter <= m_now && isAged(job);
+}
+
 void scheduler_core::placeHeads(std::set<pass_entry>& heads)
 {
     while (!heads.empty() && m_searches < maxSearchesPerPass) {
@@ -263,15 +270,28 @@
     return { job.spec.priority, -scoreOf(job), job.acceptedAt, job.number };
 }
 
-/// Heads that are new or, after a change, may find a place. When jobs have aged, all of them.
+/// True if other work may be moved or a place drained for the head of the group.
+bool scheduler_core::isWorthReviewing(const waiting_group& group) const
+{
+    const auto& job = m_jobs.at(group.jobs.begin()->second);
+    const auto mayConsolidate = m_consolidationDue && job.spec.perTask.accelerator.count() > 1;
+    return mayConsolidate || mayDrain(job);
+}
+
+/// Heads that are new or, after a change, may find a place, and on a review those that have aged.
 std::set<scheduler_core::pass_entry> scheduler_core::headsToTry()
 {
     std::set<pass_entry> heads;
     const auto add
         = [&](const waiting_group& group) { heads.insert(passEntry(m_jobs.at(group.jobs.begin()->second))); };
     if (m_reviewDue || m_placementDue) {
+        if (m_nextConsolidation <= m_now) {
+            m_nextConsolidation = m_now + consolidationInterval;
+            m_consolidationDue = true;
+            m_reviewDue = true;
+        }
         for (const auto& [key, group] : m_waiting) {
-            if (m_reviewDue || isWorthTrying(key, group))
+            if (isWorthTrying(key, group) || (m_reviewDue && isWorthReviewing(group)))
                 add(group);
         }
         return heads;
@@ -302,8 +322,10 @@
     m_placementDue = false;
     m_reviewDue = false;
     m_searches = 0;
+    m_drainTried = false;
     m_newHeads.clear();
     placeHeads(heads);
+    m_consolidationDue = false;
     compact();
     for (const auto& entry : heads) {
         const auto& job = m_jobs.at(std::get<3>(entry));
--- a/packages/placement/src/records.h
+++ b/packages/placement/src/records.h
@@ -95,6 +95,7 @@
     instant avoidFailedUntil; ///< Until then none of `failedWorkers` is used.
     bool claiming { false }; ///< Waits, with claims instead of leases, for preempted tasks to leave.
     std::vector<task_spot> shadow; ///< Place that is drained for this job; others use it as backfill.
+    instant drainAfter; ///< No search for a place to drain before this moment.
     job_number backfilledBefore { 0 }; ///< This job may preempt it.
     bool everStarted { false };
     bool uncertain { false }; ///< A start was issued and nothing proves that the task did not run.
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -125,6 +125,7 @@
     // consolidation.cpp
     bool claimByConsolidation(job_record&);
     void compact();
+    bool hasFreeAccelerators(std::int64_t count) const;
     bool isMovable(const lease_record&, std::int64_t size) const;
     bool canRehost(const std::vector<lease_number>&, const std::vector<task_spot>& without, std::int64_t size) const;
     std::vector<vacatable_worker> movableWorkers(std::int64_t size, const job_record* successor) const;
@@ -161,6 +162,8 @@
     bool placeOnFree(job_record&);
     bool fitsQuota(const job_record&) const;
     bool isAged(const job_record&) const;
+    bool mayDrain(const job_record&) const;
+    bool isWorthReviewing(const waiting_group&) const;
     std::int64_t scoreOf(const job_record&) const;
     duration estimate(const job_record&) const;
     void learnRunTime(const job_record&);
@@ -217,6 +220,8 @@
     /// Groups whose guarantee is in use by their own workspace.
     std::set<job_group_key> m_guaranteeFull;
     std::int64_t m_searches { 0 };
+    bool m_drainTried { false };
+    bool m_consolidationDue { false };
     instant m_nextReview;
     instant m_nextRepack;
     instant m_nextConsolidation;
--- a/packages/placement/src/scheduler_limits.h
+++ b/packages/placement/src/scheduler_limits.h
@@ -36,6 +36,8 @@
 constexpr duration reviewInterval = 10s;
 /// Jobs that places are drained for at the same time. Each one keeps capacity in less efficient use.
 constexpr std::size_t maxDrainingJobs = 4;
+/// A job for which no place can be drained is not looked at again for this time, and one search is made in a pass.
+constexpr duration drainRetryInterval = 1min;
 /// A job is aged when it waited for this multiple of its estimated run time, or for the longer time.
 constexpr std::int64_t agedWaitFactor = 2;
 constexpr duration minAgedWait = 30s;
--- a/packages/placement/src/state_codec.cpp
+++ b/packages/placement/src/state_codec.cpp
@@ -47,7 +47,8 @@
     {
         a(j.number, j.workspace, j.spec, j.phase, j.cause, j.reason, j.attempt, j.failures, j.refusals, j.acceptedAt,
             j.notBefore, j.attemptStartedAt, j.phaseDeadline, j.startedAt, j.endedAt, j.leases, j.finishedTasks,
-            j.failedWorkers, j.avoidFailedUntil, j.claiming, j.shadow, j.backfilledBefore, j.everStarted, j.uncertain);
+            j.failedWorkers, j.avoidFailedUntil, j.claiming, j.shadow, j.drainAfter, j.backfilledBefore, j.everStarted,
+            j.uncertain);
     }
 
     template <class Archive> void describeFields(Archive& a, worker_record& w)
