--- a/packages/placement/src/consolidation.cpp
+++ b/packages/placement/src/consolidation.cpp
@@ -28,10 +28,9 @@
     std::vector<vacatable_worker> workers;
     for (std::uint32_t i = 0; i < m_cluster.workers().size(); ++i) {
         const auto& record = m_cluster.worker(i);
-        if (record.spec.capacity.accelerator.count() < size || !isOffered(i) || record.onProbation
-            || m_drainedWorkers.contains(i))
+        if (record.spec.capacity.accelerator.count() < size || !isOffered(i) || record.onProbation)
             continue;
-        if (successor != nullptr && avoidsWorker(*successor, i))
+        if (successor == nullptr ? m_drainedWorkers.contains(i) : avoidsWorker(*successor, i))
             continue;
         const auto all = fullMask(record.spec.capacity.accelerator.count());
         workers.push_back(vacatable(m_cluster, m_leases, i, { all, record.spec.capacity }, costOf));
@@ -51,7 +50,7 @@
     return fragments;
 }
 
-/// True if the leases could all move to fragments outside the given spots, without splitting another whole block.
+/// True if the leases could all move to free places outside the given spots without splitting whole blocks of the size.
 bool scheduler_core::canRehost(
     const std::vector<lease_number>& leases, const std::vector<task_spot>& without, std::int64_t size) const
 {
@@ -99,7 +98,8 @@
     ++m_searches;
     m_consolidationDue = false;
     const auto found = placeVacating(m_cluster, demandOf(job.spec), movableWorkers(size, &job));
-    if (found.spots.empty() || !canRehost(found.leaving, found.spots, size))
+    // The moved tasks may split whole blocks elsewhere: the job needs its blocks together, within its scope.
+    if (found.spots.empty() || !canRehost(found.leaving, found.spots, maxAccelerators * 2))
         return false;
     vacate(jobsOf(found.leaving), "moved to open a block for job " + std::to_string(job.number));
     claimGang(job, found.spots, false);
--- a/packages/placement/src/scheduler_limits.h
+++ b/packages/placement/src/scheduler_limits.h
@@ -57,7 +57,7 @@
 /// Small borrowers are moved together, to open a block for a job that waits, at most this often, and only if the job
 /// waited and they ran for some time since they started. A move costs a checkpoint and a restart.
 constexpr duration consolidationInterval = 10s;
-constexpr duration compactionInterval = 30s;
+constexpr duration compactionInterval = 10s;
 constexpr duration minWaitForConsolidation = 30s;
 constexpr duration minRunBeforeMove = 2min;
 
