--- /dev/null
+++ b/packages/consensus/tests/replica_test.cpp
@@ -0,0 +1,224 @@
+#include "replica_group.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace poplardeal;
+using namespace poplardeal::test;
+
+BOOST_AUTO_TEST_SUITE(replica_suite)
+
+// Guards against a proposal that is answered without being applied on every replica.
+BOOST_AUTO_TEST_CASE(proposals_are_applied_everywhere)
+{
+    replica_group group(3);
+    group.startAll(true);
+    for (int i = 0; i < 20; ++i)
+        BOOST_REQUIRE(group.propose("p" + std::to_string(i)).has_value());
+    BOOST_REQUIRE(group.waitUntilEqual(20));
+    for (const auto& [number, machine] : group.machines)
+        BOOST_TEST(machine->applied == group.machines[1]->applied);
+}
+
+// Guards against a follower that accepts a proposal or reports that it did.
+BOOST_AUTO_TEST_CASE(a_follower_refuses_proposals)
+{
+    replica_group group(3);
+    group.startAll(true);
+    BOOST_REQUIRE(group.waitForLeader());
+    const auto follower = group.leader() == 1 ? 2U : 1U;
+    std::optional<failure> refused;
+    group.replicas[follower]->propose("p", group.now, [&](const result<std::string>& r) { refused = r.error(); });
+    BOOST_REQUIRE(refused.has_value());
+    BOOST_TEST((refused->code == failure_code::not_leader));
+}
+
+// Guards against acknowledged entries that are lost with the leader.
+BOOST_AUTO_TEST_CASE(the_group_survives_the_loss_of_its_leader)
+{
+    replica_group group(3);
+    group.startAll(true);
+    BOOST_REQUIRE(group.propose("before").has_value());
+    const auto lost = group.leader();
+    group.kill(lost);
+    BOOST_REQUIRE(group.propose("after").has_value());
+    BOOST_REQUIRE(group.start(lost, false).has_value());
+    BOOST_REQUIRE(group.waitUntilEqual(2));
+    BOOST_TEST((group.machines[lost]->applied == std::vector<std::string> { "before", "after" }));
+}
+
+// Guards against a log that cannot be read back after all replicas stopped.
+BOOST_AUTO_TEST_CASE(all_replicas_restart_with_their_state)
+{
+    replica_group group(3, 8);
+    group.startAll(true);
+    for (int i = 0; i < 30; ++i)
+        BOOST_REQUIRE(group.propose("p" + std::to_string(i)).has_value());
+    for (std::uint32_t number = 1; number <= 3; ++number)
+        group.kill(number);
+    group.startAll(false);
+    BOOST_REQUIRE(group.propose("last").has_value());
+    BOOST_REQUIRE(group.waitUntilEqual(31));
+}
+
+// Guards against two processes that write the same log.
+BOOST_AUTO_TEST_CASE(a_second_open_of_a_folder_is_refused)
+{
+    replica_group group(1);
+    group.startAll(true);
+    const auto second = group.start(1, true);
+    BOOST_REQUIRE(second.has_error());
+    BOOST_TEST((second.error().code == failure_code::locked));
+}
+
+// Guards against a replica that votes with an empty folder, and against one that never becomes a voter again.
+BOOST_AUTO_TEST_CASE(a_replica_that_lost_its_folder_votes_only_after_it_has_caught_up)
+{
+    replica_group group(3, 8);
+    group.startAll(true);
+    for (int i = 0; i < 20; ++i)
+        BOOST_REQUIRE(group.propose("p" + std::to_string(i)).has_value());
+    const auto lost = group.leader() % 3 + 1;
+    group.kill(lost);
+    std::filesystem::remove_all(group.folderOf(lost));
+    BOOST_REQUIRE(group.start(lost, false).has_value());
+    BOOST_TEST(!group.replicas[lost]->mayVote());
+    BOOST_REQUIRE(group.runUntil([&] { return group.replicas[lost]->mayVote(); }));
+    BOOST_REQUIRE(group.waitUntilEqual(20));
+    BOOST_TEST(group.replicas[lost]->members().voterCount() == 3U);
+    group.kill(group.leader());
+    BOOST_TEST(group.propose("with the replaced folder").has_value());
+}
+
+// Guards against a group that two replicas with empty folders bring to life without the acknowledged entries.
+BOOST_AUTO_TEST_CASE(a_majority_of_empty_folders_elects_no_leader)
+{
+    replica_group group(3);
+    group.startAll(true);
+    BOOST_REQUIRE(group.propose("acknowledged").has_value());
+    for (const std::uint32_t number : { 1, 2, 3 }) {
+        group.kill(number);
+        if (number != 1)
+            std::filesystem::remove_all(group.folderOf(number));
+    }
+    group.startAll(false);
+    BOOST_TEST(!group.runUntil([&] { return group.leader() != 0; }, std::chrono::seconds(10)));
+}
+
+// Guards against a membership change that does not reach the new member, and against a removed member that goes on.
+BOOST_AUTO_TEST_CASE(a_new_replica_joins_as_a_learner_and_becomes_a_voter)
+{
+    replica_group group(3, 8);
+    group.startAll(true);
+    for (int i = 0; i < 20; ++i)
+        BOOST_REQUIRE(group.propose("p" + std::to_string(i)).has_value());
+    BOOST_REQUIRE(group.start(4, false).has_value());
+    const auto change = [&](const auto& edit) {
+        return group.runUntil([&] {
+            const auto leader = group.leader();
+            if (leader == 0)
+                return false;
+            auto wanted = group.replicas[leader]->members();
+            edit(wanted);
+            bool done = false;
+            group.replicas[leader]->changeMembership(
+                wanted, group.now, [&](const result<std::string>& answer) { done = answer.has_value(); });
+            return group.runUntil([&] { return done; }, std::chrono::milliseconds(200));
+        });
+    };
+    BOOST_REQUIRE(change([](membership& m) {
+        m.members.push_back({ replica_id(4), member_role::learner, 0, false });
+    }));
+    BOOST_REQUIRE(group.waitUntilEqual(20));
+    BOOST_TEST(!group.replicas[4]->mayVote());
+    BOOST_REQUIRE(change([](membership& m) { m.members.back().role = member_role::voter; }));
+    BOOST_REQUIRE(group.runUntil([&] { return group.replicas[4]->mayVote(); }));
+    BOOST_TEST(group.replicas[4]->members().voterCount() == 4U);
+}
+
+// Guards against a planned stop that costs an election timeout.
+BOOST_AUTO_TEST_CASE(leadership_is_handed_over_without_an_election_timeout)
+{
+    replica_group group(3);
+    group.startAll(true);
+    BOOST_REQUIRE(group.propose("p").has_value());
+    const auto before = group.leader();
+    const auto start = group.now;
+    BOOST_REQUIRE(group.replicas[before]->transferLeadership(group.now));
+    BOOST_REQUIRE(group.runUntil([&] { return group.leader() != 0 && group.leader() != before; }));
+    BOOST_TEST((group.now - start < group.optionsOf(1, false).electionTimeout));
+}
+
+// Guards against a proposer that is left without an answer, or told "not run", when its leader loses the quorum.
+BOOST_AUTO_TEST_CASE(proposals_of_an_isolated_leader_are_unavailable)
+{
+    replica_group group(3);
+    group.startAll(true);
+    BOOST_REQUIRE(group.propose("p").has_value());
+    const auto isolated = group.leader();
+    group.cut.insert(isolated);
+    std::optional<result<std::string>> answer;
+    group.replicas[isolated]->propose("q", group.now, [&](result<std::string> r) { answer = std::move(r); });
+    BOOST_REQUIRE(group.runUntil([&] { return answer.has_value(); }));
+    BOOST_TEST((answer->error().code == failure_code::unavailable));
+    BOOST_REQUIRE(group.propose("r").has_value());
+    group.cut.clear();
+    BOOST_REQUIRE(group.waitUntilEqual(2));
+    BOOST_TEST(group.machines[isolated]->applied.back() == "r");
+}
+
+// Guards against a replica that goes on on a folder that lacks what it acknowledged.
+BOOST_AUTO_TEST_CASE(an_old_copy_of_a_folder_stops_its_replica)
+{
+    replica_group group(3);
+    group.startAll(true);
+    BOOST_REQUIRE(group.propose("before the copy").has_value());
+    BOOST_REQUIRE(group.waitUntilEqual(1));
+    const auto copied = group.leader() % 3 + 1;
+    const auto copy = group.folder.path() / "copy";
+    std::filesystem::copy(group.folderOf(copied), copy);
+    BOOST_REQUIRE(group.propose("after the copy").has_value());
+    BOOST_REQUIRE(group.waitUntilEqual(2));
+    group.kill(copied);
+    std::filesystem::remove_all(group.folderOf(copied));
+    std::filesystem::rename(copy, group.folderOf(copied));
+    BOOST_REQUIRE(group.start(copied, false).has_value());
+    BOOST_REQUIRE(group.runUntil([&] { return group.replicas[copied]->failed().has_value(); }));
+    BOOST_TEST((group.replicas[copied]->failed()->code == failure_code::corrupt));
+}
+
+// Guards against a replica that acknowledges or keeps leading after its disk failed. A folder in the place of the
+// snapshot's temporary file makes the write of the snapshot fail.
+BOOST_AUTO_TEST_CASE(a_replica_stops_when_its_disk_fails)
+{
+    replica_group group(3, 5);
+    group.startAll(true);
+    BOOST_REQUIRE(group.propose("p").has_value());
+    const auto broken = group.leader();
+    std::filesystem::create_directory(group.folderOf(broken) / "new-snapshot");
+    for (int i = 0; i < 10 && !group.replicas[broken]->failed(); ++i)
+        static_cast<void>(group.propose("q" + std::to_string(i)));
+    BOOST_REQUIRE(group.runUntil([&] { return group.replicas[broken]->failed().has_value(); }));
+    BOOST_TEST((group.replicas[broken]->failed()->code == failure_code::io_error));
+    BOOST_TEST(!group.replicas[broken]->isLeader());
+    std::optional<failure> refused;
+    group.replicas[broken]->propose("r", group.now, [&](const result<std::string>& r) { refused = r.error(); });
+    BOOST_TEST((refused->code == failure_code::not_leader));
+    BOOST_TEST(group.propose("s").has_value());
+}
+
+// Guards against malformed messages that end the process or change state.
+BOOST_AUTO_TEST_CASE(malformed_messages_are_refused)
+{
+    replica_group group(1);
+    group.startAll(true);
+    BOOST_REQUIRE(group.propose("p").has_value());
+    const auto term = group.replicas[1]->term();
+    std::string noise(300, '\0');
+    for (std::size_t i = 0; i < noise.size(); ++i) {
+        noise[i] = static_cast<char>(i * 37);
+        group.replicas[1]->receive(replica_id(2), std::string_view(noise).substr(0, i), group.now);
+    }
+    BOOST_TEST(group.replicas[1]->term() == term);
+    BOOST_TEST(group.propose("q").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/wire/include/poplardeal/wire/channel.h
+++ b/packages/wire/include/poplardeal/wire/channel.h
@@ -34,7 +34,7 @@
     std::uint64_t bytesTransferred() const;
     address peer() const;
 
-    static constexpr std::size_t maxQueuedBytes = 64 * 1024 * 1024;
+    static constexpr std::size_t maxQueuedBytes = std::size_t { 64 } * 1024 * 1024;
 
 private:
     std::unique_ptr<impl> m_impl;
@@ -66,6 +66,8 @@
     /// Called at each new connection, before any frame.
     void onUp(std::function<void()>);
     void onDown(std::function<void()>);
+    /// Called before `onDown` with the reason; `corrupt` and `too_large` mean a faulty peer.
+    void onLost(std::function<void(const failure&)>);
     void onFrame(std::function<void(frame)>);
     void start();
 
