--- a/packages/placement/src/consolidation.cpp
+++ b/packages/placement/src/consolidation.cpp
@@ -2,6 +2,7 @@
 
 #include "scheduler_limits.h"
 #include <algorithm>
+#include <bit>
 
 namespace poplardeal::detail {
 
@@ -27,9 +28,9 @@
     std::vector<vacatable_worker> workers;
     for (std::uint32_t i = 0; i < m_cluster.workers().size(); ++i) {
         const auto& record = m_cluster.worker(i);
-        if (!isOffered(i) || record.onProbation || m_drainedWorkers.contains(i))
+        if (record.spec.capacity.accelerator.count() < size || !isOffered(i) || record.onProbation)
             continue;
-        if (successor != nullptr && avoidsWorker(*successor, i))
+        if (successor == nullptr ? m_drainedWorkers.contains(i) : avoidsWorker(*successor, i))
             continue;
         const auto all = fullMask(record.spec.capacity.accelerator.count());
         workers.push_back(vacatable(m_cluster, m_leases, i, { all, record.spec.capacity }, costOf));
@@ -49,7 +50,7 @@
     return fragments;
 }
 
-/// True if the leases could all move to fragments outside the given spots, without splitting another whole block.
+/// True if the leases could all move to free places outside the given spots without splitting whole blocks of the size.
 bool scheduler_core::canRehost(
     const std::vector<lease_number>& leases, const std::vector<task_spot>& without, std::int64_t size) const
 {
@@ -76,16 +77,29 @@
     return wanted.empty();
 }
 
+/// Moving tasks does not make accelerators free, so a block opens only if as many are free already.
+bool scheduler_core::hasFreeAccelerators(std::int64_t count) const
+{
+    for (std::uint32_t i = 0; i < m_cluster.workers().size() && count > 0; ++i) {
+        if (m_cluster.worker(i).spec.capacity.accelerator.count() > 0 && isOffered(i))
+            count -= std::popcount(m_cluster.freeOffer(i).accelerators);
+    }
+    return count <= 0;
+}
+
 /// Moves single small borrowers into free fragments elsewhere if that opens a block for the job.
 bool scheduler_core::claimByConsolidation(job_record& job)
 {
     const auto size = job.spec.perTask.accelerator.count();
-    if (size < 2 || m_now < m_nextConsolidation || m_now - job.acceptedAt < minWaitForConsolidation)
+    if (size < 2 || !m_consolidationDue || m_now - job.acceptedAt < minWaitForConsolidation)
+        return false;
+    if (!hasFreeAccelerators(size * job.spec.tasks))
         return false;
     ++m_searches;
-    m_nextConsolidation = m_now + consolidationInterval;
+    m_consolidationDue = false;
     const auto found = placeVacating(m_cluster, demandOf(job.spec), movableWorkers(size, &job));
-    if (found.spots.empty() || !canRehost(found.leaving, found.spots, size))
+    // The moved tasks may split whole blocks elsewhere: the job needs its blocks together, within its scope.
+    if (found.spots.empty() || !canRehost(found.leaving, found.spots, maxAccelerators * 2))
         return false;
     vacate(jobsOf(found.leaving), "moved to open a block for job " + std::to_string(job.number));
     claimGang(job, found.spots, false);
@@ -98,8 +112,8 @@
     std::int64_t largest = 0;
     for (const auto& entry : m_reservations)
         largest = std::max(largest, entry.shape.blockAccelerators);
-    for (const auto& [key, queue] : m_waiting)
-        largest = std::max(largest, m_jobs.at(queue.begin()->second).spec.perTask.accelerator.count());
+    for (const auto& [key, group] : m_waiting)
+        largest = std::max(largest, m_jobs.at(group.jobs.begin()->second).spec.perTask.accelerator.count());
     return blockSize(largest);
 }
 
@@ -111,7 +125,7 @@
         return;
     m_nextCompaction = m_now + compactionInterval;
     const auto size = largestBlock();
-    if (size < 2 || size > maxAccelerators)
+    if (size < 2 || size > maxAccelerators || !hasFreeAccelerators(size))
         return;
     const gang_demand block { 1, { cores(0), mebibytes(0), accelerators(size) }, scope::worker };
     std::vector<vacatable_place> places;
--- a/packages/placement/src/scheduler_limits.h
+++ b/packages/placement/src/scheduler_limits.h
@@ -33,9 +33,11 @@
 /// Free places searched for in one pass. It bounds the time of one event when many different demands wait.
 constexpr std::int64_t maxSearchesPerPass = 64;
 /// Waiting jobs are looked at this often even if nothing happens, because they age.
-constexpr duration reviewInterval = 30s;
+constexpr duration reviewInterval = 10s;
 /// Jobs that places are drained for at the same time. Each one keeps capacity in less efficient use.
 constexpr std::size_t maxDrainingJobs = 4;
+/// A job for which no place can be drained is not looked at again for this time, and one search is made in a pass.
+constexpr duration drainRetryInterval = 1min;
 /// A job is aged when it waited for this multiple of its estimated run time, or for the longer time.
 constexpr std::int64_t agedWaitFactor = 2;
 constexpr duration minAgedWait = 30s;
@@ -55,7 +57,7 @@
 /// Small borrowers are moved together, to open a block for a job that waits, at most this often, and only if the job
 /// waited and they ran for some time since they started. A move costs a checkpoint and a restart.
 constexpr duration consolidationInterval = 10s;
-constexpr duration compactionInterval = 30s;
+constexpr duration compactionInterval = 10s;
 constexpr duration minWaitForConsolidation = 30s;
 constexpr duration minRunBeforeMove = 2min;
 
