consensus: join as a learner after a lost folder even if the settings still ask for the bootstrap

bootstrap is a lasting setting, so that a replica that lost its folder would have started again as a voter without the entries it had acknowledged. A bootstrapped replica without term and log now takes a new data incarnation, and with it the way of a replica with an empty folder, as soon as another one shows a log. A requested membership change needs a quorum of the new membership that answers: a schedule had removed a voter while the rest included one with an empty log.

--- a/packages/consensus/include/poplardeal/consensus/raft_node.h
+++ b/packages/consensus/include/poplardeal/consensus/raft_node.h
@@ -10,6 +10,9 @@
     replica_id self;
     membership initialMembers; ///< First membership, the same on every replica.
     std::uint64_t dataIncarnation { 0 };
+    /// Random. Replaces the data incarnation 0 if the log is empty although the group has a history: the folder of a
+    /// bootstrapped replica was lost, and its settings still ask for the bootstrap. 0: never.
+    std::uint64_t rejoinIncarnation { 0 };
     std::uint64_t startCount { 1 };
     duration heartbeatInterval { std::chrono::milliseconds(150) };
     duration electionTimeout { std::chrono::milliseconds(700) }; ///< Lower bound; the upper bound is twice it.
@@ -38,9 +41,10 @@
     shared_snapshot snapshot; ///< Received from the leader; null if there is none.
     bool discardLog { false }; ///< The snapshot replaces the whole log, also entries after it.
     std::optional<hard_state> hard;
+    std::optional<std::uint64_t> dataIncarnation; ///< New incarnation of the folder.
     std::vector<log_entry> entries; ///< Replace all entries from the first one's index on.
 
-    bool empty() const { return !snapshot && !hard && entries.empty(); }
+    bool empty() const { return !snapshot && !hard && !dataIncarnation && entries.empty(); }
 };
 
 /// What the node wants done since the last call.
@@ -78,8 +82,8 @@
     /// `not_leader`, `too_large` or `overloaded` if the entry was not appended.
     result<log_position> propose(std::string payload, instant now);
     /// Changes at most one voter; a new voter has to be a learner that has caught up. The data incarnations are filled
-    /// in here. `conflict` while an earlier change is not committed, `unavailable` if the learner lags or before the
-    /// first commit of the term.
+    /// in here. `conflict` while an earlier change is not committed; `unavailable` if the learner lags, if no quorum of
+    /// the new membership answers, or before the first commit of the term.
     result<log_position> proposeMembership(membership, instant now);
     /// All batches up to this number are durable.
     void persisted(std::uint64_t number, instant now);
--- a/packages/consensus/include/poplardeal/consensus/raft_types.h
+++ b/packages/consensus/include/poplardeal/consensus/raft_types.h
@@ -93,7 +93,9 @@
     replica_id from;
     replica_id to;
     std::uint64_t term { 0 };
-    std::uint64_t logIndex { 0 }; ///< Votes: last entry. Append: entry before the first one. Answers: see `matchIndex`.
+    std::uint64_t logIndex {
+        0
+    }; ///< Votes and their answers: last entry. Append: entry before the first one. Answers: see `matchIndex`.
     std::uint64_t logTerm { 0 };
     std::uint64_t matchIndex { 0 }; ///< Append answer: last durable entry that matches the leader's log.
     std::uint64_t commit { 0 };
--- a/packages/consensus/include/poplardeal/consensus/replica.h
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -48,7 +48,9 @@
     std::uint64_t snapshotEvery { 10000 }; ///< Entries between snapshots.
     /// True only for the first start of a brand-new group: a replica with an empty data folder may vote at once.
     /// Without it, a replica with an empty folder does not vote until the leader has made it a learner, brought it up
-    /// to date and made it a voter again. No effect on a folder with data.
+    /// to date and made it a voter again. No effect on a folder with data. If the setting is left on and the folder is
+    /// lost, the replica notices at the first message of a replica with a log that the group is not new, and joins as a
+    /// learner too.
     bool bootstrap { false };
 };
 
--- a/packages/consensus/src/basic_log_store.h
+++ b/packages/consensus/src/basic_log_store.h
@@ -239,10 +239,14 @@
     for (const auto* batch : group) {
         if (batch->hard)
             record.hard = batch->hard;
+        if (batch->dataIncarnation) {
+            m_dataIncarnation = *batch->dataIncarnation;
+            record.header = detail::record_header { m_dataIncarnation, m_startCount };
+        }
         record.entries.insert(record.entries.end(), batch->entries.begin(), batch->entries.end());
     }
     group.clear();
-    if (!record.hard && record.entries.empty())
+    if (!record.hard && !record.header && record.entries.empty())
         return success();
     m_hard = record.hard.value_or(m_hard);
     if (m_segments.back().bytes >= m_options.segmentBytes) {
--- a/packages/consensus/src/raft_election.cpp
+++ b/packages/consensus/src/raft_election.cpp
@@ -129,6 +129,7 @@
         granted = granted && (!hard.vote || *hard.vote == m.from);
     auto answer = messageTo(m.from, pre ? message_kind::pre_vote_answer : message_kind::vote_answer);
     answer.rejected = !granted;
+    answer.logIndex = log.lastIndex();
     if (pre) {
         if (granted)
             answer.term = m.term;
--- a/packages/consensus/src/raft_membership.cpp
+++ b/packages/consensus/src/raft_membership.cpp
@@ -33,9 +33,27 @@
                 "replica " + std::to_string(m.id.value()) + " has to be a learner that has caught up before it votes" };
         }
     }
+    if (wanted.voterCount() == 0)
+        return failure { failure_code::invalid_argument, "a membership needs at least one voter" };
+    if (countAnsweringVoters(wanted, now) < wanted.voterCount() / 2 + 1)
+        return failure { failure_code::unavailable, "no quorum of the new membership answers" };
     return appendMembership(wanted, now);
 }
 
+/// Voters that hold a part of the log and have answered within the election timeout.
+std::size_t raft_node::impl::countAnsweringVoters(const membership& voters, instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(voters.members.begin(), voters.members.end(), [&](const member& m) {
+        if (m.role != member_role::voter)
+            return false;
+        const auto peer = peers.find(m.id);
+        if (peer == peers.end())
+            return m.id == options.self;
+        const auto& answered = peer->second.answeredSentAt;
+        return peer->second.matchIndex > 0 && answered && now - *answered < options.electionTimeout;
+    }));
+}
+
 result<log_position> raft_node::impl::appendMembership(const membership& wanted, instant now)
 {
     // Without a committed entry of its own term, a leader may not know of a change that another leader has committed.
@@ -45,8 +63,6 @@
         return failure { failure_code::conflict, "an earlier membership change is not committed" };
     if (changedVoters(log.members(), wanted) > 1)
         return failure { failure_code::invalid_argument, "a membership change may add or remove one voter at a time" };
-    if (wanted.voterCount() == 0)
-        return failure { failure_code::invalid_argument, "a membership needs at least one voter" };
     auto appended = propose(entry_kind::membership, detail::encodeMembership(wanted));
     if (appended) {
         membersChangedAt = now;
--- a/packages/consensus/src/raft_node.cpp
+++ b/packages/consensus/src/raft_node.cpp
@@ -52,6 +52,7 @@
 {
     if (m.to != options.self || m.from == options.self)
         return;
+    noteHistory(m);
     if (m.term > hard.term) {
         const bool future
             = m.kind == message_kind::pre_vote || (m.kind == message_kind::pre_vote_answer && !m.rejected);
@@ -94,6 +95,21 @@
     }
 }
 
+// A bootstrapped replica that has taken no part in any term while others have a log may have lost its folder. It joins
+// like a replica with an empty folder. One that is merely late joins the same way; these are fewer than half of the
+// voters, because the others have elected the first leader.
+void raft_node::impl::noteHistory(const raft_message& m)
+{
+    const bool unused = options.dataIncarnation == 0 && log.lastIndex() == 0 && hard.term == 0;
+    if (!unused || options.rejoinIncarnation == 0)
+        return;
+    const bool history = m.logIndex > 0 || m.commit > 0 || m.kind == message_kind::snapshot_chunk;
+    if (!history)
+        return;
+    options.dataIncarnation = options.rejoinIncarnation;
+    incarnationChanged = true;
+}
+
 result<log_position> raft_node::impl::propose(entry_kind kind, std::string payload)
 {
     if (role != raft_role::leader || transferTarget)
@@ -151,6 +167,8 @@
     batch.discardLog = std::exchange(discardLog, false);
     if (std::exchange(hardChanged, false))
         batch.hard = hard;
+    if (std::exchange(incarnationChanged, false))
+        batch.dataIncarnation = options.dataIncarnation;
     for (auto index = firstUnsent; index != 0 && index <= log.lastIndex(); ++index)
         batch.entries.push_back(log.at(index));
     firstUnsent = 0;
@@ -182,7 +200,7 @@
 
 void raft_node::impl::sendWhenDurable(raft_message m)
 {
-    const bool unsent = hardChanged || firstUnsent != 0 || snapshotToPersist;
+    const bool unsent = hardChanged || incarnationChanged || firstUnsent != 0 || snapshotToPersist;
     deferred.push_back({ unsent ? batchNumber + 1 : batchNumber, std::move(m) });
 }
 
--- a/packages/consensus/src/raft_node_impl.h
+++ b/packages/consensus/src/raft_node_impl.h
@@ -78,6 +78,7 @@
     raft_ready takeReady(instant now);
     void send(raft_message);
     void sendWhenDurable(raft_message);
+    void noteHistory(const raft_message&);
     void releaseDurable();
     raft_message messageTo(replica_id, message_kind) const;
     void appendOwn(entry_kind, std::string payload);
@@ -125,6 +126,7 @@
     // raft_membership.cpp
     result<log_position> proposeMembership(membership, instant now);
     result<log_position> appendMembership(const membership&, instant now);
+    std::size_t countAnsweringVoters(const membership&, instant now) const;
     bool checkIncarnation(detail::progress&, const raft_message&, instant now);
     bool checkRegression(detail::progress&, const raft_message&, instant now);
     void promoteIfCaughtUp(replica_id, const detail::progress&, instant now);
@@ -146,6 +148,7 @@
 
     // Persistence.
     bool hardChanged { false };
+    bool incarnationChanged { false };
     bool ownVotePending { false };
     std::uint64_t firstUnsent { 0 }; ///< First entry not yet handed out to persist; 0 if there is none.
     shared_snapshot snapshotToPersist;
--- a/packages/consensus/src/raft_replication.cpp
+++ b/packages/consensus/src/raft_replication.cpp
@@ -38,7 +38,7 @@
     adoptCommit(std::min(m.commit, matched));
     answer.logIndex = matched;
     answer.matchIndex = matched;
-    if (m.entries.empty() && durableTerm == hard.term && !hardChanged) {
+    if (m.entries.empty() && durableTerm == hard.term && !hardChanged && !incarnationChanged) {
         // A heartbeat is answered at once, so that a slow disk does not look like a lost replica.
         answer.matchIndex = std::min(matched, stableIndex);
         return send(std::move(answer));
--- a/packages/consensus/src/replica.cpp
+++ b/packages/consensus/src/replica.cpp
@@ -70,6 +70,7 @@
     out.self = options.self;
     out.initialMembers = membershipOfVoters(options.voters);
     out.dataIncarnation = folder.dataIncarnation;
+    out.rejoinIncarnation = randomNumber() | 1;
     out.startCount = folder.startCount;
     out.heartbeatInterval = options.heartbeatInterval;
     out.electionTimeout = options.electionTimeout;
--- /dev/null
+++ b/packages/consensus/tests/fault_plan.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace poplardeal::test {
+
+using std::chrono::milliseconds;
+
+/// Which faults a schedule contains.
+struct fault_plan {
+    std::uint32_t replicas { 3 };
+    std::uint32_t voters { 3 };
+    double lossRate { 0 };
+    double duplicateRate { 0 };
+    milliseconds maxDelay { 5 };
+    milliseconds maxSync { 5 };
+    double crashAtPersist { 0 }; ///< Probability for each batch.
+    double faultsPerSecond { 0 }; ///< Partitions, one-way cuts and heals.
+    double changesPerSecond { 0 }; ///< Membership changes.
+    double transfersPerSecond { 0 };
+    int folderLosses { 0 };
+    double clockDrift { 0.1 }; ///< Rates of the clocks are drawn from 1 - drift to 1 + drift.
+    milliseconds length { 4000 };
+    std::uint64_t snapshotEvery { 15 };
+};
+
+} // namespace poplardeal::test
--- a/packages/consensus/tests/log_store_test.cpp
+++ b/packages/consensus/tests/log_store_test.cpp
@@ -85,6 +85,10 @@
     BOOST_TEST(first.dataIncarnation == 77U);
     BOOST_TEST(second.dataIncarnation == 77U);
     BOOST_TEST(second.startCount > first.startCount);
+    persist_batch changed;
+    changed.dataIncarnation = 78;
+    BOOST_REQUIRE(openStore(files).value().write({ changed }).has_value());
+    BOOST_TEST(openStore(files).value().takeRecovered().dataIncarnation == 78U);
 }
 
 // Guards against a log that grows without bound, and against one that is cut too far.
--- a/packages/consensus/tests/raft_node_test.cpp
+++ b/packages/consensus/tests/raft_node_test.cpp
@@ -241,6 +241,30 @@
     BOOST_TEST(!driver.node.mayVote());
 }
 
+// Guards against a lost folder whose replica bootstraps again, as its settings still say, and votes without its log.
+BOOST_AUTO_TEST_CASE(a_bootstrap_in_a_group_with_a_history_joins_with_a_new_incarnation)
+{
+    raft_options options;
+    options.rejoinIncarnation = 9;
+    node_driver asked(1, {}, options);
+    asked.advance(std::chrono::seconds(3));
+    auto vote = asked.message(message_kind::vote, 2, 4);
+    vote.logIndex = 3;
+    vote.logTerm = 2;
+    asked.receive(vote);
+    BOOST_TEST(asked.persistAll().empty());
+    BOOST_TEST(!asked.node.mayVote());
+    node_driver led(1, {}, options);
+    BOOST_TEST(led.receive(led.append(2, 4, { 3, 2 }, 0)).empty());
+    const auto answers = led.persistAll();
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST(answers.front().dataIncarnation == 9U);
+    node_driver brandNew(1, {}, options);
+    brandNew.receive(brandNew.append(2, 1, {}, 1));
+    BOOST_TEST(brandNew.persistAll().front().dataIncarnation == 0U);
+    BOOST_TEST(brandNew.node.mayVote());
+}
+
 // Guards against counting the acknowledgements of a lost folder, and against leaving its replica a voter.
 BOOST_AUTO_TEST_CASE(a_lost_folder_makes_its_replica_a_learner_until_it_has_caught_up)
 {
@@ -301,6 +325,7 @@
     { "two voters at once", { 1 }, failure_code::invalid_argument },
     { "no voter", {}, failure_code::invalid_argument },
     { "a voter that was no learner", { 1, 2, 3, 4 }, failure_code::unavailable },
+    { "a quorum that does not answer", { 1, 3 }, failure_code::unavailable },
     { "a learner that has not caught up", { 1, 2, 3, 5 }, failure_code::unavailable },
 };
 
