--- a/packages/consensus/tests/log_store_test.cpp
+++ b/packages/consensus/tests/log_store_test.cpp
@@ -126,6 +126,32 @@
     BOOST_TEST(folder.state.entries.front().term == 5U);
 }
 
+// Guards against entries of a deposed leader that come back when the power fails between the rename of a received
+// snapshot and the record that drops the log.
+BOOST_AUTO_TEST_CASE(a_crash_after_a_received_snapshot_drops_the_replaced_log)
+{
+    const auto files = std::make_shared<memory_files>();
+    {
+        auto store = openStore(files, true);
+        BOOST_REQUIRE(store.value().write({ batchOf(1, 20, 1) }).has_value());
+        persist_batch batch;
+        batch.snapshot = snapshotAt(10, 4);
+        batch.discardLog = true;
+        // The snapshot takes a write, a sync, a rename and a sync of the folder.
+        files->operationsUntilCrash = 4;
+        BOOST_REQUIRE(store.value().write({ batch }).has_error());
+    }
+    files->loseUnsynced();
+    {
+        auto store = openStore(files);
+        const auto folder = store.value().takeRecovered();
+        BOOST_REQUIRE(folder.state.snapshot);
+        BOOST_TEST(folder.state.entries.empty());
+        BOOST_REQUIRE(store.value().write({ batchOf(11, 1, 5) }).has_value());
+    }
+    BOOST_TEST(lastIndex(openStore(files).value().takeRecovered()) == 11U);
+}
+
 enum class damage {
     none,
     cut_tail,
