--- a/packages/wire/include/poplardeal/wire/http.h
+++ b/packages/wire/include/poplardeal/wire/http.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -49,6 +50,8 @@
     void stopListening();
     /// Requests whose headers have arrived and that are not yet answered to the last byte. A planned stop waits for 0.
     std::size_t inFlight() const;
+    /// Requests answered 4xx that never reached the handler.
+    std::uint64_t refused() const;
 
 private:
     struct impl;
@@ -84,13 +87,15 @@
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
-    /// Calls `done` once, never from within `send`; a failure has code `timed_out`, `unavailable`, `too_large` or
-    /// `invalid_argument`. GET, HEAD and OPTIONS requests without `idempotency-key` use a kept connection, others a
+    /// Calls `done` once, never from within `send`; a failure has code `timed_out`, `unavailable`, `too_large`,
+    /// `corrupt`, `overloaded` or `invalid_argument`. GET, HEAD and OPTIONS requests without `idempotency-key` use a kept connection, others a
     /// fresh one.
     void send(const address& server, http_request, duration timeout, std::function<void(http_result)> done);
     void send(
         const address& server, http_request, duration timeout, connection_use, std::function<void(http_result)> done);
 
+    /// Requests under way or waiting for a connection; more are refused as `overloaded`.
+    static constexpr std::size_t maxPending = 4096;
     static constexpr std::size_t maxResponseBody = std::size_t { 16 } * 1024 * 1024;
 
 private:
