Keep HTTP connections open, and refuse short responses on closing ones

The server closed each connection after one response: libsoup keeps connections only while it has a listener of its own, and ours accepts them outside of libsoup. It now holds an idle listener on half of a socket pair.

On a connection that is not kept libsoup reads to its end and ignores Content-Length, so that a cut response counted as whole. The client compares the lengths itself. A CRITICAL message of GLib now ends the test program.

--- a/packages/wire/include/poplardeal/wire/http.h
+++ b/packages/wire/include/poplardeal/wire/http.h
@@ -73,7 +73,7 @@
     /// A kept one if there is one. The server may be closing it at that moment, and then the request ends with
     /// `may_have_run`; for requests that the caller may repeat.
     kept,
-    /// A new one: if the server is gone, this is known before the request is sent.
+    /// A new one, closed after the response: if the server is gone, this is known before the request is sent.
     fresh,
 };
 
--- a/packages/wire/src/http_client.cpp
+++ b/packages/wire/src/http_client.cpp
@@ -44,6 +44,7 @@
         void finishChunks(std::string_view bytes);
         void fail(const error_slot&);
         void fail(failure);
+        bool isShort() const;
         void complete();
         void finish(http_result);
 
@@ -182,8 +183,24 @@
         }
     }
 
+    bool client_call::isShort() const
+    {
+        auto* headers = soup_message_get_response_headers(m_message.get());
+        const auto status = soup_message_get_status(m_message.get());
+        const bool hasNoBody = std::string_view(soup_message_get_method(m_message.get())) == "HEAD"
+            || status == SOUP_STATUS_NO_CONTENT || status == SOUP_STATUS_NOT_MODIFIED;
+        if (hasNoBody || soup_message_headers_get_encoding(headers) != SOUP_ENCODING_CONTENT_LENGTH)
+            return false;
+        return static_cast<std::uint64_t>(soup_message_headers_get_content_length(headers)) != m_body.size();
+    }
+
     void client_call::complete()
     {
+        // libsoup reads up to the end of the connection if it is not kept, whatever length was announced.
+        if (isShort()) {
+            fail({ failure_code::unavailable, "connection closed within the response" });
+            return;
+        }
         // At the end of the body this does not block; it returns the connection to the pool.
         g_input_stream_close(m_input.get(), nullptr, nullptr);
         http_response response;
@@ -318,7 +335,11 @@
         const auto body = detail::makeBytes(std::move(request.body));
         soup_message_set_request_body_from_bytes(message.get(), nullptr, body.get());
     }
-    detail::writeHeaders(soup_message_get_request_headers(message.get()), request.headers);
+    auto* headers = soup_message_get_request_headers(message.get());
+    detail::writeHeaders(headers, request.headers);
+    // libsoup keeps new connections above its limit; they would add up.
+    if (use == connection_use::fresh)
+        soup_message_headers_replace(headers, "Connection", "close");
     const auto call = std::make_shared<detail::client_call>(m_impl->calls, std::move(message), std::move(done));
     m_impl->calls.insert(call);
     call->start(m_impl->loop, m_impl->session.get(), timeout);
--- a/packages/wire/src/http_server.cpp
+++ b/packages/wire/src/http_server.cpp
@@ -3,6 +3,9 @@
 #include "closing_stream.h"
 #include "http_message.h"
 #include "socket_address.h"
+#include <array>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <unordered_map>
 
 namespace poplardeal {
@@ -24,12 +27,17 @@
             m_answered = true;
             auto* headers = soup_server_message_get_response_headers(m_message.get());
             writeHeaders(headers, response.headers);
-            if (closeAfter)
+            // libsoup ends the connection after a response without a body; its caller must know.
+            const bool hasNoBody
+                = response.status == SOUP_STATUS_NO_CONTENT || response.status == SOUP_STATUS_NOT_MODIFIED;
+            if (closeAfter || hasNoBody)
                 soup_message_headers_replace(headers, "Connection", "close");
             const bool isStatus = response.status >= 200 && response.status <= 999;
             soup_server_message_set_status(m_message.get(), isStatus ? response.status : 500, nullptr);
-            const auto body = makeBytes(std::move(response.body));
-            soup_message_body_append_bytes(soup_server_message_get_response_body(m_message.get()), body.get());
+            if (!response.body.empty()) {
+                const auto body = makeBytes(std::move(response.body));
+                soup_message_body_append_bytes(soup_server_message_get_response_body(m_message.get()), body.get());
+            }
             soup_server_message_unpause(m_message.get());
         }
 
@@ -82,6 +90,20 @@
         g_signal_connect(server.get(), "request-started", G_CALLBACK(onStarted), this);
         soup_server_add_early_handler(server.get(), nullptr, onHeaders, this, nullptr);
         soup_server_add_handler(server.get(), nullptr, onRequest, this, nullptr);
+        addIdleListener();
+    }
+
+    /// libsoup keeps connections open only while it has a listener of its own. This one is half of a socket pair and
+    /// never readable; the connections come from `acceptor`.
+    void addIdleListener()
+    {
+        std::array<int, 2> ends {};
+        if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends.data()) != 0)
+            return;
+        idleEnd = ends[1];
+        const detail::object_ptr<GSocket> listening(g_socket_new_from_fd(ends[0], nullptr));
+        if (listening)
+            soup_server_listen_socket(server.get(), listening.get(), SoupServerListenOptions(0), nullptr);
     }
 
     ~impl()
@@ -93,6 +115,7 @@
         g_object_set_data(G_OBJECT(server.get()), implKey, nullptr);
         soup_server_remove_handler(server.get(), nullptr);
         soup_server_disconnect(server.get());
+        ::close(idleEnd);
     }
 
     impl(const impl&) = delete;
@@ -229,6 +252,7 @@
     std::size_t maxBody;
     handler_function handler;
     detail::object_ptr<SoupServer> server;
+    int idleEnd { -1 };
     std::unique_ptr<detail::acceptor> acceptor;
     address bound;
     std::shared_ptr<bool> stopped;
--- a/packages/wire/tests/http_test.cpp
+++ b/packages/wire/tests/http_test.cpp
@@ -92,6 +92,29 @@
     BOOST_TEST(seen[0].query == request.query);
     BOOST_TEST(seen[0].headers.at("x-own") == "value");
     BOOST_TEST(seen[0].body == request.body);
+    const auto head = call({ "HEAD", "/", "", {}, "" });
+    BOOST_REQUIRE(head.has_value());
+    BOOST_TEST(head.value().headers.at("content-length") == "5");
+}
+
+// Guards against a connection that is closed after each request, or closed without a word to the caller.
+BOOST_AUTO_TEST_CASE(connections_are_kept)
+{
+    const auto peer = raw_socket::connectTo(server->local());
+    std::string answers;
+    for (int i = 0; i < 3; ++i) {
+        peer.send("GET /kept HTTP/1.1\r\nHost: a\r\n\r\n");
+        BOOST_REQUIRE(runUntil([&] { return !peer.receiveNow(answers) || answers.ends_with("echo:"); }));
+        BOOST_REQUIRE(answers.ends_with("echo:"));
+        answers.clear();
+    }
+    answerLater = true;
+    peer.send("GET /kept HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_REQUIRE(runUntil([&] { return waiting.size() == 1; }));
+    waiting[0]({ 204, {}, "" });
+    BOOST_REQUIRE(runUntil([&] { return !peer.receiveNow(answers); }));
+    BOOST_TEST(answers.starts_with("HTTP/1.1 204"));
+    BOOST_TEST(answers.find("Connection: close") != std::string::npos);
 }
 
 // Guards against header values that end the header block early, and against headers of another connection.
@@ -154,10 +177,12 @@
 }
 
 // Guards against a cut request that is run.
-BOOST_AUTO_TEST_CASE(cut_request_never_reaches_the_handler)
+BOOST_DATA_TEST_CASE_F(http_fixture, cut_request_never_reaches_the_handler,
+    boost::unit_test::data::make({ "keep-alive", "close" }), connection)
 {
     auto peer = raw_socket::connectTo(server->local());
-    peer.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf");
+    const auto head = std::string("POST / HTTP/1.1\r\nHost: a\r\nConnection: ") + connection;
+    peer.send(head + "\r\nContent-Length: 10\r\n\r\nhalf");
     BOOST_TEST(runUntil([&] { return server->inFlight() == 1; }));
     peer.close();
     BOOST_TEST(runUntil([&] { return server->inFlight() == 0; }));
@@ -235,21 +260,24 @@
 // Guards against a cut response that is handed on as a whole one.
 BOOST_DATA_TEST_CASE_F(http_fixture, cut_response_is_a_failure,
     boost::unit_test::data::make({ "", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10\r\n\r\nhalf",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n",
         "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n" }),
     sent)
 {
-    const auto listening = raw_socket::listenOnLoopback();
-    std::optional<http_result> got;
-    send(listening.local(), post("x"), patience, got);
-    auto peer = acceptRequest(listening);
-    peer.send(sent);
-    peer.close();
-    BOOST_REQUIRE(runUntil([&] { return got.has_value(); }));
-    BOOST_REQUIRE(got->has_error());
-    BOOST_TEST((got->error().verdict == run_verdict::may_have_run));
+    for (const auto use : { connection_use::kept, connection_use::fresh }) {
+        const auto listening = raw_socket::listenOnLoopback();
+        std::optional<http_result> got;
+        client->send(listening.local(), post("x"), patience, use, [&](http_result r) { got.emplace(std::move(r)); });
+        auto peer = acceptRequest(listening);
+        peer.send(sent);
+        peer.close();
+        BOOST_REQUIRE(runUntil([&] { return got.has_value(); }));
+        BOOST_REQUIRE(got->has_error());
+        BOOST_TEST((got->error().verdict == run_verdict::may_have_run));
+    }
 }
 
 // Guards against a chunked body that is decoded wrongly, and against a next response read from the end of this one.
--- a/packages/wire/tests/loop_fixture.h
+++ b/packages/wire/tests/loop_fixture.h
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <glib.h>
 #include <poplardeal/wire/event_loop.h>
 
 namespace poplardeal {
@@ -10,6 +11,9 @@
 struct loop_fixture {
     event_loop loop;
 
+    /// A wrong use of GLib or libsoup ends the test program.
+    loop_fixture() { g_log_set_always_fatal(GLogLevelFlags(G_LOG_LEVEL_CRITICAL | G_LOG_FATAL_MASK)); }
+
     bool runUntil(const std::function<bool()>& done)
     {
         bool expired = false;
