--- a/packages/wire/src/event_loop.cpp
+++ b/packages/wire/src/event_loop.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <csignal>
 #include <glib-unix.h>
+#include <mutex>
 #include <poplardeal/wire/event_loop.h>
 #include <utility>
 #include <vector>
@@ -84,6 +85,24 @@
     GMainLoop* loop;
     detail::object_ptr<GCancellable> shutdown;
     std::vector<GSource*> signals;
+    std::mutex mutex;
+    std::vector<std::function<void()>> posted; ///< Guarded by `mutex`.
+
+    /// Runs what was posted up to now; later posts have their own call.
+    static gboolean runPosted(gpointer data)
+    {
+        auto& self = *static_cast<impl*>(data);
+        if (g_cancellable_is_cancelled(self.shutdown.get()))
+            return G_SOURCE_REMOVE;
+        std::vector<std::function<void()>> taken;
+        {
+            const std::lock_guard lock(self.mutex);
+            taken.swap(self.posted);
+        }
+        for (const auto& function : taken)
+            function();
+        return G_SOURCE_REMOVE;
+    }
 };
 
 struct event_loop::timer::impl {
@@ -121,9 +140,16 @@
 
 void event_loop::post(std::function<void()> function)
 {
+    {
+        const std::lock_guard lock(m_impl->mutex);
+        m_impl->posted.push_back(std::move(function));
+        if (m_impl->posted.size() > 1)
+            return;
+    }
     auto* source = g_idle_source_new();
     g_source_set_priority(source, G_PRIORITY_DEFAULT);
-    detail::attach(*this, source, detail::runOnce, std::move(function));
+    g_source_set_callback(source, impl::runPosted, m_impl.get(), nullptr);
+    g_source_attach(source, m_impl->context);
     g_source_unref(source);
 }
 
