--- a/packages/standins/src/worker.cpp
+++ b/packages/standins/src/worker.cpp
@@ -48,7 +48,7 @@
 } // namespace detail
 
 /// A longer lease would let tasks run on for too long beside their successors.
-static constexpr std::int64_t maxLeaseMs = 3600 * 1000;
+static constexpr std::int64_t maxLeaseMs = std::int64_t { 3600 } * 1000;
 
 struct standin_worker::impl {
     impl(standin_worker_options o, ledger_sink l)
--- a/packages/wire/bench/wire_bench.cpp
+++ b/packages/wire/bench/wire_bench.cpp
@@ -204,6 +204,6 @@
     benchFrames(out);
     benchHttp(out, "kept", connection_use::kept);
     benchHttp(out, "fresh", connection_use::fresh);
-    out.add("wire_bench_peak_cpu", std::chrono::duration<double>(processCpuTime()).count(), "s");
+    out.add("wire_bench_cpu_time", std::chrono::duration<double>(processCpuTime()).count(), "s");
     return 0;
 }
