--- a/packages/daemon/bench/load.h
+++ b/packages/daemon/bench/load.h
@@ -22,13 +22,13 @@
 public:
     loop_thread()
     {
-        std::promise<event_loop*> ready;
-        m_thread = std::thread([&ready] {
+        const auto ready = std::make_shared<std::promise<event_loop*>>();
+        m_thread = std::thread([ready] {
             event_loop own;
-            ready.set_value(&own);
+            ready->set_value(&own);
             own.run();
         });
-        m_loop = ready.get_future().get();
+        m_loop = ready->get_future().get();
     }
     ~loop_thread()
     {
@@ -43,12 +43,13 @@
     /// Runs a function on the loop's thread and waits for it.
     void run(const std::function<void()>& function)
     {
-        std::promise<void> done;
-        m_loop->post([&] {
+        // Shared, because the waiting thread may go on while the other is still within set_value.
+        const auto done = std::make_shared<std::promise<void>>();
+        m_loop->post([done, &function] {
             function();
-            done.set_value();
+            done->set_value();
         });
-        done.get_future().wait();
+        done->get_future().wait();
     }
 
 private:
