--- a/packages/consensus/include/poplardeal/consensus/replica.h
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -26,7 +26,8 @@
     virtual result<void> installSnapshot(std::string_view) = 0;
 };
 
-/// How replicas reach one another and the loop. The functions must not block.
+/// How replicas reach one another and the loop. The functions must not block, and stay callable until the destructor of
+/// the replica has returned.
 struct replica_environment {
     /// Sends an encoded message to another replica; loss is allowed.
     std::function<void(replica_id, std::string)> send;
@@ -85,6 +86,8 @@
     const membership& members() const;
     /// False while this replica has an empty or outdated data folder or is a learner.
     bool mayVote() const;
+    /// True while the disk thread has work whose end has not been reported here.
+    bool isPersisting() const;
     /// Why this replica stopped, if it did: it no longer votes, answers or applies until the process restarts.
     std::optional<failure> failed() const;
 
--- a/packages/consensus/src/replica.cpp
+++ b/packages/consensus/src/replica.cpp
@@ -34,7 +34,7 @@
     void snapshotIfDue();
     void appended(result<log_position>, proposal_callback);
     void abandonProposals(const std::string& reason, std::uint64_t beforeTerm);
-    void noteLeadership();
+    void noteRoleChange();
     void stop(failure);
     void observe(instant now) { latest = std::max(latest, now); }
 
@@ -46,9 +46,13 @@
     std::uint64_t applied { 0 };
     std::uint64_t snapshotIndex { 0 };
     std::map<std::uint64_t, pending_proposal> proposals; ///< By index.
+    std::uint64_t requestedNumber { 0 }; ///< Last batch given to the disk thread.
+    std::uint64_t requestedSnapshot { 0 }; ///< Last own snapshot given to the disk thread.
+    detail::disk_report lastReport;
     bool flushScheduled { false };
     bool flushing { false };
     bool wasLeader { false };
+    bool wasVoter { false };
     std::uint64_t leaderTerm { 0 };
     std::optional<failure> stopReason;
     std::unique_ptr<detail::disk_worker<log_store>> disk;
@@ -117,6 +121,7 @@
         return;
     if (report.failed)
         return stop(*report.failed);
+    lastReport = report;
     node.persisted(report.durableNumber, latest);
     flush();
 }
@@ -149,7 +154,7 @@
     flushing = true;
     carryOut(node.takeReady(latest));
     flushing = false;
-    noteLeadership();
+    noteRoleChange();
     snapshotIfDue();
 }
 
@@ -162,8 +167,10 @@
         applied = ready.install->index;
         snapshotIndex = applied;
     }
-    if (!ready.persist.empty())
+    if (!ready.persist.empty()) {
+        requestedNumber = ready.persist.number;
         disk->persist(std::move(ready.persist));
+    }
     for (const auto& message : ready.messages)
         environment.send(message.to, detail::encodeMessage(message));
     for (const auto& entry : ready.committed)
@@ -198,6 +205,7 @@
     taken->data = machine.takeSnapshot();
     snapshotIndex = applied;
     node.compact(taken);
+    requestedSnapshot = applied;
     disk->saveSnapshot(taken);
 }
 
@@ -222,8 +230,12 @@
         done(failure { failure_code::unavailable, reason });
 }
 
-void replica::impl::noteLeadership()
+void replica::impl::noteRoleChange()
 {
+    if (std::exchange(wasVoter, node.mayVote()) != node.mayVote()) {
+        logEvent(log_level::info, wasVoter ? "replica_may_vote" : "replica_may_not_vote",
+            { { "replica", options.self.value() }, { "term", node.term() }, { "applied", applied } });
+    }
     const bool leads = node.isLeader();
     const bool changed = leads != wasLeader || (leads && node.term() != leaderTerm);
     if (!changed)
@@ -245,7 +257,7 @@
         { { "replica", options.self.value() }, { "code", toString(reason.code) }, { "reason", reason.message } });
     abandonProposals("the replica stopped: " + reason.message, std::numeric_limits<std::uint64_t>::max());
     if (environment.stopped)
-        environment.stopped(reason);
+        environment.post([stopped = environment.stopped, reason = std::move(reason)] { stopped(reason); });
 }
 
 replica::replica(std::shared_ptr<impl> made)
@@ -265,7 +277,7 @@
     m_impl->observe(now);
     if (m_impl->stopReason)
         return;
-    m_impl->node.tick(now);
+    m_impl->node.tick(m_impl->latest);
     m_impl->flush();
 }
 
@@ -279,7 +291,7 @@
         logEvent(log_level::warning, "replica_message_refused", { { "from", from.value() } });
         return;
     }
-    m_impl->node.receive(decoded.value(), now);
+    m_impl->node.receive(decoded.value(), m_impl->latest);
     m_impl->flush();
 }
 
@@ -288,7 +300,7 @@
     m_impl->observe(now);
     if (m_impl->stopReason)
         return done(failure { failure_code::not_leader, "the replica stopped: " + m_impl->stopReason->message });
-    m_impl->appended(m_impl->node.propose(std::move(payload), now), std::move(done));
+    m_impl->appended(m_impl->node.propose(std::move(payload), m_impl->latest), std::move(done));
 }
 
 void replica::changeMembership(membership members, instant now, proposal_callback done)
@@ -296,7 +308,7 @@
     m_impl->observe(now);
     if (m_impl->stopReason)
         return done(failure { failure_code::not_leader, "the replica stopped: " + m_impl->stopReason->message });
-    m_impl->appended(m_impl->node.proposeMembership(std::move(members), now), std::move(done));
+    m_impl->appended(m_impl->node.proposeMembership(std::move(members), m_impl->latest), std::move(done));
 }
 
 bool replica::isLeader() const { return !m_impl->stopReason && m_impl->node.isLeader(); }
@@ -310,6 +322,14 @@
 std::uint64_t replica::appliedIndex() const { return m_impl->applied; }
 const membership& replica::members() const { return m_impl->node.members(); }
 bool replica::mayVote() const { return !m_impl->stopReason && m_impl->node.mayVote(); }
+bool replica::isPersisting() const
+{
+    const auto& reported = m_impl->lastReport;
+    const bool done
+        = reported.durableNumber == m_impl->requestedNumber && reported.snapshotIndex == m_impl->requestedSnapshot;
+    return !m_impl->stopReason && !done;
+}
+
 std::optional<failure> replica::failed() const { return m_impl->stopReason; }
 
 bool replica::transferLeadership(instant now)
@@ -317,7 +337,7 @@
     m_impl->observe(now);
     if (m_impl->stopReason)
         return false;
-    const bool started = m_impl->node.transferLeadership(now);
+    const bool started = m_impl->node.transferLeadership(m_impl->latest);
     m_impl->flush();
     return started;
 }
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -5,6 +5,7 @@
 #include "gang_search.h"
 #include "records.h"
 #include "shape_packer.h"
+#include "vacate_search.h"
 #include <deque>
 #include <nlohmann/json_fwd.hpp>
 #include <poplardeal/placement/scheduler.h>
@@ -18,13 +19,24 @@
 /// Tasks, cores, memory, accelerators, scope, and whether lower priorities may be preempted.
 using demand_key = std::tuple<std::int64_t, std::int64_t, std::int64_t, std::int64_t, scope, bool>;
 
+enum class placement_policy {
+    guarantees,
+    first_fit_fifo,
+};
+
 /// State and rules of the scheduler.
 class scheduler_core {
 public:
+    explicit scheduler_core(placement_policy policy = placement_policy::guarantees)
+        : m_policy(policy)
+    {
+    }
+
     std::vector<placement_command> apply(const placement_event&, instant now);
     std::optional<instant> nextDeadline() const;
     bool mayStart(const task_id&, lease_id) const;
     std::vector<placement_command> outstandingCommands(const worker_id&) const;
+    std::vector<task_placement> tasksOn(const worker_id&) const;
     std::optional<job_status> job(job_id) const;
     std::vector<job_status> jobs() const;
     std::vector<guarantee_status> guarantees() const;
@@ -70,7 +82,7 @@
     void endJob(job_record&, job_phase, const std::string& reason);
     void cancel(job_record&);
     void fireTimers();
-    void fire(timer_kind, std::uint64_t subject);
+    void fire(instant due, timer_kind, std::uint64_t subject);
     void onPrepareLate(job_record&);
     void onStartLate(job_record&);
     void onStopLate(job_record&);
@@ -85,7 +97,7 @@
     bool activateClaim(job_record&);
     void dropClaim(job_record&);
     void reviewClaims();
-    void vacate(const std::vector<job_number>& victims, const job_record& successor);
+    void vacate(const std::vector<job_number>& victims, const std::string& reason);
 
     // preemption.cpp
     bool isLeaving(const lease_record&) const;
@@ -93,11 +105,21 @@
     std::int64_t remainingWork(const lease_record&) const;
     bool claimGuarantee(job_record&);
     bool claimByPreemption(job_record&);
+    bool avoidsWorker(const job_record&, std::uint32_t worker) const;
     void drainFor(job_record&);
+    std::vector<task_spot> findDrainable(const job_record&, bool onReserved) const;
     bool claimDrained(job_record&);
     void endDrain(job_record&);
     std::vector<job_number> jobsOf(const std::vector<lease_number>&) const;
 
+    // consolidation.cpp
+    bool claimByConsolidation(job_record&);
+    void compact();
+    bool isMovable(const lease_record&, std::int64_t size) const;
+    bool canRehost(const std::vector<lease_number>&, const std::vector<task_spot>& without, std::int64_t size) const;
+    std::vector<vacatable_worker> movableWorkers(std::int64_t size, const job_record* successor) const;
+    std::int64_t largestBlock() const;
+
     // guarantees.cpp
     using cell_map = std::map<std::uint32_t, accelerator_mask>;
     void rebuildReservations();
@@ -137,6 +159,11 @@
     wait_view waitView() const;
     std::string waitReason(const job_record&, const wait_view&) const;
 
+    // first_fit.cpp
+    std::vector<task_spot> fillInOrder(const job_record&, const std::vector<std::uint32_t>& workers) const;
+    std::vector<task_spot> firstFit(const job_record&) const;
+    void placeInOrder();
+
     // feasibility.cpp
     /// Empty if the job could run on the empty cluster, otherwise why it never can.
     std::string neverRuns(const workspace_record&, const job_template&) const;
@@ -149,6 +176,7 @@
     job_record* findJob(job_number);
     lease_record* findLease(const task_id&, lease_id);
 
+    placement_policy m_policy;
     instant m_now;
     std::vector<placement_command> m_out;
     std::vector<worker_pool> m_pools;
@@ -172,6 +200,8 @@
     std::int64_t m_searches { 0 };
     instant m_nextReview;
     instant m_nextRepack;
+    instant m_nextConsolidation;
+    instant m_nextCompaction;
 
     std::vector<reservation> m_reservations;
     std::set<std::tuple<job_priority, instant, job_number>> m_claiming;
--- a/packages/wire/include/poplardeal/wire/settings.h
+++ b/packages/wire/include/poplardeal/wire/settings.h
@@ -28,7 +28,7 @@
 
 struct control_settings {
     replica_id replica;
-    bool bootstrap { false }; ///< An empty data folder starts a new group instead of joining as a learner.
+    bool bootstrap { false }; ///< Set by the command line only: an empty data folder starts a new group.
     std::string dataFolder;
     address listen; ///< Frames.
     address http;
@@ -84,4 +84,7 @@
 ///     controls = ["127.0.0.1:7001", "127.0.0.1:7002", "127.0.0.1:7003"]
 result<daemon_settings> readSettings(const std::string& path);
 
+/// The same from a text; `source` stands for FILE in messages.
+result<daemon_settings> parseSettings(const std::string& text, const std::string& source);
+
 } // namespace poplardeal
--- a/packages/wire/src/http_client.cpp
+++ b/packages/wire/src/http_client.cpp
@@ -37,6 +37,7 @@
 
         static void onStarting(SoupMessage*, gpointer self) { static_cast<client_call*>(self)->m_sending = true; }
         static void onRestarted(SoupMessage*, gpointer self);
+        static void onGotBody(SoupMessage*, gpointer);
         void finishSend(SoupSession*, GAsyncResult*);
         void openBody();
         void readBody();
@@ -70,6 +71,7 @@
         });
         g_signal_connect(m_message.get(), "starting", G_CALLBACK(onStarting), this);
         g_signal_connect(m_message.get(), "restarted", G_CALLBACK(onRestarted), this);
+        g_signal_connect(m_message.get(), "got-body", G_CALLBACK(onGotBody), this);
         const auto finish = [](GObject* source, GAsyncResult* result, gpointer data) {
             take(data)->finishSend(SOUP_SESSION(source), result);
         };
@@ -82,6 +84,14 @@
         g_cancellable_cancel(static_cast<client_call*>(self)->m_cancellable.get());
     }
 
+    /// libsoup reacts to 421 by sending the request again on a new connection. Its handler is connected after this one
+    /// and is kept from running: the response names the leader and belongs to the caller.
+    void client_call::onGotBody(SoupMessage* message, gpointer)
+    {
+        if (soup_message_get_status(message) == SOUP_STATUS_MISDIRECTED_REQUEST)
+            g_signal_stop_emission_by_name(message, "got-body");
+    }
+
     void client_call::abandon()
     {
         m_done = nullptr;
@@ -267,10 +277,10 @@
 namespace detail {
 
     /// Reports a request that cannot be sent, later, because `done` is never called from within `send`.
-    static void refuseLater(event_loop& loop, const std::shared_ptr<bool>& alive, client_call::done_handler done)
+    static void refuseLater(
+        event_loop& loop, const std::shared_ptr<bool>& alive, failure cause, client_call::done_handler done)
     {
-        loop.post([client = std::weak_ptr<bool>(alive), done = std::move(done)] {
-            const failure cause { failure_code::invalid_argument, "malformed method, path or query" };
+        loop.post([client = std::weak_ptr<bool>(alive), cause = std::move(cause), done = std::move(done)] {
             if (!client.expired())
                 done(http_failure { cause, run_verdict::not_run });
         });
@@ -303,7 +313,13 @@
 {
     const auto uri = detail::makeUri(server, request);
     if (!uri || !detail::isToken(request.method)) {
-        detail::refuseLater(m_impl->loop, m_impl->alive, std::move(done));
+        failure malformed { failure_code::invalid_argument, "malformed method, path or query" };
+        detail::refuseLater(m_impl->loop, m_impl->alive, std::move(malformed), std::move(done));
+        return;
+    }
+    if (m_impl->calls.size() >= maxPending) {
+        failure full { failure_code::overloaded, "too many requests under way" };
+        detail::refuseLater(m_impl->loop, m_impl->alive, std::move(full), std::move(done));
         return;
     }
     detail::object_ptr<SoupMessage> message(soup_message_new_from_uri(request.method.c_str(), uri.get()));
--- a/packages/wire/src/settings.cpp
+++ b/packages/wire/src/settings.cpp
@@ -69,11 +69,9 @@
 
     static control_settings readControl(const toml::table& table, settings_faults& faults)
     {
-        const settings_table section(
-            table, "control.", { "replica", "bootstrap", "data_folder", "listen", "http", "peer" }, faults);
+        const settings_table section(table, "control.", { "replica", "data_folder", "listen", "http", "peer" }, faults);
         control_settings control;
         control.replica = replica_id(section.number("replica", 1, maxReplica));
-        control.bootstrap = section.flag("bootstrap");
         control.dataFolder = section.text("data_folder");
         if (!isFolder(control.dataFolder))
             section.fault("data_folder", "folder '" + control.dataFolder + "' does not exist");
@@ -176,9 +174,14 @@
     const auto text = detail::readFile(path);
     if (!text)
         return failure { failure_code::io_error, path + ":1: file: cannot be read or is empty" };
-    detail::settings_faults faults(path);
+    return parseSettings(*text, path);
+}
+
+result<daemon_settings> parseSettings(const std::string& text, const std::string& source)
+{
+    detail::settings_faults faults(source);
     try {
-        const auto table = toml::parse(*text, path);
+        const auto table = toml::parse(text, source);
         auto settings = detail::readRoot(table, faults);
         if (!faults.first())
             return settings;
