Serve health, status and metrics of the endpoint sidecar; keep overloaded endpoints off probation

Change: a late call counts only if the endpoint has answered nobody since it was sent. The sidecar's http setting is honoured.

--- a/packages/daemon/include/poplardeal/daemon/endpoint_sidecar.h
+++ b/packages/daemon/include/poplardeal/daemon/endpoint_sidecar.h
@@ -2,7 +2,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <poplardeal/base/failure.h>
+#include <poplardeal/wire/address.h>
 #include <poplardeal/wire/event_loop.h>
 #include <poplardeal/wire/settings.h>
 
@@ -15,7 +17,7 @@
 ///     loop.run();
 class endpoint_sidecar {
 public:
-    /// `invalid_argument` if the settings name no runner.
+    /// `invalid_argument` if the settings are those of another role, `io_error` if `http` cannot be bound.
     static result<std::unique_ptr<endpoint_sidecar>> start(event_loop&, const daemon_settings&);
     ~endpoint_sidecar();
     endpoint_sidecar(const endpoint_sidecar&) = delete;
@@ -25,6 +27,9 @@
     /// calls `done`.
     void stop(std::function<void()> done);
 
+    /// Where health, status and metrics are served; nothing if the settings name no address for it.
+    std::optional<address> httpAddress() const;
+
 private:
     struct impl;
     explicit endpoint_sidecar(std::unique_ptr<impl>);
--- a/packages/daemon/src/endpoint_sidecar.cpp
+++ b/packages/daemon/src/endpoint_sidecar.cpp
@@ -1,5 +1,6 @@
 #include "process/control_links.h"
 #include "process/role_options.h"
+#include "process/sidecar_report.h"
 #include "request/message_forms.h"
 #include "request/request_runner.h"
 
@@ -41,8 +42,15 @@
     {
     }
 
-    void start()
+    result<void> start()
     {
+        if (settings.http) {
+            const auto report = [this](const http_request& request, const http_responder& respond) {
+                respond(detail::reportSidecar(request.path, reportedState(), runner, controls));
+            };
+            BOOST_OUTCOME_TRY(opened, http_server::open(loop, *settings.http, maxControlBody, report));
+            http = std::move(opened);
+        }
         controls.onDeployment([this](const detail::deployment_in_force& deployment) {
             isOutOfService = deployment.outOfService.contains(data_centre_name(settings.dataCentre));
             announceAll();
@@ -54,6 +62,14 @@
             link.connection->start();
         controls.start();
         announceTimer = loop.every(detail::announcePeriod, [this] { announceAll(); });
+        return success();
+    }
+
+    bool isServing() const { return !isStopping && !isOutOfService && runner.isReachable(); }
+
+    detail::sidecar_state reportedState() const
+    {
+        return { settings.name, isServing(), isStopping, droppedAnswers, malformedFrames };
     }
 
     void addEntry(const address& entry)
@@ -131,10 +147,9 @@
     announcement currentState()
     {
         const auto& limiter = runner.limiter();
-        const bool isServing = !isStopping && !isOutOfService && runner.isReachable();
         return { endpoint_id(settings.name), service_name(settings.service), data_centre_name(settings.dataCentre),
-            process, ++sequence, isServing ? endpoint_state::serving : endpoint_state::draining, settings.limits.slots,
-            limiter.freeSlots(), limiter.queued() };
+            process, ++sequence, isServing() ? endpoint_state::serving : endpoint_state::draining,
+            settings.limits.slots, limiter.freeSlots(), limiter.queued() };
     }
 
     void announceTo(detail::entry_link& link)
@@ -223,6 +238,7 @@
     bool isRefusing { false };
     bool isLeaving { false };
     std::function<void()> done;
+    std::unique_ptr<http_server> http;
     event_loop::timer announceTimer;
     event_loop::timer refuseTimer;
     event_loop::timer goodbyeTimer;
@@ -239,10 +255,15 @@
 {
     BOOST_OUTCOME_TRY(own, detail::sidecarOptions(settings));
     auto started = std::make_unique<impl>(loop, std::move(own));
-    started->start();
+    BOOST_OUTCOME_TRY(started->start());
     return std::unique_ptr<endpoint_sidecar>(new endpoint_sidecar(std::move(started)));
 }
 
 void endpoint_sidecar::stop(std::function<void()> done) { m_impl->stop(std::move(done)); }
 
+std::optional<address> endpoint_sidecar::httpAddress() const
+{
+    return m_impl->http ? std::optional(m_impl->http->local()) : std::nullopt;
+}
+
 } // namespace poplardeal
--- a/packages/daemon/src/process/entry_report.cpp
+++ b/packages/daemon/src/process/entry_report.cpp
@@ -1,7 +1,6 @@
 #include "process/entry_report.h"
 
-#include <utility>
-#include <vector>
+#include <poplardeal/base/metrics.h>
 
 namespace poplardeal::detail {
 
@@ -45,7 +44,7 @@
 {
     const auto& calls = router.counts();
     const auto& links = router.links().counts();
-    const std::vector<std::pair<const char*, std::uint64_t>> counters {
+    auto text = exposeCounters({
         { "poplardeal_entry_requests_accepted_total", calls.accepted },
         { "poplardeal_entry_requests_refused_total", calls.refused },
         { "poplardeal_entry_requests_ran_total", calls.ran },
@@ -60,14 +59,20 @@
         { "poplardeal_entry_connections_refused_total", links.refusedConnections },
         { "poplardeal_entry_settles_dropped_total", controls.droppedSettles() },
         { "poplardeal_entry_frame_bytes_total", router.links().bytesTransferred() + controls.bytesTransferred() },
-    };
-    std::string text;
+    });
+    text += "# TYPE poplardeal_entry_requests_in_flight gauge\n";
+    text += "poplardeal_entry_requests_in_flight " + std::to_string(router.inFlight()) + "\n";
+    return text;
+}
+
+std::string exposeCounters(const std::vector<std::pair<const char*, std::uint64_t>>& counters)
+{
+    // An empty registry still gives the CPU time and memory of the process.
+    auto text = metrics_registry().exposition();
     for (const auto& [name, value] : counters) {
         text += std::string("# TYPE ") + name + " counter\n";
         text += std::string(name) + " " + std::to_string(value) + "\n";
     }
-    text += "# TYPE poplardeal_entry_requests_in_flight gauge\n";
-    text += "poplardeal_entry_requests_in_flight " + std::to_string(router.inFlight()) + "\n";
     return text;
 }
 
@@ -79,7 +84,7 @@
 
 http_response textResponse(std::string body)
 {
-    return { 200, { { "content-type", "text/plain; version=0.0.4" } }, std::move(body) };
+    return { 200, { { "content-type", metrics_registry::contentType } }, std::move(body) };
 }
 
 http_response stoppingResponse()
--- a/packages/daemon/tests/request_path_fixture.h
+++ b/packages/daemon/tests/request_path_fixture.h
@@ -242,6 +242,7 @@
         settings.sidecar->service = service_name("desk");
         settings.sidecar->target = runner;
         settings.sidecar->entries = entryFrames;
+        settings.sidecar->http = anyPort;
         sidecars.push_back(std::move(endpoint_sidecar::start(loop, settings).value()));
         return *sidecars.back();
     }
--- a/packages/daemon/tests/request_path_test.cpp
+++ b/packages/daemon/tests/request_path_test.cpp
@@ -144,6 +144,31 @@
     BOOST_TEST(answer->body == "late");
 }
 
+// Guards against a sidecar whose state operators cannot see, or whose health check stays good while it stops.
+BOOST_AUTO_TEST_CASE(sidecar_reports_its_state)
+{
+    fake_runner runner(loop);
+    auto& entry = startEntry();
+    auto& sidecar = startSidecar("e1", runner.local(), { entry.frameAddress() });
+    awaitEndpoints(entry, 1);
+    call(entry, makeCall("a"));
+    std::map<std::string, http_response> reports;
+    const auto read = [&](const std::string& path) {
+        reports.erase(path);
+        client.send(*sidecar.httpAddress(), { "GET", path, {}, {}, {} }, std::chrono::minutes(1),
+            [&, path](const http_result& answer) { reports[path] = answer.value(); });
+        runUntil([&] { return reports.contains(path); });
+        return reports[path];
+    };
+    BOOST_TEST(read("/healthz").status == 200);
+    BOOST_TEST(read("/v1/status").body.find("\"state\":\"serving\"") != std::string::npos);
+    BOOST_TEST(read("/metrics").body.find("poplardeal_sidecar_requests_started_total 1\n") != std::string::npos);
+    bool isStopped = false;
+    sidecar.stop([&] { isStopped = true; });
+    BOOST_TEST(read("/healthz").status == 503);
+    runUntil([&] { return isStopped; });
+}
+
 // Guards against a promise that a request did not run when the runner may have got it, and against the reverse.
 BOOST_AUTO_TEST_CASE(verdicts_are_certain)
 {
--- a/packages/routing/include/poplardeal/routing/endpoint_choice.h
+++ b/packages/routing/include/poplardeal/routing/endpoint_choice.h
@@ -57,7 +57,7 @@
         instant seenUntil; ///< Requests sent up to here are part of the report.
         std::vector<instant> inFlight;
         double latency { 0 }; ///< Moving average over good calls, in microseconds.
-        instant latencyAt;
+        instant latencyAt; ///< Time of the last good answer.
     };
     using candidates = std::vector<const endpoint_record*>;
 
--- a/packages/routing/include/poplardeal/routing/outlier.h
+++ b/packages/routing/include/poplardeal/routing/outlier.h
@@ -12,7 +12,8 @@
     ok,
     overloaded, ///< Refused for lack of room. Says nothing about the health of the endpoint.
     failed, ///< Error answer or lost connection.
-    late, ///< No answer by the caller's deadline. Counts as failed if that was far beyond the usual time.
+    late, ///< No answer by the caller's deadline. The chooser counts it as failed if the endpoint gave no answer
+          ///< for far longer than usual.
 };
 
 struct outlier_settings {
--- a/packages/routing/src/endpoint_choice.cpp
+++ b/packages/routing/src/endpoint_choice.cpp
@@ -72,10 +72,13 @@
 
 void endpoint_chooser::finished(const endpoint_id& endpoint, call_result result, instant sentAt, instant now)
 {
-    if (result == call_result::late && isFarBeyondUsual(now - sentAt))
+    const auto found = m_loads.find(endpoint);
+    // An endpoint that has answered others in the meantime is overloaded, not broken. Probation of overloaded endpoints
+    // would take their capacity away when it is needed most.
+    const bool hasAnswered = found != m_loads.end() && found->second.latencyAt > sentAt;
+    if (result == call_result::late && !hasAnswered && isFarBeyondUsual(now - sentAt))
         result = call_result::failed;
     m_outliers.record(endpoint, result, now);
-    const auto found = m_loads.find(endpoint);
     if (found == m_loads.end())
         return;
     auto& state = found->second;
--- a/packages/routing/tests/endpoint_choice_test.cpp
+++ b/packages/routing/tests/endpoint_choice_test.cpp
@@ -205,6 +205,18 @@
     return std::ranges::max_element(calls, {}, [](const auto& item) { return item.second; })->second;
 }
 
+// Guards against probation of an overloaded endpoint, which answers some requests while others wait in vain.
+BOOST_AUTO_TEST_CASE(late_calls_beside_good_ones_are_no_fault)
+{
+    fixture entry;
+    entry.announce("e1", "kariakoo", 8, at(0));
+    for (int i = 0; i < 10; ++i) {
+        entry.call(call_result::ok, at(i * 100), at(i * 100 + 90));
+        entry.call(call_result::late, at(i * 100 - 1000), at(i * 100 + 95));
+    }
+    BOOST_TEST((entry.chooser.standing(endpoint_id("e1"), at(2000)) == outlier_detector::standing::healthy));
+}
+
 // Guards against entries that hold the same reports and all choose the same endpoint. If each took the endpoint with
 // most free slots, e3 would get the first request of each.
 BOOST_AUTO_TEST_CASE(entries_with_equal_reports_do_not_herd)
