--- a/packages/deployment/src/diff.cpp
+++ b/packages/deployment/src/diff.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <map>
 #include <poplardeal/deployment/diff.h>
-#include <sstream>
 #include <utility>
 
 namespace poplardeal {
@@ -17,12 +16,8 @@
         std::vector<field> fields;
     };
 
-    template <class T> static std::string text(const T& value)
-    {
-        std::ostringstream out;
-        out << value;
-        return out.str();
-    }
+    static std::string text(std::int64_t value) { return std::to_string(value); }
+    template <class Tag> static std::string text(quantity<Tag> value) { return std::to_string(value.count()); }
 
     static void addResources(std::vector<field>& fields, const resources& amount)
     {
