Show the extent of each job in the Chrome trace

The logs of the daemons hold no pairs of started and finished events, so that the trace of a job had no span at all. Each job now has a span from its first to its last event in each process.

--- a/packages/client/src/job_verbs.cpp
+++ b/packages/client/src/job_verbs.cpp
@@ -161,7 +161,9 @@
     const auto answer = control.value()->order("/v1/jobs/" + id + "/cancel", orderBody(call));
     if (answer.verdict != run_verdict::ran)
         return reportFailure(call, answer, "See poplardeal status " + id + ".");
-    call.out << (call.flags.json ? jsonLine(answer.body) : "job " + id + " is cancelled") << "\n";
+    call.out << (call.flags.json ? jsonLine(answer.body)
+                                 : "the cancellation of job " + id + " is accepted; see poplardeal status " + id)
+             << "\n";
     return exit_code::done;
 }
 
--- a/packages/client/src/timeline.h
+++ b/packages/client/src/timeline.h
@@ -49,8 +49,9 @@
 std::string timelineText(const std::vector<timeline_event>&);
 nlohmann::json timelineJson(const std::vector<timeline_event>&);
 
-/// Chrome trace event format: a process for each process, an instant for each event, and a span from each event
-/// NAME_started to the next event of the same task, job or request that ends it.
+/// Chrome trace event format: a process for each process, an instant for each event, and a span from the first
+/// to the last event of each job in a process, and one from each event NAME_started to the event of the same task, job
+/// or request that ends it.
 std::string chromeTrace(const std::vector<timeline_event>&);
 
 /// A page without outside parts, with a lane for each process.
--- a/packages/client/tests/timeline_test.cpp
+++ b/packages/client/tests/timeline_test.cpp
@@ -91,9 +91,14 @@
     }
     BOOST_TEST(instants == 6u);
     BOOST_TEST((processes == std::vector<std::string> { "control-1 (kariakoo)", "sidecar-1 (ubungo)" }));
-    BOOST_REQUIRE(spans.size() == 1u);
+    BOOST_REQUIRE(spans.size() == 3u);
     BOOST_TEST(spans[0]["name"] == "task 17.0.1");
     BOOST_TEST(spans[0]["dur"] == 500'000);
+    BOOST_TEST(spans[1]["name"] == "job 17");
+    BOOST_TEST(spans[1]["dur"] == 1'000'000);
+    BOOST_TEST(spans[2]["name"] == "job 17");
+    BOOST_TEST(spans[2]["dur"] == 500'000);
+    BOOST_TEST(spans[1]["pid"] != spans[2]["pid"]);
 }
 
 // Guards against a log field that ends the page's script, and against parts that are loaded from elsewhere.
