--- a/packages/placement/src/archive.h
+++ b/packages/placement/src/archive.h
@@ -35,7 +35,7 @@
             return value;
         else if constexpr (std::is_same_v<T, instant>)
             return toMicros(value);
-        else if constexpr (requires { typename T::period; })
+        else if constexpr (requires { value.count(); })
             return static_cast<std::int64_t>(value.count());
         else if constexpr (requires { typename T::rep; })
             return value.value();
@@ -45,8 +45,6 @@
             return encodeRange(value);
         else if constexpr (requires { std::tuple_size<T>::value; })
             return std::apply([](const auto&... members) { return encodeAll(members...); }, value);
-        else if constexpr (requires { value.count(); })
-            return value.count();
         else {
             state_writer inner;
             describeFields(inner, const_cast<T&>(value));
@@ -93,7 +91,7 @@
             value = from.get<T>();
         else if constexpr (std::is_same_v<T, instant>)
             value = instantFromMicros(from.get<std::int64_t>());
-        else if constexpr (requires { typename T::period; })
+        else if constexpr (requires { value.count(); })
             value = T(from.get<std::int64_t>());
         else if constexpr (requires { typename T::rep; })
             value = T(from.get<typename T::rep>());
@@ -103,8 +101,6 @@
             decodeRange(from, value);
         else if constexpr (requires { std::tuple_size<T>::value; })
             std::apply([&](auto&... members) { decodeAll(from, members...); }, value);
-        else if constexpr (requires { value.count(); })
-            value = T(from.get<std::int64_t>());
         else {
             state_reader inner(from);
             describeFields(inner, value);
--- a/packages/placement/src/guarantees.cpp
+++ b/packages/placement/src/guarantees.cpp
@@ -198,7 +198,7 @@
         if (!job.leases.empty() && job.phase != job_phase::stopping && mayUseGuarantee(job.spec))
             candidates.push_back(&job);
     }
-    std::ranges::stable_partition(candidates, isSecured);
+    std::stable_partition(candidates.begin(), candidates.end(), isSecured);
     std::map<workspace_name, cell_map> cellsOf;
     std::map<std::pair<workspace_name, std::uint32_t>, resources> used;
     for (const auto* job : candidates) {
--- a/packages/placement/src/queue.cpp
+++ b/packages/placement/src/queue.cpp
@@ -94,7 +94,7 @@
 {
     const auto declared = std::max<std::int64_t>(job.spec.runTime.count(), 1'000'000);
     const auto actual = (m_now - job.attemptStartedAt).count();
-    const auto ratio = std::clamp<std::int64_t>(actual * 16 / declared * 64, 1, 1024 * 100);
+    const auto ratio = std::clamp<std::int64_t>(actual * 16 / declared * 64, 1, std::int64_t { 102'400 });
     auto [entry, isNew] = m_runTimeRatios.emplace(job_group_key { job.workspace, job.spec.name }, ratio);
     if (!isNew)
         entry->second = (entry->second * 3 + ratio) / 4;
@@ -255,6 +255,7 @@
         auto leases = job.leases;
         if (activateClaim(job)) {
             std::vector<task_spot> spots;
+            spots.reserve(leases.size());
             for (const auto number : leases)
                 spots.push_back(m_leases.at(number).spot);
             takeStartTokens(spots);
--- a/packages/wire/include/poplardeal/wire/http.h
+++ b/packages/wire/include/poplardeal/wire/http.h
@@ -88,8 +88,8 @@
     http_client& operator=(const http_client&) = delete;
 
     /// Calls `done` once, never from within `send`; a failure has code `timed_out`, `unavailable`, `too_large`,
-    /// `corrupt`, `overloaded` or `invalid_argument`. GET, HEAD and OPTIONS requests without `idempotency-key` use a kept connection, others a
-    /// fresh one.
+    /// `corrupt`, `overloaded` or `invalid_argument`. GET, HEAD and OPTIONS requests without `idempotency-key` use a
+    /// kept connection, others a fresh one.
     void send(const address& server, http_request, duration timeout, std::function<void(http_result)> done);
     void send(
         const address& server, http_request, duration timeout, connection_use, std::function<void(http_result)> done);
