--- a/packages/placement/src/records.h
+++ b/packages/placement/src/records.h
@@ -31,7 +31,11 @@
     std::int64_t blocks { 1 };
     std::int64_t blockAccelerators { 1 };
     scope within { scope::rack };
-    friend auto operator<=>(const shape_instance&, const shape_instance&) = default;
+    friend bool operator==(const shape_instance&, const shape_instance&) = default;
+    friend bool operator<(const shape_instance& a, const shape_instance& b)
+    {
+        return std::tie(a.blocks, a.blockAccelerators, a.within) < std::tie(b.blocks, b.blockAccelerators, b.within);
+    }
 };
 
 enum class lease_state {
