--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BUILD ?= build
 
-.PHONY: all deps configure build test demo bench style format clean
+.PHONY: all deps configure build test demo faults bench capacity style format clean
 
 all: build
 
@@ -20,6 +20,12 @@
 demo: build
 	@scripts/demo $(BUILD)
 
+faults: build
+	@scripts/faults $(BUILD)
+
+capacity: build
+	@scripts/measure-capacity $(BUILD)
+
 bench: build
 	@scripts/run-benches $(BUILD)
 
