--- a/packages/placement/src/consolidation.cpp
+++ b/packages/placement/src/consolidation.cpp
@@ -87,6 +87,12 @@
     return count <= 0;
 }
 
+/// The search for a move looks at all workers, so larger clusters search less often.
+duration scheduler_core::moveInterval(duration shortest) const
+{
+    return shortest * std::max<std::int64_t>(std::ssize(m_cluster.workers()) / workersPerMoveInterval, 1);
+}
+
 /// Moves single small borrowers into free fragments elsewhere if that opens a block for the job.
 bool scheduler_core::claimByConsolidation(job_record& job)
 {
@@ -123,7 +129,7 @@
 {
     if (m_now < m_nextCompaction)
         return;
-    m_nextCompaction = m_now + compactionInterval;
+    m_nextCompaction = m_now + moveInterval(compactionInterval);
     const auto size = largestBlock();
     if (size < 2 || size > maxAccelerators || !hasFreeAccelerators(size))
         return;
--- a/packages/placement/src/queue.cpp
+++ b/packages/placement/src/queue.cpp
@@ -287,7 +287,7 @@
         = [&](const waiting_group& group) { heads.insert(passEntry(m_jobs.at(group.jobs.begin()->second))); };
     if (m_reviewDue || m_placementDue) {
         if (m_nextConsolidation <= m_now) {
-            m_nextConsolidation = m_now + consolidationInterval;
+            m_nextConsolidation = m_now + moveInterval(consolidationInterval);
             m_consolidationDue = true;
             m_reviewDue = true;
         }
--- a/packages/placement/src/scheduler_core.h
+++ b/packages/placement/src/scheduler_core.h
@@ -126,6 +126,7 @@
     // consolidation.cpp
     bool claimByConsolidation(job_record&);
     void compact();
+    duration moveInterval(duration shortest) const;
     bool hasFreeAccelerators(std::int64_t count) const;
     bool isMovable(const lease_record&, std::int64_t size) const;
     bool canRehost(const std::vector<lease_number>&, const std::vector<task_spot>& without, std::int64_t size) const;
--- a/packages/placement/src/scheduler_limits.h
+++ b/packages/placement/src/scheduler_limits.h
@@ -58,6 +58,7 @@
 /// waited and they ran for some time since they started. A move costs a checkpoint and a restart.
 constexpr duration consolidationInterval = 10s;
 constexpr duration compactionInterval = 10s;
+constexpr std::int64_t workersPerMoveInterval = 128;
 constexpr duration minWaitForConsolidation = 30s;
 constexpr duration minRunBeforeMove = 2min;
 
