--- a/packages/base/include/poplardeal/base/ids.h
+++ b/packages/base/include/poplardeal/base/ids.h
@@ -48,6 +48,8 @@
     std::uint32_t index { 0 };
     std::uint32_t attempt { 1 };
 
+    // The check takes a defaulted <=> for a comparison with 0.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const task_id&, const task_id&) = default;
 };
 
--- a/packages/base/include/poplardeal/base/strong.h
+++ b/packages/base/include/poplardeal/base/strong.h
@@ -25,6 +25,8 @@
 
     const Rep& value() const { return m_value; }
 
+    // The check takes a defaulted <=> for a comparison with 0.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const strong_id&, const strong_id&) = default;
     friend std::ostream& operator<<(std::ostream& out, const strong_id& id) { return out << id.m_value; }
 
@@ -57,6 +59,8 @@
     friend constexpr quantity operator+(quantity a, quantity b) { return a += b; }
     friend constexpr quantity operator-(quantity a, quantity b) { return a -= b; }
     friend constexpr quantity operator*(quantity a, std::int64_t factor) { return quantity(a.m_count * factor); }
+    // The check takes a defaulted <=> for a comparison with 0.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend constexpr auto operator<=>(quantity, quantity) = default;
     friend std::ostream& operator<<(std::ostream& out, quantity q) { return out << q.m_count; }
 
--- a/packages/base/include/poplardeal/base/time.h
+++ b/packages/base/include/poplardeal/base/time.h
@@ -13,7 +13,7 @@
     using period = std::chrono::microseconds::period;
     using duration = std::chrono::microseconds;
     using time_point = std::chrono::time_point<time_line, duration>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): name given by the standard
 };
 
 /// A moment in microseconds. Its origin is that of the clock that the caller reads.
--- a/packages/control/src/control_state.cpp
+++ b/packages/control/src/control_state.cpp
@@ -272,7 +272,7 @@
     case lookup_kind::unknown:
         break;
     }
-    const auto answer = execute(order).dump();
+    auto answer = execute(order).dump();
     orders.record(order.origin.id, fingerprint, answer, lastTime);
     return answer;
 }
--- a/packages/control/src/operator_api.h
+++ b/packages/control/src/operator_api.h
@@ -16,7 +16,7 @@
 
     void handle(const http_request&, const http_responder&);
 
-    static constexpr std::size_t maxBody = 1024 * 1024;
+    static constexpr std::size_t maxBody = std::size_t { 1024 } * 1024;
 
 private:
     void handlePost(const http_request&, const http_responder&);
--- a/packages/control/src/worker_service.cpp
+++ b/packages/control/src/worker_service.cpp
@@ -30,7 +30,7 @@
     bool isPlausible(const worker_spec& spec)
     {
         constexpr std::int64_t maxCores = 4096;
-        constexpr std::int64_t maxMemoryMib = 64 * 1024 * 1024;
+        constexpr std::int64_t maxMemoryMib = std::int64_t { 64 } * 1024 * 1024;
         constexpr std::int64_t maxAccelerators = 64;
         const auto within = [](std::int64_t value, std::int64_t most) { return value >= 0 && value <= most; };
         return !spec.id.value().empty() && !spec.dataCentre.value().empty()
--- a/packages/daemon/src/worker_api.h
+++ b/packages/daemon/src/worker_api.h
@@ -21,6 +21,8 @@
     task_id task;
     lease_id lease;
 
+    // The check takes a defaulted <=> for a comparison with 0.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const leased_task&, const leased_task&) = default;
 };
 
--- a/packages/daemon/src/worker_sidecar.cpp
+++ b/packages/daemon/src/worker_sidecar.cpp
@@ -169,7 +169,7 @@
                 waiting.sentAt = instant();
             sendReports();
         };
-        handlers.other = [this](frame received) { handle(received); };
+        handlers.other = [this](const frame& received) { handle(received); };
         session = std::make_unique<detail::control_session>(
             loop, settings.sidecar->controls, capacity.boot.value(), std::move(handlers));
         session->start();
--- a/packages/wire/include/poplardeal/wire/address.h
+++ b/packages/wire/include/poplardeal/wire/address.h
@@ -13,6 +13,8 @@
     std::string ip;
     std::uint16_t port { 0 };
 
+    // The check takes a defaulted <=> for a comparison with 0.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const address&, const address&) = default;
 };
 
