--- a/packages/control/include/poplardeal/control/control_role.h
+++ b/packages/control/include/poplardeal/control/control_role.h
@@ -20,6 +20,10 @@
     /// Planned stop: hands over leadership, answers the requests in flight, then calls `done`.
     void stop(std::function<void()> done);
 
+    /// True once the replica has stopped for good because of its disk; the loop was ended and the process should exit
+    /// with an error.
+    bool failed() const;
+
 private:
     struct impl;
     explicit control_role(std::unique_ptr<impl>);
--- a/packages/control/src/control_role.cpp
+++ b/packages/control/src/control_role.cpp
@@ -111,6 +111,10 @@
 {
     replica_environment environment;
     environment.send = [this](replica_id to, std::string message) { peers.send(to, std::move(message)); };
+    environment.stopped = [this](const failure& reason) {
+        logEvent(log_level::error, "control_failed", { { "reason", reason.message } });
+        loop.quit();
+    };
     environment.post = [this](std::function<void()> work) { loop.post(std::move(work)); };
     auto member = replica::open(detail::toReplicaOptions(settings), environment, context.state, loop.now());
     if (member.has_error())
@@ -216,6 +220,8 @@
 
 control_role::~control_role() = default;
 
+bool control_role::failed() const { return m_impl->context.member->failed().has_value(); }
+
 void control_role::stop(std::function<void()> done)
 {
     auto& state = *m_impl;
--- a/packages/daemon/src/poplardeald_main.cpp
+++ b/packages/daemon/src/poplardeald_main.cpp
@@ -44,6 +44,8 @@
         logEvent(log_level::info, "daemon_started");
         loop.run();
         logEvent(log_level::info, "daemon_stopped");
+        if constexpr (requires { role.value()->failed(); })
+            return role.value()->failed() ? exitFailed : exitDone;
         return exitDone;
     }
 
--- a/packages/daemon/src/worker_sidecar.cpp
+++ b/packages/daemon/src/worker_sidecar.cpp
@@ -1,4 +1,5 @@
 #include "control_session.h"
+#include "report_queue.h"
 #include "worker_api.h"
 
 #include <algorithm>
@@ -15,10 +16,8 @@
     namespace {
 
         constexpr duration pollInterval = std::chrono::milliseconds(250);
-        constexpr duration reportRepeatInterval = std::chrono::seconds(2);
         constexpr duration permitValidity = std::chrono::seconds(2);
         constexpr duration usageInterval = std::chrono::seconds(10);
-        constexpr std::size_t maxReportsPerRound = 256;
         constexpr std::uint32_t protocolVersion = 1;
 
         leased_task toLeasedTask(const message::task_orderT& order)
@@ -96,11 +95,6 @@
     message::helloT hello() const;
     void finishStop();
 
-    struct waiting_report {
-        detail::leased_task task;
-        frame message;
-        instant sentAt;
-    };
     struct waiting_permit {
         detail::leased_task task;
         instant sentAt;
@@ -112,7 +106,7 @@
     detail::worker_capacity capacity;
     std::unique_ptr<detail::control_session> session;
     std::map<detail::leased_task, detail::worker_task_state> tasks; ///< As the worker told last.
-    std::map<std::uint64_t, waiting_report> reports; ///< By correlation, until acknowledged.
+    std::optional<detail::report_queue> reports; ///< Set once the worker has told its incarnation.
     std::map<std::uint64_t, waiting_permit> permits; ///< By correlation, until answered.
     std::set<detail::leased_task> endReported;
     std::uint64_t nextCorrelation { 1 };
@@ -147,6 +141,8 @@
 void worker_sidecar::impl::startSession(const detail::worker_capacity& read)
 {
     capacity = read;
+    if (!reports)
+        reports.emplace(settings.name, capacity.boot);
     // The tasks of an earlier sidecar are adopted before the session opens, so that control learns of them with it.
     worker.tasks([this](const result<std::vector<detail::worker_task>>& answer) {
         if (answer.has_error()) {
@@ -165,8 +161,7 @@
         };
         handlers.opened = [this] {
             permits.clear();
-            for (auto& [correlation, waiting] : reports)
-                waiting.sentAt = instant();
+            reports->resendAll();
             sendReports();
         };
         handlers.other = [this](const frame& received) { handle(received); };
@@ -209,7 +204,7 @@
 void worker_sidecar::impl::poll()
 {
     sendReports();
-    if (stopped && reports.empty())
+    if (stopped && reports->empty())
         return finishStop();
     if (polling)
         return;
@@ -411,14 +406,7 @@
 
 void worker_sidecar::impl::report(const detail::leased_task& id, message::report_kind kind, std::string text)
 {
-    message::task_reportT report;
-    report.worker = settings.name;
-    report.incarnation = capacity.boot.value();
-    detail::fillTask(report, id);
-    report.kind = kind;
-    report.detail = std::move(text);
-    const auto correlation = nextCorrelation++;
-    reports[correlation] = { id, packMessage(frame_kind::task_report, correlation, report), instant() };
+    reports->add(id, kind, std::move(text));
     sendReports();
 }
 
@@ -426,28 +414,19 @@
 {
     if (!session || !session->isOpen())
         return;
-    const auto now = loop.now();
-    std::size_t sent = 0;
-    for (auto& [correlation, waiting] : reports) {
-        if (waiting.sentAt != instant() && now - waiting.sentAt < detail::reportRepeatInterval)
-            continue;
-        if (++sent > detail::maxReportsPerRound || !session->send(waiting.message))
-            return;
-        waiting.sentAt = now;
-    }
+    for (const auto& message : reports->takeDue(loop.now()))
+        session->send(message);
 }
 
 void worker_sidecar::impl::acknowledge(std::uint64_t correlation)
 {
-    const auto found = reports.find(correlation);
-    if (found == reports.end())
+    const auto id = reports->acknowledge(correlation);
+    if (!id)
         return;
-    const auto id = found->second.task;
-    reports.erase(found);
     // The worker keeps an ended task until control has it on record.
-    const auto known = tasks.find(id);
+    const auto known = tasks.find(*id);
     if (known != tasks.end() && detail::hasEnded(known->second))
-        worker.release(id, [](const result<void>&) {});
+        worker.release(*id, [](const result<void>&) {});
 }
 
 void worker_sidecar::impl::finishStop()
@@ -482,7 +461,7 @@
     constexpr duration stopDeadline = std::chrono::seconds(5);
     m_impl->stopped = std::move(done);
     m_impl->stopTimer = m_impl->loop.after(stopDeadline, [this] { m_impl->finishStop(); });
-    if (m_impl->reports.empty())
+    if (!m_impl->reports || m_impl->reports->empty())
         m_impl->loop.post([this] {
             if (m_impl->stopped)
                 m_impl->finishStop();
