--- a/packages/control/src/control_command.cpp
+++ b/packages/control/src/control_command.cpp
@@ -1,3 +1,5 @@
+#include "placement_json.h"
+
 #include <poplardeal/base/json.h>
 #include <poplardeal/control/control_command.h>
 #include <type_traits>
@@ -11,7 +13,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cancel_job, origin, job)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(claim_key, service, key, endpoint, instance, request, fingerprint)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(settle_key, service, key, request, verdict)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_spec, id, instance, dataCentre, rack, capacity)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_joined, worker)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_lost, worker, instance)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_suspected, worker, instance)
--- a/packages/control/src/control_state.cpp
+++ b/packages/control/src/control_state.cpp
@@ -1,5 +1,6 @@
 #include "answered_orders.h"
 #include "claimed_keys.h"
+#include "placement_json.h"
 
 #include <algorithm>
 #include <poplardeal/base/json.h>
@@ -14,7 +15,6 @@
 namespace poplardeal {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(deployment_record, version, operatorName, order, time, change, toml)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_spec, id, instance, dataCentre, rack, capacity)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(known_worker, spec, state)
 
 std::string_view toString(worker_state state)
