wire: one translation of verdicts to messages

Cause: control and the request path each had their own translation, which could have drifted apart on unknown values. Change: verdict_message.h in the wire package; both use it.

--- a/packages/control/src/request_claims.cpp
+++ b/packages/control/src/request_claims.cpp
@@ -3,11 +3,14 @@
 #include "claimed_keys.h"
 
 #include <poplardeal/base/json.h>
+#include <poplardeal/wire/verdict_message.h>
 
 namespace poplardeal::detail {
 
 namespace {
 
+    using poplardeal::toMessage;
+
     message::claim_outcome toMessage(claimed_keys::claim_result outcome)
     {
         switch (outcome) {
@@ -23,32 +26,6 @@
         return message::claim_outcome::refused;
     }
 
-    run_verdict toVerdict(message::verdict verdict)
-    {
-        switch (verdict) {
-        case message::verdict::not_run:
-            return run_verdict::not_run;
-        case message::verdict::ran:
-            return run_verdict::ran;
-        case message::verdict::may_have_run:
-            return run_verdict::may_have_run;
-        }
-        return run_verdict::may_have_run;
-    }
-
-    message::verdict toMessage(run_verdict verdict)
-    {
-        switch (verdict) {
-        case run_verdict::not_run:
-            return message::verdict::not_run;
-        case run_verdict::ran:
-            return message::verdict::ran;
-        case run_verdict::may_have_run:
-            return message::verdict::may_have_run;
-        }
-        return message::verdict::may_have_run;
-    }
-
     message::claim_answerT toAnswer(const nlohmann::json& answer)
     {
         message::claim_answerT message;
@@ -106,7 +83,7 @@
         return;
     const auto& settled = read.value();
     const settle_key command { service_name(settled.service), idempotency_key(settled.key),
-        request_id(settled.request_id), toVerdict(settled.verdict) };
+        request_id(settled.request_id), fromMessage(settled.verdict) };
     const auto correlation = received.correlation;
     m_context.propose(command, [this, id, correlation](const result<nlohmann::json>& answer) {
         auto* open = m_connections.find(id);
--- a/packages/daemon/src/request/message_forms.cpp
+++ b/packages/daemon/src/request/message_forms.cpp
@@ -17,32 +17,6 @@
     return !name.starts_with("x-poplardeal-") || name == "x-poplardeal-caller";
 }
 
-message::verdict toMessage(run_verdict verdict)
-{
-    switch (verdict) {
-    case run_verdict::not_run:
-        return message::verdict::not_run;
-    case run_verdict::ran:
-        return message::verdict::ran;
-    case run_verdict::may_have_run:
-        break;
-    }
-    return message::verdict::may_have_run;
-}
-
-run_verdict fromMessage(message::verdict verdict)
-{
-    switch (verdict) {
-    case message::verdict::not_run:
-        return run_verdict::not_run;
-    case message::verdict::ran:
-        return run_verdict::ran;
-    case message::verdict::may_have_run:
-        break;
-    }
-    return run_verdict::may_have_run;
-}
-
 announcement fromMessage(const message::announceT& announced)
 {
     const bool isServing = announced.state == message::endpoint_state::serving;
--- a/packages/daemon/src/request/message_forms.h
+++ b/packages/daemon/src/request/message_forms.h
@@ -5,6 +5,7 @@
 #include <poplardeal/routing/membership.h>
 #include <poplardeal/wire/http.h>
 #include <poplardeal/wire/message.h>
+#include <poplardeal/wire/verdict_message.h>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -22,9 +23,8 @@
 /// Status of a `response` to an `outcome_query`: the sidecar holds nothing of this key.
 inline constexpr std::uint32_t statusUnknownKey = 404;
 
-message::verdict toMessage(run_verdict);
-/// An unknown value counts as may_have_run, which promises nothing.
-run_verdict fromMessage(message::verdict);
+using poplardeal::fromMessage;
+using poplardeal::toMessage;
 
 announcement fromMessage(const message::announceT&);
 message::announceT toMessage(const announcement&);
