--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -22,7 +22,7 @@
     endif()
 
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*_test.cpp)
-    if(tests)
+    if(tests AND POPLARDEAL_TESTS)
         add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/cmake/test_main.cpp)
         set_target_properties(${name}_test PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
         target_include_directories(${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src ${CMAKE_CURRENT_SOURCE_DIR}/tests)
--- a/packages/base/include/poplardeal/base/log.h
+++ b/packages/base/include/poplardeal/base/log.h
@@ -19,6 +19,7 @@
     std::string dataCentre;
     std::string file; ///< Empty: standard error.
     log_level level { log_level::info };
+    bool toStandardOutput { false }; ///< Without a file: standard output in place of standard error.
 };
 
 /// Sets up logging. Call once, before the first `logEvent`; without it nothing is written.
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -88,7 +88,7 @@
     state->logger.setLogLevel(detail::toLog4cplus(options.level));
     log4cplus::SharedAppenderPtr appender;
     if (options.file.empty())
-        appender = new log4cplus::ConsoleAppender(true, true);
+        appender = new log4cplus::ConsoleAppender(!options.toStandardOutput, true);
     else
         appender = new log4cplus::FileAppender(options.file, std::ios_base::app, true);
     appender->setLayout(std::make_unique<detail::message_layout>());
--- a/packages/daemon/src/poplardeald_main.cpp
+++ b/packages/daemon/src/poplardeald_main.cpp
@@ -7,8 +7,14 @@
 #include <poplardeal/daemon/endpoint_sidecar.h>
 #include <poplardeal/daemon/entry_role.h>
 #include <poplardeal/daemon/worker_sidecar.h>
+#include <poplardeal/fleet/queue_control.h>
+#include <poplardeal/fleet/queue_entry.h>
+#include <poplardeal/fleet/queue_sidecar.h>
+#include <poplardeal/fleet/settings.h>
+#include <poplardeal/platform/adapter.h>
 #include <poplardeal/wire/event_loop.h>
 #include <poplardeal/wire/settings.h>
+#include <utility>
 
 DEFINE_string(settings, "", "settings file (TOML)");
 DEFINE_bool(check, false, "only validate the settings: exit 0, or 2 with file, line, key and reason");
@@ -62,6 +68,64 @@
         return runRole<endpoint_sidecar>(loop, settings);
     }
 
+    /// Runs one queue process until it has stopped gracefully. SIGHUP reads the settings file again.
+    template <class Role> int runQueueRole(event_loop& loop, const fleet_settings& settings, const std::string& path)
+    {
+        auto role = Role::start(loop, settings, bindDialect(platform::adapter()));
+        if (role.has_error()) {
+            logEvent(log_level::error, "start_refused",
+                { { "code", toString(role.error().code) }, { "reason", role.error().message } });
+            return exitFailed;
+        }
+        bool stopping = false;
+        loop.onTerminate([&] {
+            if (std::exchange(stopping, true))
+                return;
+            logEvent(log_level::info, "stop_requested");
+            role.value()->stop([&] { loop.quit(); });
+        });
+        loop.onReload([&] {
+            const auto changed = readFleetSettings(path);
+            if (changed.has_error())
+                return logEvent(log_level::error, "reload_refused", { { "reason", changed.error().message } });
+            logEvent(log_level::info, "settings_reloaded", { { "seeds", changed.value().seeds.size() } });
+            role.value()->reload(changed.value());
+        });
+        logEvent(log_level::info, "daemon_started");
+        loop.run();
+        logEvent(log_level::info, "daemon_stopped");
+        if constexpr (requires { role.value()->failed(); })
+            return role.value()->failed() ? exitFailed : exitDone;
+        return exitDone;
+    }
+
+    int runQueueDaemon(const std::string& path, bool checkOnly)
+    {
+        const auto settings = readFleetSettings(path);
+        if (settings.has_error()) {
+            std::fprintf(stderr, "poplardeald: %s\n", settings.error().message.c_str());
+            return exitBadInput;
+        }
+        if (checkOnly) {
+            std::printf("%s: valid settings of %s\n", path.c_str(), settings.value().name.c_str());
+            return exitDone;
+        }
+        const auto& known = settings.value();
+        log_options log { known.name, known.dataCentre.value(), {}, known.logLevel };
+        log.toStandardOutput = true;
+        initLogging(log);
+        event_loop loop;
+        switch (known.role) {
+        case fleet_role::queue_control:
+            return runQueueRole<queue_control>(loop, known, path);
+        case fleet_role::queue_entry:
+            return runQueueRole<queue_entry>(loop, known, path);
+        case fleet_role::queue_sidecar:
+            return runQueueRole<queue_sidecar>(loop, known, path);
+        }
+        return exitFailed;
+    }
+
 } // namespace
 } // namespace poplardeal
 
@@ -76,6 +140,8 @@
         std::fprintf(stderr, "poplardeald: --settings FILE is missing; see poplardeald --help\n");
         return poplardeal::exitBadInput;
     }
+    if (poplardeal::isFleetSettings(FLAGS_settings))
+        return poplardeal::runQueueDaemon(FLAGS_settings, FLAGS_check);
     auto settings = poplardeal::readSettings(FLAGS_settings);
     if (settings.has_error()) {
         std::fprintf(stderr, "poplardeald: %s\n", settings.error().message.c_str());
--- /dev/null
+++ b/packages/fleet/include/poplardeal/fleet/dialect.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <concepts>
+#include <functional>
+#include <poplardeal/base/failure.h>
+#include <poplardeal/jobs/model.h>
+#include <poplardeal/jobs/worker_registry.h>
+#include <poplardeal/wire/http.h>
+#include <poplardeal/wire/messages_generated.h>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace poplardeal {
+
+/// A client's call on a queue.
+struct queue_request {
+    message::queue_verb verb { message::queue_verb::status };
+    std::string host;
+    std::string path;
+    api_key key; ///< Empty: none given.
+    job_spec job; ///< With the verb `submit`.
+};
+
+struct put_plan {
+    queue_plan plan;
+};
+struct get_plan { };
+struct change_data_centre {
+    data_centre_name dataCentre;
+    bool inService { true };
+};
+
+/// An operator's call.
+using operator_request = std::variant<put_plan, get_plan, change_data_centre>;
+
+/// A worker's word about itself to the sidecar beside it.
+struct worker_announcement {
+    worker_status status; ///< Without lists.
+    std::uint64_t sequence { 0 }; ///< Rises with each announcement of a boot.
+};
+
+/// What a worker answers to a look at its lists.
+struct worker_lists {
+    std::int64_t clockMs { 0 };
+    std::optional<std::int64_t> startedAtMs;
+    std::vector<running_task> running;
+    std::vector<task_end> ended;
+};
+
+/// How a worker took a start.
+enum class start_result : std::uint8_t {
+    accepted, ///< Runs, or has run.
+    refused, ///< Does not run and will not.
+    unhealthy, ///< The worker did nothing; may be tried again.
+};
+
+struct look_request {
+    std::int64_t leaseUntilMs { 0 }; ///< 0: the lease is not changed.
+    std::uint64_t fence { 0 };
+    std::uint64_t acknowledged { 0 };
+    std::chrono::milliseconds wait { 0 };
+};
+
+/// Translation between a platform's HTTP messages and the types of this project. Decides nothing.
+template <class T>
+concept fleet_dialect = requires(const T& t, const http_request& request, const message::queue_answerT& answer,
+    const worker_boot& boot, const start_instruction& start, const run_key& run, const look_request& look,
+    const http_response& response) {
+    { t.readQueueRequest(request) } -> std::same_as<result<queue_request>>;
+    { t.writeQueueAnswer(message::queue_verb::submit, answer) } -> std::same_as<http_response>;
+    { t.readOperatorRequest(request) } -> std::same_as<result<operator_request>>;
+    { t.readAnnouncement(request) } -> std::same_as<result<worker_announcement>>;
+    { t.startRequest(boot, start, std::uint64_t()) } -> std::same_as<http_request>;
+    { t.readStartResult(response) } -> std::same_as<std::pair<start_result, std::string>>;
+    { t.stopRequest(boot, run, std::uint64_t()) } -> std::same_as<http_request>;
+    { t.lookRequest(boot, look) } -> std::same_as<http_request>;
+    { t.readLists(response) } -> std::same_as<result<worker_lists>>;
+};
+
+/// A dialect with its type erased, so that the processes are compiled once.
+struct dialect_functions {
+    std::function<result<queue_request>(const http_request&)> readQueueRequest;
+    std::function<http_response(message::queue_verb, const message::queue_answerT&)> writeQueueAnswer;
+    std::function<result<operator_request>(const http_request&)> readOperatorRequest;
+    std::function<result<worker_announcement>(const http_request&)> readAnnouncement;
+    std::function<http_request(const worker_boot&, const start_instruction&, std::uint64_t fence)> startRequest;
+    std::function<std::pair<start_result, std::string>(const http_response&)> readStartResult;
+    std::function<http_request(const worker_boot&, const run_key&, std::uint64_t fence)> stopRequest;
+    std::function<http_request(const worker_boot&, const look_request&)> lookRequest;
+    std::function<result<worker_lists>(const http_response&)> readLists;
+};
+
+template <fleet_dialect T> dialect_functions bindDialect(T t)
+{
+    const auto shared = std::make_shared<const T>(std::move(t));
+    dialect_functions out;
+    out.readQueueRequest = [shared](const auto& request) { return shared->readQueueRequest(request); };
+    out.writeQueueAnswer
+        = [shared](auto verb, const auto& answer) { return shared->writeQueueAnswer(verb, answer); };
+    out.readOperatorRequest = [shared](const auto& request) { return shared->readOperatorRequest(request); };
+    out.readAnnouncement = [shared](const auto& request) { return shared->readAnnouncement(request); };
+    out.startRequest = [shared](const auto& boot, const auto& start, std::uint64_t fence) {
+        return shared->startRequest(boot, start, fence);
+    };
+    out.readStartResult = [shared](const auto& response) { return shared->readStartResult(response); };
+    out.stopRequest = [shared](const auto& boot, const auto& run, std::uint64_t fence) {
+        return shared->stopRequest(boot, run, fence);
+    };
+    out.lookRequest = [shared](const auto& boot, const auto& look) { return shared->lookRequest(boot, look); };
+    out.readLists = [shared](const auto& response) { return shared->readLists(response); };
+    return out;
+}
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/fleet/src/job_leader.cpp
@@ -0,0 +1,351 @@
+#include "job_leader.h"
+#include <nlohmann/json.hpp>
+#include <poplardeal/base/log.h>
+#include <poplardeal/jobs/codec.h>
+
+namespace poplardeal::detail {
+
+namespace {
+
+    using message::queue_outcome;
+
+    constexpr duration planInterval = std::chrono::milliseconds(200); // Due times and waits change without an event.
+    constexpr duration planDelay = std::chrono::milliseconds(2); // Events of one moment share a plan.
+    constexpr std::uint32_t retryAfterMs = 1000; // About the time of an election; the unit of Retry-After is a second.
+    constexpr std::size_t submissionIdLength = 16;
+
+    message::queue_answerT answer(queue_outcome outcome, std::string reason = {})
+    {
+        message::queue_answerT out;
+        out.outcome = outcome;
+        out.reason = std::move(reason);
+        if (outcome == queue_outcome::not_ready)
+            out.retry_after_ms = retryAfterMs;
+        return out;
+    }
+
+    bool isSubmissionId(std::string_view text)
+    {
+        return text.size() == submissionIdLength && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+    }
+
+    lease_options leaseOptions(const fleet_settings& settings)
+    {
+        lease_options out;
+        out.length = settings.leaseLength;
+        return out;
+    }
+
+} // namespace
+
+std::string job_machine::apply(std::uint64_t index, std::string_view payload)
+{
+    const auto command = decodeCommand(payload);
+    if (command.has_error()) {
+        logEvent(log_level::error, "log_entry_unreadable", { { "index", index }, { "reason", command.error().message } });
+        return std::string(1, static_cast<char>(apply_outcome::refused));
+    }
+    return std::string(1, static_cast<char>(m_table.apply(command.value())));
+}
+
+apply_outcome readOutcome(const std::string& text)
+{
+    return text.size() == 1 ? static_cast<apply_outcome>(text[0]) : apply_outcome::refused;
+}
+
+job_leader::job_leader(
+    event_loop& loop, const fleet_settings& settings, job_machine& machine, metrics_registry& metrics)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_machine(machine)
+    , m_workers(leaseOptions(settings))
+    , m_accepted(metrics.getCounter("poplardeal_jobs_accepted_total", "Jobs accepted by this leader"))
+    , m_rejected(metrics.getCounter("poplardeal_calls_rejected_total", "Calls on queues that were refused"))
+    , m_starts(metrics.getCounter("poplardeal_task_starts_total", "Task starts recorded"))
+    , m_stops(metrics.getCounter("poplardeal_task_stops_total", "Task stops ordered"))
+    , m_released(metrics.getCounter("poplardeal_runs_released_total", "Runs given up without a listed end"))
+    , m_planTime(metrics.getTiming("poplardeal_plan_seconds", "Time to make one plan"))
+{
+    m_plannerOptions.distanceFactor = settings.distanceFactor;
+}
+
+void job_leader::attach(replica& member) { m_replica = &member; }
+
+bool job_leader::leads() const { return m_replica->holdsLeaderLease(m_loop.now()); }
+
+void job_leader::tick(instant now)
+{
+    const bool leading = leads();
+    if (leading != m_wasLeading) {
+        m_wasLeading = leading;
+        ++m_epoch;
+        m_startsInFlight = 0;
+        m_releasing.clear();
+        logEvent(log_level::info, leading ? "lead_begins" : "lead_ends",
+            { { "term", m_replica->term() }, { "plan_version", m_machine.table().plan().version.value() },
+                { "open_jobs", m_machine.table().openJobs().size() } });
+        if (leading)
+            m_workers.takeOver(now);
+    }
+    if (!leading)
+        return;
+    release(m_workers.expired(m_machine.table(), now), "lease_expired");
+    if (m_planWanted || now - m_plannedAt >= planInterval)
+        plan();
+}
+
+void job_leader::propose(job_command_body body, std::function<void(result<apply_outcome>)> done)
+{
+    const job_command command { m_loop.wallClock(), std::move(body) };
+    m_replica->propose(encodeCommand(command), m_loop.now(), [done = std::move(done)](result<std::string> reply) {
+        if (reply.has_error())
+            return done(reply.error());
+        done(readOutcome(reply.value()));
+    });
+}
+
+void job_leader::planSoon()
+{
+    m_planWanted = true;
+    if (std::exchange(m_planScheduled, true))
+        return;
+    m_planTimer = m_loop.after(planDelay, [this] {
+        m_planScheduled = false;
+        if (leads())
+            plan();
+    });
+}
+
+void job_leader::plan()
+{
+    // A plan on a state that lacks the last starts would place the same tasks again.
+    if (m_startsInFlight > 0 || !m_wasLeading)
+        return;
+    const auto now = m_loop.now();
+    m_planWanted = false;
+    m_plannedAt = now;
+    const auto& views = m_workers.views(now);
+    const auto decisions = planJobs(
+        m_plannerOptions, { m_machine.table(), views, m_workers.stopping(), now, m_loop.wallClock() });
+    m_planTime.observe(m_loop.now() - now);
+    carryOut(decisions);
+}
+
+void job_leader::carryOut(const job_decisions& decisions)
+{
+    std::set<worker_boot> touched;
+    for (const auto& stop : decisions.stops) {
+        logEvent(log_level::info, "stop_ordered",
+            { { "job", stop.run.task.job.value() }, { "task", toString(stop.run.task) }, { "run", stop.run.run.value() },
+                { "worker", stop.worker.worker.value() }, { "reason", toString(stop.reason) } });
+        m_stops.add();
+        m_workers.stopOrdered(stop, m_loop.now());
+        touched.insert(stop.worker);
+    }
+    for (const auto& boot : touched)
+        instruct(boot);
+    for (const auto& command : decisions.starts)
+        order(command);
+}
+
+void job_leader::order(const start_tasks& command)
+{
+    ++m_startsInFlight;
+    propose(command, [this, command, epoch = m_epoch](const result<apply_outcome>& outcome) {
+        if (epoch != m_epoch)
+            return;
+        --m_startsInFlight;
+        planSoon();
+        if (outcome.has_error() || outcome.value() != apply_outcome::applied) {
+            logEvent(log_level::warning, "start_not_recorded",
+                { { "job", command.starts.front().task.job.value() },
+                    { "reason", outcome.has_error() ? outcome.error().message : "the state has changed" } });
+            return;
+        }
+        std::set<worker_boot> touched;
+        for (const auto& start : command.starts) {
+            m_starts.add();
+            m_workers.startOrdered(start, m_loop.now());
+            touched.insert(start.worker);
+            logEvent(log_level::info, "start_ordered",
+                { { "job", start.task.job.value() }, { "task", toString(start.task) }, { "run", start.run.value() },
+                    { "worker", start.worker.worker.value() } });
+        }
+        for (const auto& boot : touched)
+            instruct(boot);
+    });
+}
+
+void job_leader::instruct(const worker_boot& boot)
+{
+    if (!leads())
+        return;
+    const auto instructions = m_workers.instructionsFor(boot, m_machine.table(), m_loop.now());
+    if (instructions)
+        m_send(boot.worker, m_replica->term(), *instructions);
+}
+
+void job_leader::release(const std::vector<released_run>& runs, const char* cause)
+{
+    release_runs command;
+    for (const auto& run : runs) {
+        if (!m_releasing.insert({ run.task, run.run }).second)
+            continue;
+        m_released.add();
+        logEvent(log_level::warning, "run_released",
+            { { "job", run.task.job.value() }, { "task", toString(run.task) }, { "run", run.run.value() },
+                { "cause", cause } });
+        command.runs.push_back(run);
+    }
+    if (command.runs.empty())
+        return;
+    propose(command, [this, command, epoch = m_epoch](const result<apply_outcome>&) {
+        if (epoch != m_epoch)
+            return;
+        // A proposal that failed is made again at the next tick, from what is still in the table.
+        for (const auto& run : command.runs)
+            m_releasing.erase({ run.task, run.run });
+        planSoon();
+    });
+}
+
+void job_leader::recordEnds(const record_ends& command)
+{
+    std::uint64_t upTo = 0;
+    for (const auto& end : command.ends) {
+        upTo = std::max(upTo, end.number);
+        logEvent(log_level::info, "end_reported",
+            { { "job", end.task.job.value() }, { "task", toString(end.task) }, { "run", end.run.value() },
+                { "worker", command.worker.worker.value() }, { "kind", toString(end.kind) } });
+    }
+    propose(command, [this, boot = command.worker, upTo, epoch = m_epoch](const result<apply_outcome>& outcome) {
+        if (epoch != m_epoch)
+            return;
+        m_workers.endsSettled(boot, upTo, outcome.has_value());
+        instruct(boot);
+        planSoon();
+    });
+}
+
+void job_leader::takeReport(const worker_status& status)
+{
+    if (!leads() || !m_wasLeading)
+        return;
+    const auto effects = m_workers.report(status, m_machine.table(), m_loop.now());
+    for (const auto& refused : status.refused)
+        logEvent(log_level::warning, "start_refused",
+            { { "job", refused.run.task.job.value() }, { "task", toString(refused.run.task) },
+                { "run", refused.run.run.value() }, { "worker", status.boot.worker.value() },
+                { "reason", refused.reason } });
+    release(effects.released, status.isGone ? "worker_gone" : "not_running");
+    if (!effects.ends.ends.empty())
+        recordEnds(effects.ends);
+    if (!status.isGone)
+        instruct(status.boot);
+    planSoon();
+}
+
+void job_leader::answerCall(message::queue_callT call, const call_responder& respond)
+{
+    const auto& table = m_machine.table();
+    if (!leads()) {
+        m_rejected.add();
+        return respond(answer(queue_outcome::not_ready, "this control does not lead"));
+    }
+    if (!table.hasPlan()) {
+        m_rejected.add();
+        return respond(answer(queue_outcome::not_ready, "no plan has been handed in yet"));
+    }
+    const auto* queue = table.plan().match(call.host, call.path);
+    if (queue == nullptr) {
+        m_rejected.add();
+        return respond(answer(queue_outcome::unknown_queue, "no queue at this host and path"));
+    }
+    const auto* workspace = table.plan().owner(api_key(call.key));
+    if (workspace == nullptr && !queue->isPublic) {
+        m_rejected.add();
+        logEvent(log_level::info, "key_refused", { { "path", call.path }, { "plan", table.plan().version.value() } });
+        return respond(answer(queue_outcome::bad_key, "unknown key"));
+    }
+    const auto id = call.path.substr(queue->pathPrefix.size());
+    if (id.empty() && call.verb == message::queue_verb::status) {
+        auto out = answer(queue_outcome::counted);
+        out.pending = table.pendingCount(queue->name);
+        return respond(std::move(out));
+    }
+    if (!isSubmissionId(id)) {
+        const bool isSubmit = call.verb == message::queue_verb::submit;
+        return respond(answer(isSubmit ? queue_outcome::malformed : queue_outcome::unknown_job, "malformed job id"));
+    }
+    switch (call.verb) {
+    case message::queue_verb::submit: {
+        submit_job command { submission_id(id), queue->name, workspace ? workspace->name : workspace_name(), {} };
+        try {
+            command.spec = fromCbor<job_spec>({ reinterpret_cast<const char*>(call.job.data()), call.job.size() });
+        } catch (const nlohmann::json::exception& error) {
+            return respond(answer(queue_outcome::malformed, error.what()));
+        }
+        return submit(command, respond);
+    }
+    case message::queue_verb::cancel:
+        return cancel(submission_id(id), respond);
+    default:
+        return respond(show(submission_id(id)));
+    }
+}
+
+message::queue_answerT job_leader::show(const submission_id& id) const
+{
+    const auto* job = m_machine.table().find(id);
+    if (job == nullptr)
+        return answer(queue_outcome::unknown_job, "no such job");
+    auto out = answer(queue_outcome::shown);
+    out.phase = static_cast<std::uint8_t>(job->phase);
+    return out;
+}
+
+void job_leader::submit(const submit_job& command, const call_responder& respond)
+{
+    if (const auto fault = findFault(command.spec)) {
+        m_rejected.add();
+        return respond(answer(queue_outcome::malformed, *fault));
+    }
+    if (m_machine.table().find(command.id) != nullptr)
+        return respond(answer(queue_outcome::accepted));
+    propose(command, [this, respond, id = command.id, queue = command.queue](const result<apply_outcome>& outcome) {
+        if (outcome.has_error()) {
+            const bool mayHaveRun = outcome.error().code == failure_code::unavailable;
+            logEvent(log_level::warning, "job_not_accepted",
+                { { "job", id.value() }, { "reason", outcome.error().message }, { "may_be_accepted", mayHaveRun } });
+            m_rejected.add();
+            return respond(
+                answer(mayHaveRun ? queue_outcome::uncertain : queue_outcome::not_ready, outcome.error().message));
+        }
+        if (outcome.value() == apply_outcome::refused) {
+            m_rejected.add();
+            return respond(answer(queue_outcome::unknown_queue, "the queue has been removed"));
+        }
+        m_accepted.add();
+        logEvent(log_level::info, "job_accepted", { { "job", id.value() }, { "queue", queue.value() } });
+        planSoon();
+        respond(answer(queue_outcome::accepted));
+    });
+}
+
+void job_leader::cancel(const submission_id& id, const call_responder& respond)
+{
+    propose(cancel_job { id }, [this, respond, id](const result<apply_outcome>& outcome) {
+        if (outcome.has_error()) {
+            const bool mayHaveRun = outcome.error().code == failure_code::unavailable;
+            return respond(
+                answer(mayHaveRun ? queue_outcome::uncertain : queue_outcome::not_ready, outcome.error().message));
+        }
+        if (outcome.value() == apply_outcome::not_found)
+            return respond(answer(queue_outcome::unknown_job, "no such job"));
+        logEvent(log_level::info, "job_cancelled", { { "job", id.value() } });
+        planSoon();
+        respond(answer(queue_outcome::accepted));
+    });
+}
+
+} // namespace poplardeal::detail
--- /dev/null
+++ b/packages/fleet/src/peer_mesh.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <poplardeal/base/ids.h>
+#include <poplardeal/fleet/settings.h>
+#include <poplardeal/wire/channel.h>
+#include <poplardeal/wire/event_loop.h>
+#include <string>
+#include <vector>
+
+namespace poplardeal::detail {
+
+/// Outgoing connections of a control replica to other controls. A connection is made when something is first sent to an
+/// address, and dropped when nothing has been sent for a while.
+class peer_mesh {
+public:
+    peer_mesh(event_loop&, const fleet_settings&, replica_id self);
+
+    void send(replica_id to, const frame&, instant now);
+    /// Drops connections that are no longer used.
+    void tick(instant now);
+
+private:
+    struct peer {
+        std::unique_ptr<dialer> link;
+        instant usedAt;
+    };
+
+    event_loop& m_loop;
+    const fleet_settings& m_settings;
+    replica_id m_self;
+    std::map<replica_id, peer> m_peers;
+};
+
+} // namespace poplardeal::detail
--- /dev/null
+++ b/packages/fleet/src/queue_control.cpp
@@ -0,0 +1,429 @@
+#include "group_keeper.h"
+#include "job_leader.h"
+#include "metrics_server.h"
+#include "peer_mesh.h"
+#include "replica_address.h"
+#include "status_messages.h"
+#include <nlohmann/json.hpp>
+#include <poplardeal/base/log.h>
+#include <poplardeal/fleet/queue_control.h>
+#include <poplardeal/wire/message.h>
+
+namespace poplardeal {
+
+using connection_number = std::uint64_t;
+
+namespace {
+
+    constexpr duration raftTick = std::chrono::milliseconds(25);
+    constexpr duration heartbeatInterval = std::chrono::milliseconds(100);
+    /// Lower bound; links take a few milliseconds, a stalled disk up to 150. Short, since service pauses for about twice it.
+    constexpr duration electionTimeout = std::chrono::milliseconds(500);
+    constexpr duration joinInterval = std::chrono::milliseconds(400);
+    constexpr duration hintInterval = std::chrono::milliseconds(1000);
+    constexpr duration stopPoll = std::chrono::milliseconds(20);
+    constexpr duration stopReserve = std::chrono::milliseconds(1500); ///< Kept free before the end of the grace time.
+    constexpr std::uint64_t snapshotInterval = 4000; ///< Entries; a restart replays fewer in well under a second.
+    constexpr std::size_t maxOperatorBody = std::size_t { 8 } * 1024 * 1024;
+    constexpr std::size_t maxConnections = 4096;
+
+    struct incoming {
+        std::unique_ptr<channel> link;
+        std::optional<message::helloT> hello;
+    };
+
+} // namespace
+
+struct queue_control::impl {
+    impl(event_loop&, fleet_settings, dialect_functions);
+
+    result<void> open();
+    void tick();
+    void keepGroup(instant now);
+    void askToJoin(instant now);
+    bool isMember() const;
+
+    void accept(std::unique_ptr<channel>);
+    void handle(connection_number, const frame&);
+    void takeHello(connection_number, incoming&, const frame&);
+    void answerCall(connection_number, const frame&);
+    void takeReport(connection_number, const frame&);
+    bool sendInstructions(const worker_id&, std::uint64_t term, const worker_instructions&);
+    message::control_hintT hint() const;
+    void broadcastHint();
+
+    void handleOperator(const http_request&, const http_responder&);
+    void putPlan(const put_plan&, const http_responder&);
+    void changeDataCentre(const change_data_centre&, const http_responder&);
+    void getPlan(const http_responder&);
+    http_response redirect(const http_request&) const;
+    void pollStop(instant deadline);
+
+    event_loop& loop;
+    fleet_settings settings;
+    dialect_functions dialect;
+    metrics_registry metrics;
+    replica_id self;
+    detail::job_machine machine;
+    detail::job_leader leader;
+    detail::peer_mesh mesh;
+    detail::group_keeper keeper;
+    std::unique_ptr<replica> member;
+    std::map<connection_number, incoming> connections;
+    std::map<worker_id, connection_number> sidecars;
+    connection_number lastConnection { 0 };
+    std::unique_ptr<listener> frames;
+    std::unique_ptr<http_server> http;
+    std::unique_ptr<http_server> metricsHttp;
+    event_loop::timer timer;
+    event_loop::timer stopTimer;
+    instant joinAskedAt;
+    instant hintedAt;
+    instant leaderTickAt;
+    bool hintedLeading { false };
+    std::uint64_t hintedTerm { 0 };
+    bool stopping { false };
+    std::function<void()> stopped;
+};
+
+queue_control::impl::impl(event_loop& eventLoop, fleet_settings given, dialect_functions functions)
+    : loop(eventLoop)
+    , settings(std::move(given))
+    , dialect(std::move(functions))
+    , self(detail::replicaOf(settings.ip))
+    , leader(eventLoop, settings, machine, metrics)
+    , mesh(eventLoop, settings, self)
+    , keeper(self)
+{
+    leader.onInstructions([this](const worker_id& worker, std::uint64_t term, const worker_instructions& out) {
+        return sendInstructions(worker, term, out);
+    });
+}
+
+result<void> queue_control::impl::open()
+{
+    replica_options options;
+    options.self = self;
+    for (const auto& seed : settings.seeds)
+        options.voters.push_back(detail::replicaOf(seed.ip));
+    options.dataFolder = settings.dataFolder;
+    options.heartbeatInterval = heartbeatInterval;
+    options.electionTimeout = electionTimeout;
+    options.seed = self.value() ^ static_cast<std::uint64_t>(toMicros(loop.wallClock()));
+    options.snapshotEvery = snapshotInterval;
+    // Only the machines that all settings name as seeds at the first start form the group; others join it.
+    const bool isSeed = std::find(options.voters.begin(), options.voters.end(), self) != options.voters.end();
+    options.bootstrap = settings.bootstrap && isSeed;
+    replica_environment environment;
+    environment.send = [this](replica_id to, std::string message) {
+        mesh.send(to, frame { frame_kind::raft, 0, std::move(message) }, loop.now());
+    };
+    environment.post = [this](std::function<void()> work) { loop.post(std::move(work)); };
+    environment.stopped = [this](const failure&) { loop.quit(); };
+    BOOST_OUTCOME_TRY(opened, replica::open(options, environment, machine, loop.now()));
+    member = std::move(opened);
+    leader.attach(*member);
+    BOOST_OUTCOME_TRY(accepting,
+        listener::open(loop, { settings.ip, settings.framePort },
+            [this](std::unique_ptr<channel> link) { accept(std::move(link)); }));
+    frames = std::move(accepting);
+    BOOST_OUTCOME_TRY(serving,
+        http_server::open(loop, settings.http, maxOperatorBody,
+            [this](const http_request& request, const http_responder& respond) { handleOperator(request, respond); }));
+    http = std::move(serving);
+    BOOST_OUTCOME_TRY(exposed, detail::serveMetrics(loop, settings, metrics));
+    metricsHttp = std::move(exposed);
+    timer = loop.every(raftTick, [this] { tick(); });
+    return success();
+}
+
+bool queue_control::impl::isMember() const { return member->members().find(self) != nullptr && member->mayVote(); }
+
+void queue_control::impl::tick()
+{
+    const auto now = loop.now();
+    member->tick(now);
+    if (now - leaderTickAt >= detail::job_leader::tickInterval) {
+        leaderTickAt = now;
+        leader.tick(now);
+    }
+    const bool leads = leader.leads();
+    if (leads != hintedLeading || member->term() != hintedTerm || now - hintedAt > hintInterval)
+        broadcastHint();
+    if (leads)
+        keepGroup(now);
+    else
+        askToJoin(now);
+    mesh.tick(now);
+}
+
+void queue_control::impl::keepGroup(instant now)
+{
+    const auto change = keeper.nextChange(member->members(), now);
+    if (!change)
+        return;
+    std::vector<std::uint32_t> ids;
+    for (const auto& each : change->members)
+        ids.push_back(each.id.value());
+    member->changeMembership(*change, now, [this, ids](const result<std::string>& outcome) {
+        keeper.changeEnded();
+        logEvent(log_level::info, "membership_change",
+            { { "members", ids }, { "outcome", outcome.has_error() ? outcome.error().message : "recorded" } });
+    });
+}
+
+void queue_control::impl::askToJoin(instant now)
+{
+    if (now - joinAskedAt < joinInterval || (member->leader() && isMember()) || stopping)
+        return;
+    joinAskedAt = now;
+    if (isMember())
+        return;
+    message::join_groupT request;
+    request.replica = self.value();
+    const auto out = packMessage(frame_kind::join_group, 0, request);
+    for (const auto& seed : settings.seeds)
+        mesh.send(detail::replicaOf(seed.ip), out, now);
+    for (const auto& each : member->members().members)
+        mesh.send(each.id, out, now);
+}
+
+message::control_hintT queue_control::impl::hint() const
+{
+    message::control_hintT out;
+    out.leads = !stopping && leader.leads();
+    out.term = member->term();
+    if (const auto known = member->leader())
+        out.leader = toString(address { detail::ipOf(*known), settings.framePort });
+    for (const auto& each : member->members().members)
+        out.controls.push_back(toString(address { detail::ipOf(each.id), settings.framePort }));
+    return out;
+}
+
+void queue_control::impl::broadcastHint()
+{
+    const auto now = loop.now();
+    const auto current = hint();
+    if (current.leads && !hintedLeading)
+        keeper.leadershipBegan(now);
+    const bool changed = current.leads != hintedLeading || current.term != hintedTerm;
+    hintedLeading = current.leads;
+    hintedTerm = current.term;
+    hintedAt = now;
+    if (!changed)
+        return;
+    const auto out = packMessage(frame_kind::control_hint, 0, current);
+    for (auto& [number, each] : connections) {
+        if (each.hello && each.hello->role != message::process_role::control)
+            each.link->send(out);
+    }
+}
+
+void queue_control::impl::accept(std::unique_ptr<channel> link)
+{
+    if (connections.size() >= maxConnections)
+        return;
+    const auto number = ++lastConnection;
+    auto& each = connections[number];
+    each.link = std::move(link);
+    each.link->onFrame([this, number](const frame& received) { handle(number, received); });
+    each.link->onClosed([this, number](const failure&) {
+        std::erase_if(sidecars, [number](const auto& item) { return item.second == number; });
+        connections.erase(number);
+    });
+}
+
+void queue_control::impl::takeHello(connection_number number, incoming& open, const frame& received)
+{
+    auto hello = unpackMessage<message::hello>(received.body);
+    if (received.kind != frame_kind::hello || hello.has_error()) {
+        logEvent(log_level::warning, "connection_refused",
+            { { "peer", toString(open.link->peer()) }, { "reason", "the first frame is no hello" } });
+        connections.erase(number);
+        return;
+    }
+    open.hello = std::move(hello).value();
+    if (open.hello->role != message::process_role::control)
+        open.link->send(packMessage(frame_kind::control_hint, 0, hint()));
+}
+
+void queue_control::impl::handle(connection_number number, const frame& received)
+{
+    auto& open = connections.at(number);
+    if (!open.hello)
+        return takeHello(number, open, received);
+    const auto now = loop.now();
+    switch (received.kind) {
+    case frame_kind::raft: {
+        const replica_id from(open.hello->replica);
+        keeper.heardFrom(from, now);
+        member->receive(from, received.body, now);
+        return;
+    }
+    case frame_kind::join_group: {
+        const auto request = unpackMessage<message::join_group>(received.body);
+        if (request.has_value() && leader.leads())
+            keeper.wantsToJoin(replica_id(request.value().replica), now);
+        return;
+    }
+    case frame_kind::control_probe:
+        open.link->send(packMessage(frame_kind::control_hint, 0, hint()));
+        return;
+    case frame_kind::queue_call:
+        return answerCall(number, received);
+    case frame_kind::worker_report:
+        return takeReport(number, received);
+    default:
+        logEvent(log_level::warning, "message_refused",
+            { { "kind", static_cast<int>(received.kind) }, { "peer", open.hello->name } });
+    }
+}
+
+void queue_control::impl::answerCall(connection_number number, const frame& received)
+{
+    auto call = unpackMessage<message::queue_call>(received.body);
+    if (call.has_error())
+        return;
+    leader.answerCall(
+        std::move(call).value(), [this, number, correlation = received.correlation](message::queue_answerT out) {
+            const auto found = connections.find(number);
+            if (found != connections.end())
+                found->second.link->send(packMessage(frame_kind::queue_answer, correlation, out));
+        });
+}
+
+void queue_control::impl::takeReport(connection_number number, const frame& received)
+{
+    const auto report = unpackMessage<message::worker_report>(received.body);
+    if (report.has_error())
+        return;
+    std::size_t malformed = 0;
+    const auto status = detail::fromMessage(report.value(), malformed);
+    if (malformed > 0)
+        logEvent(log_level::warning, "report_entries_refused",
+            { { "worker", status.boot.worker.value() }, { "count", malformed } });
+    sidecars[status.boot.worker] = number;
+    leader.takeReport(status);
+}
+
+bool queue_control::impl::sendInstructions(const worker_id& worker, std::uint64_t term, const worker_instructions& out)
+{
+    const auto bound = sidecars.find(worker);
+    if (bound == sidecars.end())
+        return false;
+    return connections.at(bound->second).link->send(
+        packMessage(frame_kind::worker_orders, 0, detail::toMessage(out, term)));
+}
+
+http_response queue_control::impl::redirect(const http_request& request) const
+{
+    const auto known = member->leader();
+    if (!known || *known == self || stopping)
+        return { 503, { { "retry-after", "1" } }, "no leader is known\n" };
+    const auto target = toString(address { detail::ipOf(*known), settings.http.port });
+    return { 307, { { "location", "http://" + target + request.path } }, {} };
+}
+
+void queue_control::impl::handleOperator(const http_request& request, const http_responder& respond)
+{
+    const auto parsed = dialect.readOperatorRequest(request);
+    if (parsed.has_error()) {
+        logEvent(log_level::warning, "operator_call_refused",
+            { { "method", request.method }, { "path", request.path }, { "reason", parsed.error().message } });
+        const int status = parsed.error().code == failure_code::not_found ? 404 : 400;
+        return respond({ status, {}, parsed.error().message + "\n" });
+    }
+    if (!leader.leads())
+        return respond(redirect(request));
+    if (const auto* plan = std::get_if<put_plan>(&parsed.value()))
+        return putPlan(*plan, respond);
+    if (const auto* change = std::get_if<change_data_centre>(&parsed.value()))
+        return changeDataCentre(*change, respond);
+    getPlan(respond);
+}
+
+void queue_control::impl::putPlan(const put_plan& request, const http_responder& respond)
+{
+    if (const auto fault = findFault(request.plan)) {
+        logEvent(log_level::warning, "plan_refused",
+            { { "version", request.plan.version.value() }, { "reason", *fault } });
+        return respond({ 400, {}, *fault + "\n" });
+    }
+    leader.propose(
+        accept_plan { request.plan }, [respond, version = request.plan.version](const result<apply_outcome>& outcome) {
+            logEvent(log_level::info, "plan_handed_in",
+                { { "version", version.value() },
+                    { "outcome", outcome.has_error() ? outcome.error().message
+                            : outcome.value() == apply_outcome::applied ? "in force"
+                                                                        : "not newer" } });
+            if (outcome.has_error())
+                return respond({ 503, { { "retry-after", "1" } }, outcome.error().message + "\n" });
+            respond({ 200, { { "content-type", "application/json" } }, "{}" });
+        });
+}
+
+void queue_control::impl::changeDataCentre(const change_data_centre& request, const http_responder& respond)
+{
+    leader.propose(set_data_centre { request.dataCentre, request.inService },
+        [respond, request](const result<apply_outcome>& outcome) {
+            logEvent(log_level::info, "data_centre_order",
+                { { "data_centre_named", request.dataCentre.value() }, { "in_service", request.inService },
+                    { "outcome", outcome.has_error() ? outcome.error().message : "recorded" } });
+            if (outcome.has_error())
+                return respond({ 503, { { "retry-after", "1" } }, outcome.error().message + "\n" });
+            respond({ 200, { { "content-type", "application/json" } }, "{}" });
+        });
+}
+
+void queue_control::impl::getPlan(const http_responder& respond)
+{
+    if (!machine.table().hasPlan())
+        return respond({ 503, { { "retry-after", "1" } }, "no plan has been handed in yet\n" });
+    respond({ 200, { { "content-type", "application/json" } }, machine.table().plan().document });
+}
+
+void queue_control::impl::pollStop(instant deadline)
+{
+    const bool idle = !member->isLeader() && http->inFlight() == 0;
+    if (idle || loop.now() >= deadline) {
+        timer.cancel();
+        logEvent(log_level::info, "control_stopped", { { "handed_over", !member->isLeader() } });
+        return std::exchange(stopped, nullptr)();
+    }
+    if (member->isLeader())
+        member->transferLeadership(loop.now());
+    stopTimer = loop.after(stopPoll, [this, deadline] { pollStop(deadline); });
+}
+
+result<std::unique_ptr<queue_control>> queue_control::start(
+    event_loop& loop, const fleet_settings& settings, dialect_functions dialect)
+{
+    auto state = std::make_unique<impl>(loop, settings, std::move(dialect));
+    BOOST_OUTCOME_TRYV(state->open());
+    return std::unique_ptr<queue_control>(new queue_control(std::move(state)));
+}
+
+queue_control::queue_control(std::unique_ptr<impl> state)
+    : m_impl(std::move(state))
+{
+}
+
+queue_control::~queue_control() = default;
+
+bool queue_control::failed() const { return m_impl->member->failed().has_value(); }
+
+void queue_control::stop(std::function<void()> done)
+{
+    m_impl->stopping = true;
+    m_impl->stopped = std::move(done);
+    m_impl->broadcastHint();
+    m_impl->pollStop(m_impl->loop.now() + std::max(m_impl->settings.stopGrace - stopReserve, duration::zero()));
+}
+
+void queue_control::reload(const fleet_settings& settings)
+{
+    m_impl->settings.seeds = settings.seeds;
+    m_impl->settings.leaseLength = settings.leaseLength;
+}
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/fleet/src/settings.cpp
@@ -0,0 +1,208 @@
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <fstream>
+#include <poplardeal/fleet/settings.h>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace poplardeal {
+namespace detail {
+
+    constexpr std::array<std::string_view, 3> roleNames { "queue-control", "queue-entry", "queue-sidecar" };
+
+    /// Keeps the first fault; reading goes on with default values.
+    class fleet_reader {
+    public:
+        fleet_reader(const toml::table& table, const std::string& source)
+            : m_table(table)
+            , m_source(source)
+        {
+        }
+
+        const std::string& fault() const { return m_fault; }
+
+        std::string text(const char* key, bool required)
+        {
+            const auto value = m_table[key].value<std::string>();
+            if (value && (!required || !value->empty()))
+                return *value;
+            if (required || m_table.contains(key))
+                fail(key, required ? "must be a text that is not empty" : "must be a text");
+            return {};
+        }
+
+        double number(const char* key, double preset, double least, double most)
+        {
+            if (!m_table.contains(key))
+                return preset;
+            const auto value = m_table[key].value<double>();
+            if (value && *value >= least && *value <= most)
+                return *value;
+            std::ostringstream reason;
+            reason << "must be a number from " << least << " to " << most;
+            fail(key, reason.str());
+            return preset;
+        }
+
+        duration milliseconds(const char* key, duration preset, double least, double most)
+        {
+            const double value = number(key, std::chrono::duration<double, std::milli>(preset).count(), least, most);
+            return std::chrono::microseconds(static_cast<std::int64_t>(std::llround(value * 1000)));
+        }
+
+        duration seconds(const char* key, duration preset, double least, double most)
+        {
+            const double value = number(key, std::chrono::duration<double>(preset).count(), least, most);
+            return std::chrono::microseconds(static_cast<std::int64_t>(std::llround(value * 1e6)));
+        }
+
+        bool flag(const char* key)
+        {
+            const auto value = m_table[key].value<bool>();
+            if (!value && m_table.contains(key))
+                fail(key, "must be true or false");
+            return value.value_or(false);
+        }
+
+        address socket(const char* key, bool required)
+        {
+            const auto value = text(key, required);
+            if (value.empty())
+                return {};
+            const auto parsed = parseAddress(value);
+            if (parsed.has_error()) {
+                fail(key, parsed.error().message);
+                return {};
+            }
+            return parsed.value();
+        }
+
+        std::vector<address> sockets(const char* key)
+        {
+            std::vector<address> out;
+            const auto* list = m_table[key].as_array();
+            if (list == nullptr || list->empty()) {
+                fail(key, "must be a list of addresses that is not empty");
+                return out;
+            }
+            for (const auto& item : *list) {
+                const auto parsed = parseAddress(item.value_or(std::string()));
+                if (parsed.has_error())
+                    fail(key, parsed.error().message);
+                else
+                    out.push_back(parsed.value());
+            }
+            return out;
+        }
+
+        template <std::size_t Count> std::size_t choice(const char* key, const std::array<std::string_view, Count>& words)
+        {
+            const auto value = m_table[key].value_or(std::string());
+            for (std::size_t i = 0; i < Count; ++i) {
+                if (words[i] == value)
+                    return i;
+            }
+            std::string known;
+            for (const auto word : words)
+                known += (known.empty() ? "" : ", ") + std::string(word);
+            fail(key, "must be one of " + known);
+            return 0;
+        }
+
+        bool has(const char* key) const { return m_table.contains(key); }
+
+    private:
+        void fail(const char* key, const std::string& reason)
+        {
+            if (!m_fault.empty())
+                return;
+            const auto* node = m_table.get(key);
+            const auto line = node != nullptr ? node->source().begin.line : m_table.source().begin.line;
+            m_fault = m_source + ":" + std::to_string(line) + ": " + key + ": " + reason;
+        }
+
+        const toml::table& m_table;
+        std::string m_source;
+        std::string m_fault;
+    };
+
+    static result<std::string> readFile(const std::string& path)
+    {
+        std::ifstream file(path);
+        if (!file)
+            return failure { failure_code::io_error, path + ": cannot be read" };
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+} // namespace detail
+
+result<fleet_settings> parseFleetSettings(const std::string& text, const std::string& source)
+{
+    toml::table table;
+    try {
+        table = toml::parse(text, source);
+    } catch (const toml::parse_error& error) {
+        return failure { failure_code::invalid_argument,
+            source + ":" + std::to_string(error.source().begin.line) + ": " + std::string(error.description()) };
+    }
+    detail::fleet_reader reader(table, source);
+    fleet_settings out;
+    out.role = static_cast<fleet_role>(reader.choice("role", detail::roleNames));
+    out.name = reader.text("name", true);
+    out.dataCentre = data_centre_name(reader.text("data_centre", true));
+    out.ip = reader.text("ip", true);
+    constexpr double highestPort = 65535;
+    out.framePort = static_cast<std::uint16_t>(reader.number("frame_port", 0, 1, highestPort));
+    out.metricsPort = static_cast<std::uint16_t>(reader.number("metrics_port", 0, 1, highestPort));
+    out.http = reader.socket("http", true);
+    out.seeds = reader.sockets("seeds");
+    constexpr double longestLeaseMs = 600000;
+    out.leaseLength = reader.milliseconds("lease_ms", out.leaseLength, 1000, longestLeaseMs);
+    out.stopGrace = reader.seconds("stop_grace_s", out.stopGrace, 0.5, 600);
+    out.distanceFactor = reader.number("distance_factor", out.distanceFactor, 1, 1000);
+    if (reader.has("log_level")) {
+        constexpr std::array<std::string_view, 4> levels { "debug", "info", "warning", "error" };
+        out.logLevel = static_cast<log_level>(reader.choice("log_level", levels));
+    }
+    switch (out.role) {
+    case fleet_role::queue_control:
+        out.dataFolder = reader.text("data_folder", true);
+        out.bootstrap = reader.flag("bootstrap");
+        break;
+    case fleet_role::queue_entry:
+        out.ready = reader.socket("ready", true);
+        break;
+    case fleet_role::queue_sidecar:
+        out.worker = reader.socket("worker", false);
+        break;
+    }
+    if (!reader.fault().empty())
+        return failure { failure_code::invalid_argument, reader.fault() };
+    return out;
+}
+
+result<fleet_settings> readFleetSettings(const std::string& path)
+{
+    BOOST_OUTCOME_TRY(text, detail::readFile(path));
+    return parseFleetSettings(text, path);
+}
+
+bool isFleetSettings(const std::string& path)
+{
+    const auto text = detail::readFile(path);
+    if (text.has_error())
+        return false;
+    try {
+        const auto table = toml::parse(text.value(), path);
+        const auto role = table["role"].value_or(std::string());
+        return std::find(detail::roleNames.begin(), detail::roleNames.end(), role) != detail::roleNames.end();
+    } catch (const toml::parse_error&) {
+        // The reader that is chosen instead reports the fault with its place.
+        return false;
+    }
+}
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/jobs/include/poplardeal/jobs/model.h
@@ -0,0 +1,219 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <poplardeal/base/ids.h>
+#include <poplardeal/base/time.h>
+#include <poplardeal/base/units.h>
+#include <string>
+#include <vector>
+
+namespace poplardeal {
+
+using millicores = quantity<struct millicores_tag>;
+
+/// Chosen by the client for one submission; a resent submission keeps it.
+using submission_id = strong_id<struct submission_id_tag, std::string>;
+using queue_name = strong_id<struct queue_name_tag, std::string>;
+using api_key = strong_id<struct api_key_tag, std::string>;
+using worker_label = strong_id<struct worker_label_tag, std::string>;
+
+/// Number of a start of a task, from 1 and rising. All tasks of one start of a gang share it.
+using run_number = strong_id<struct run_number_tag, std::uint32_t>;
+
+/// Opaque checkpoint of a task; empty means none.
+using checkpoint = strong_id<struct checkpoint_tag, std::string>;
+
+/// Version of a queue plan as its operator numbers it; only a higher one takes effect.
+using plan_version = strong_id<struct plan_version_tag, std::uint64_t>;
+
+/// What a task needs, or what a worker has.
+struct demand {
+    millicores cpu;
+    mebibytes memory;
+    accelerators accelerator;
+
+    friend bool operator==(const demand&, const demand&) = default;
+    bool fitsIn(const demand& free) const
+    {
+        return cpu <= free.cpu && memory <= free.memory && accelerator <= free.accelerator;
+    }
+    demand& operator+=(const demand& other)
+    {
+        cpu += other.cpu;
+        memory += other.memory;
+        accelerator += other.accelerator;
+        return *this;
+    }
+    demand& operator-=(const demand& other)
+    {
+        cpu -= other.cpu;
+        memory -= other.memory;
+        accelerator -= other.accelerator;
+        return *this;
+    }
+};
+
+/// One step of a job: `count` equal tasks that may run once all steps in `after` are done.
+struct step_spec {
+    std::uint32_t count { 1 };
+    demand need; ///< Of each task.
+    duration estimate { 0 }; ///< Declared run time of a task; often far off.
+    std::vector<std::uint32_t> after; ///< Indices of earlier steps.
+    bool checkpointable { false };
+    bool gang { false }; ///< All tasks run together or none does.
+    bool rackLocal { false }; ///< Runs several times slower when spread over racks.
+    bool speculative { false }; ///< Copies may run in parallel. The scheduler starts one.
+    bool longRunning { false }; ///< Runs until the job is cancelled and is restarted however it ends.
+    bool bestEffort { false }; ///< The processors of its tasks are not counted against the worker.
+    worker_label requiredLabel; ///< Empty: none.
+    rack_name affinity; ///< Rack that holds the data; empty: none.
+    std::uint32_t maxPerWorker { 0 }; ///< Of the step's tasks in one occurrence; 0: no limit.
+    std::uint32_t maxUnavailable { 0 }; ///< Long-running tasks that may be away at once by the system's own actions.
+    std::string image;
+    duration latencyTarget { 0 };
+
+    friend bool operator==(const step_spec&, const step_spec&) = default;
+};
+
+/// What a client submits.
+struct job_spec {
+    std::string payload; ///< Handed to the worker as it is.
+    std::vector<step_spec> steps;
+    std::uint32_t occurrences { 0 }; ///< 0: runs once, at once.
+    std::int64_t firstDueMs { 0 }; ///< Wall clock of occurrence 0, Unix milliseconds.
+    std::int64_t intervalMs { 0 }; ///< Between due times of occurrences.
+
+    friend bool operator==(const job_spec&, const job_spec&) = default;
+};
+
+/// Where clients hand in jobs, and what is promised for them.
+struct queue_spec {
+    queue_name name;
+    std::string host;
+    std::string pathPrefix;
+    service_name service;
+    std::uint32_t priority { 0 }; ///< 0 is the most urgent.
+    std::uint32_t attempts { 1 }; ///< Failed runs of a task after which its job has failed.
+    double stretch { 1 }; ///< Objective: this times the longest chain of work, plus `allowance`.
+    duration allowance { 0 };
+    duration timeout { 0 };
+    bool isPublic { false }; ///< No key needed.
+    bool needsAdvice { false }; ///< Placement of its steps is restricted by an external policy service.
+
+    friend bool operator==(const queue_spec&, const queue_spec&) = default;
+};
+
+struct pool_spec {
+    service_name name;
+    bool enforcesCapacity { true };
+    bool spare { false };
+
+    friend bool operator==(const pool_spec&, const pool_spec&) = default;
+};
+
+struct quota_spec {
+    workspace_name name;
+    std::vector<api_key> keys;
+    accelerators guaranteed;
+
+    friend bool operator==(const quota_spec&, const quota_spec&) = default;
+};
+
+/// One version of queues, pools and workspaces, handed in whole by an operator.
+struct queue_plan {
+    plan_version version;
+    std::vector<queue_spec> queues;
+    std::vector<pool_spec> pools;
+    std::vector<quota_spec> workspaces;
+    std::string document; ///< As handed in, for reading back.
+
+    const queue_spec* find(const queue_name&) const;
+    /// The queue with the longest prefix of `path` on `host`; null if there is none.
+    const queue_spec* match(std::string_view host, std::string_view path) const;
+    const quota_spec* owner(const api_key&) const;
+    friend bool operator==(const queue_plan&, const queue_plan&) = default;
+};
+
+/// Why a plan cannot be accepted; nothing if it can: an unknown pool, two queues at one place, a timeout of 0, a key
+/// of two workspaces.
+std::optional<std::string> findFault(const queue_plan&);
+
+/// Why a job cannot be accepted; nothing if it can.
+std::optional<std::string> findFault(const job_spec&);
+
+/// Limits on one submission. Sources: the platform's largest steps are under 200 tasks; gangs to 128 at the design size.
+inline constexpr std::size_t maxSteps = 256;
+inline constexpr std::uint32_t maxTasksOfStep = 4096;
+inline constexpr std::uint32_t maxOccurrences = 10000;
+inline constexpr std::size_t maxPayloadBytes = 4000;
+
+/// One task of one occurrence of a job.
+struct task_key {
+    submission_id job;
+    std::uint32_t occurrence { 0 };
+    std::uint32_t step { 0 };
+    std::uint32_t index { 0 };
+
+    // The check takes a defaulted <=> for a comparison with 0.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
+    friend auto operator<=>(const task_key&, const task_key&) = default;
+};
+
+/// "JOB.OCCURRENCE.STEP.INDEX"
+std::string toString(const task_key&);
+std::optional<task_key> parseTaskKey(std::string_view);
+
+/// One life of a worker: a restart under the same id has another start time.
+struct worker_boot {
+    worker_id worker;
+    std::int64_t startedAtMs { 0 };
+
+    // NOLINTNEXTLINE(modernize-use-nullptr)
+    friend auto operator<=>(const worker_boot&, const worker_boot&) = default;
+};
+
+enum class end_kind : std::uint8_t {
+    done,
+    failed, ///< By the task's own fault or the worker's.
+    stopped,
+    lapsed, ///< The lease expired.
+    broken, ///< Another member of the gang ended.
+    alone, ///< Waited too long for the rest of the gang.
+};
+
+std::string_view toString(end_kind);
+
+/// One end that a worker lists.
+struct task_end {
+    std::uint64_t number { 0 }; ///< Rising within a worker boot.
+    task_key task;
+    run_number run;
+    end_kind kind { end_kind::done };
+    checkpoint saved;
+
+    friend bool operator==(const task_end&, const task_end&) = default;
+};
+
+/// One task that a worker lists as running.
+struct running_task {
+    task_key task;
+    run_number run;
+    checkpoint saved;
+    double percent { 0 }; ///< Progress; for long-running tasks 100 while at work.
+
+    friend bool operator==(const running_task&, const running_task&) = default;
+};
+
+enum class job_phase : std::uint8_t {
+    queued,
+    running,
+    completed,
+    failed,
+    cancelled,
+};
+
+std::string_view toString(job_phase);
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <map>
+#include <poplardeal/base/time.h>
+#include <poplardeal/jobs/job_table.h>
+#include <set>
+#include <vector>
+
+namespace poplardeal {
+
+/// A run as its worker last reported it.
+struct run_view {
+    run_number run;
+    checkpoint saved;
+    double percent { 0 };
+    instant startedAt; ///< First seen running, on the leader's clock.
+    instant progressedAt; ///< When `percent` last grew.
+};
+
+/// A worker as the leader knows it from reports.
+struct worker_view {
+    worker_boot boot;
+    service_name service;
+    data_centre_name dataCentre;
+    rack_name rack;
+    std::vector<worker_label> labels;
+    demand room;
+    bool isReachable { false }; ///< Its sidecar has reported lately.
+    bool isDraining { false };
+    instant leavesAt; ///< Valid while draining.
+    instant avoidUntil; ///< Nothing is placed there before, because its tasks failed or stood still.
+    std::map<task_key, run_view> running;
+};
+
+enum class stop_reason : std::uint8_t {
+    job_ended,
+    gang_broken,
+    preempted,
+    worker_leaves,
+    no_progress,
+};
+
+std::string_view toString(stop_reason);
+
+struct planned_stop {
+    run_key run;
+    worker_boot worker;
+    stop_reason reason { stop_reason::job_ended };
+};
+
+/// What should happen now.
+struct job_decisions {
+    std::vector<start_tasks> starts; ///< Each command may be applied on its own.
+    std::vector<planned_stop> stops;
+};
+
+struct planner_options {
+    double distanceFactor { 3 }; ///< Run time multiplier off the data's rack or spread over racks; platform figure.
+    duration startLead { std::chrono::milliseconds(100) }; ///< How long before its due time an occurrence may start.
+    duration stallLimit { std::chrono::milliseconds(3000) }; ///< Without progress for this long a task is restarted.
+    std::size_t maxReservations { 16 }; ///< Blocked units for which workers are kept free; bounds the work of a plan.
+};
+
+/// All that a plan depends on.
+struct planner_input {
+    const job_table& table;
+    const std::map<worker_id, worker_view>& workers;
+    const std::set<run_key>& stopping; ///< Runs that have been told to stop.
+    instant now; ///< Steady clock of the leader.
+    instant wallClock;
+};
+
+/// Chooses starts and stops. Has no state of its own.
+job_decisions planJobs(const planner_options&, const planner_input&);
+
+/// Accelerators of jobs of priority 0 that fit in the workspace's guarantee, in order of acceptance.
+std::set<submission_id> guaranteedJobs(const job_table&);
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <map>
+#include <poplardeal/jobs/job_table.h>
+#include <poplardeal/jobs/planner.h>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace poplardeal {
+
+/// A start that a worker has refused for certain: no earlier attempt for it is unanswered.
+struct refused_run {
+    run_key run;
+    std::string reason;
+};
+
+/// What a sidecar reports about its worker.
+struct worker_status {
+    worker_boot boot;
+    std::string address; ///< Where the worker listens; two boots there cannot exist at the same time.
+    service_name service;
+    data_centre_name dataCentre;
+    rack_name rack;
+    std::vector<worker_label> labels;
+    demand room;
+    bool isDraining { false };
+    duration drainLeft { 0 };
+    bool isGone { false }; ///< The worker has said that it ends; nothing runs there any more.
+    std::int64_t clockMs { 0 }; ///< Worker's clock when the lists were made.
+    bool hasLists { false };
+    std::vector<running_task> running;
+    std::vector<task_end> ended;
+    std::vector<refused_run> refused;
+};
+
+struct start_instruction {
+    run_key run;
+    std::string payload;
+    checkpoint saved;
+    std::int64_t untilMs { 0 }; ///< Worker's clock; after it the worker refuses the start.
+};
+
+/// Everything that is outstanding for a worker boot.
+struct worker_instructions {
+    worker_boot boot;
+    std::int64_t leaseUntilMs { 0 }; ///< Worker's clock.
+    std::uint64_t acknowledged { 0 }; ///< Ends up to this number are recorded.
+    std::vector<start_instruction> starts;
+    std::vector<run_key> stops;
+};
+
+struct lease_options {
+    duration length { std::chrono::seconds(6) }; ///< Longest lease that workers accept; from the settings.
+    double slowestClock { 0.98 }; ///< Rate of a worker's clock at the least; platform figure.
+    duration margin { std::chrono::milliseconds(400) }; ///< Scheduling delay of worker and leader on top of the bound.
+    duration startWindow { std::chrono::milliseconds(1500) }; ///< Time in which an ordered start may be carried out.
+    duration reachable { std::chrono::milliseconds(2500) }; ///< Workers silent for longer get no new starts.
+};
+
+/// What a report asks the leader to record.
+struct report_effects {
+    record_ends ends; ///< Not recorded and not yet proposed.
+    std::vector<released_run> released;
+};
+
+/// The leader's knowledge of workers: reports, leases and outstanding orders. Nothing of it is replicated; a new leader
+/// learns it from the next reports, and assumes until then that every lease was granted at the moment it took over.
+class worker_registry {
+public:
+    explicit worker_registry(lease_options);
+
+    /// Forgets everything: this replica has just become the leader.
+    void takeOver(instant now);
+
+    report_effects report(const worker_status&, const job_table&, instant now);
+    /// Ends up to a number have been recorded, or their proposal failed (`recorded` false) and they are due again.
+    void endsSettled(const worker_boot&, std::uint64_t upTo, bool recorded);
+
+    void startOrdered(const task_start&, instant now);
+    void stopOrdered(const planned_stop&, instant now);
+
+    /// Orders for a boot, with a lease counted from its last report. Nothing if the boot is not the current one.
+    std::optional<worker_instructions> instructionsFor(const worker_boot&, const job_table&, instant now);
+
+    /// Runs whose leases are certain to have expired.
+    std::vector<released_run> expired(const job_table&, instant now);
+
+    /// Refreshes `isReachable`; call before planning.
+    const std::map<worker_id, worker_view>& views(instant now);
+    const std::set<run_key>& stopping() const { return m_stopping; }
+
+private:
+    struct session {
+        std::string address;
+        std::int64_t clockMs { 0 };
+        instant clockAt; ///< Leader's clock when `clockMs` arrived.
+        std::int64_t grantedUntilMs { 0 };
+        std::uint64_t proposedEnds { 0 };
+        std::uint64_t acknowledged { 0 };
+        bool hasLists { false };
+        std::map<run_key, std::int64_t> startUntilMs;
+        std::uint32_t strikes { 0 }; ///< Failures since the last success.
+    };
+
+    void adopt(const worker_status&, instant now);
+    std::vector<released_run> releaseBoot(const worker_boot&, const job_table&) const;
+    released_run releaseOf(const run_key&, const worker_boot&, const job_table&) const;
+    void updateRunning(const worker_status&, worker_view&, instant now) const;
+    void judgeEnds(const record_ends&, const job_table&, session&, worker_view&, instant now);
+    void addStrike(session&, worker_view&, instant now);
+    std::int64_t estimatedClock(const session&, instant now) const;
+    instant leaseEnd(const session&) const;
+    void dropStopping(const job_table&);
+
+    lease_options m_options;
+    instant m_takenOverAt;
+    std::map<worker_id, worker_view> m_views;
+    std::map<worker_id, session> m_sessions;
+    std::set<run_key> m_stopping;
+};
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/jobs/src/command.cpp
@@ -0,0 +1,49 @@
+#include <poplardeal/jobs/codec.h>
+#include <poplardeal/jobs/command.h>
+
+namespace poplardeal {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(accept_plan, plan)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(set_data_centre, dataCentre, inService)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(submit_job, id, queue, workspace, spec)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cancel_job, id)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(task_start, task, run, worker)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(start_tasks, starts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(record_ends, worker, ends)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(released_run, task, run, saved)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(release_runs, runs)
+
+std::string encodeCommand(const job_command& command)
+{
+    nlohmann::json record;
+    record["at"] = command.at;
+    record["kind"] = command.body.index();
+    std::visit([&record](const auto& body) { record["body"] = body; }, command.body);
+    return toCbor(record);
+}
+
+template <std::size_t Index = 0> static job_command_body readBody(std::size_t kind, const nlohmann::json& body)
+{
+    if constexpr (Index < std::variant_size_v<job_command_body>) {
+        if (kind == Index)
+            return body.get<std::variant_alternative_t<Index, job_command_body>>();
+        return readBody<Index + 1>(kind, body);
+    } else {
+        throw std::out_of_range("unknown command kind " + std::to_string(kind));
+    }
+}
+
+result<job_command> decodeCommand(std::string_view bytes)
+{
+    try {
+        const auto record = nlohmann::json::from_cbor(bytes.begin(), bytes.end());
+        job_command out;
+        out.at = record.at("at").get<instant>();
+        out.body = readBody(record.at("kind").get<std::size_t>(), record.at("body"));
+        return out;
+    } catch (const std::exception& error) {
+        return failure { failure_code::corrupt, std::string("job command: ") + error.what() };
+    }
+}
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/jobs/src/job_table.cpp
@@ -0,0 +1,341 @@
+#include <algorithm>
+#include <poplardeal/jobs/codec.h>
+#include <poplardeal/jobs/job_table.h>
+
+namespace poplardeal {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(unit_member, worker, isOver)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(unit, phase, lastRun, failures, runFailed, saved, waitingSince, members)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_state, units, doneUnits)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_occurrence, steps)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_record, id, queue, service, workspace, priority, attempts, stretch, allowance,
+    needsAdvice, spec, acceptedAt, sequence, hasStarted, phase, endedAt, occurrences)
+
+std::uint32_t membersOf(const step_spec& step) { return step.gang ? step.count : 1; }
+std::uint32_t unitOf(const step_spec& step, std::uint32_t taskIndex) { return step.gang ? 0 : taskIndex; }
+std::uint32_t memberOf(const step_spec& step, std::uint32_t taskIndex) { return step.gang ? taskIndex : 0; }
+std::uint32_t taskIndexOf(const step_spec& step, std::uint32_t unitIndex, std::uint32_t member)
+{
+    return step.gang ? member : unitIndex;
+}
+
+instant dueTime(const job_spec& spec, std::uint32_t occurrence)
+{
+    if (spec.occurrences == 0)
+        return {};
+    return instantFromMicros((spec.firstDueMs + static_cast<std::int64_t>(occurrence) * spec.intervalMs) * 1000);
+}
+
+bool job_occurrence::isDone() const
+{
+    return std::all_of(steps.begin(), steps.end(), [](const step_state& step) { return step.isDone(); });
+}
+
+bool job_record::hasActiveUnits() const
+{
+    for (const auto& occurrence : occurrences) {
+        for (const auto& step : occurrence.steps) {
+            if (std::any_of(step.units.begin(), step.units.end(), [](const unit& u) { return u.isActive(); }))
+                return true;
+        }
+    }
+    return false;
+}
+
+apply_outcome job_table::apply(const job_command& command)
+{
+    prune(command.at);
+    return std::visit([this, &command](const auto& body) { return applyBody(body, command.at); }, command.body);
+}
+
+apply_outcome job_table::applyBody(const accept_plan& command, instant)
+{
+    if (command.plan.version <= m_plan.version)
+        return apply_outcome::unchanged;
+    m_plan = command.plan;
+    return apply_outcome::applied;
+}
+
+apply_outcome job_table::applyBody(const set_data_centre& command, instant)
+{
+    const bool changed = command.inService ? m_outOfService.erase(command.dataCentre) > 0
+                                           : m_outOfService.insert(command.dataCentre).second;
+    return changed ? apply_outcome::applied : apply_outcome::unchanged;
+}
+
+static job_occurrence makeOccurrence(const job_spec& spec, instant at)
+{
+    job_occurrence out;
+    for (const auto& step : spec.steps) {
+        step_state state;
+        state.units.resize(step.gang ? 1 : step.count);
+        for (auto& each : state.units)
+            each.waitingSince = at;
+        out.steps.push_back(std::move(state));
+    }
+    return out;
+}
+
+apply_outcome job_table::applyBody(const submit_job& command, instant at)
+{
+    if (m_jobs.contains(command.id))
+        return apply_outcome::unchanged;
+    const auto* queue = m_plan.find(command.queue);
+    if (queue == nullptr)
+        return apply_outcome::refused;
+    job_record job;
+    job.id = command.id;
+    job.queue = command.queue;
+    job.service = queue->service;
+    job.workspace = command.workspace;
+    job.priority = queue->priority;
+    job.attempts = queue->attempts;
+    job.stretch = queue->stretch;
+    job.allowance = queue->allowance;
+    job.needsAdvice = queue->needsAdvice;
+    job.spec = command.spec;
+    job.acceptedAt = at;
+    job.sequence = ++m_sequence;
+    for (std::uint32_t i = 0; i < std::max(command.spec.occurrences, 1U); ++i)
+        job.occurrences.push_back(makeOccurrence(command.spec, at));
+    m_open.insert(job.id);
+    m_jobs.emplace(job.id, std::move(job));
+    return apply_outcome::applied;
+}
+
+apply_outcome job_table::applyBody(const cancel_job& command, instant at)
+{
+    const auto found = m_jobs.find(command.id);
+    if (found == m_jobs.end())
+        return apply_outcome::not_found;
+    if (found->second.isTerminal())
+        return apply_outcome::unchanged;
+    finish(found->second, job_phase::cancelled, at);
+    return apply_outcome::applied;
+}
+
+const job_record* job_table::find(const submission_id& id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const unit* job_table::findUnit(const task_key& task) const
+{
+    const auto* job = find(task.job);
+    if (job == nullptr || task.occurrence >= job->occurrences.size() || task.step >= job->spec.steps.size()
+        || task.index >= job->spec.steps[task.step].count)
+        return nullptr;
+    return &job->occurrences[task.occurrence].steps[task.step].units[unitOf(job->spec.steps[task.step], task.index)];
+}
+
+// The table owns its units, so the unit that the const look-up finds may be changed here.
+unit* job_table::locate(const task_key& task) { return const_cast<unit*>(findUnit(task)); }
+
+bool job_table::mayStart(const task_start& start) const
+{
+    const auto* job = find(start.task.job);
+    const auto* found = findUnit(start.task);
+    if (job == nullptr || found == nullptr || job->isTerminal())
+        return false;
+    if (found->phase != unit_phase::waiting || start.run <= found->lastRun)
+        return false;
+    const auto& steps = job->occurrences[start.task.occurrence].steps;
+    const auto& after = job->spec.steps[start.task.step].after;
+    return std::all_of(after.begin(), after.end(), [&steps](std::uint32_t earlier) { return steps[earlier].isDone(); });
+}
+
+/// All or nothing: the proposer only orders starts of a command that was applied whole.
+apply_outcome job_table::applyBody(const start_tasks& command, instant)
+{
+    if (!std::all_of(command.starts.begin(), command.starts.end(), [this](const auto& s) { return mayStart(s); }))
+        return apply_outcome::refused;
+    for (const auto& start : command.starts) {
+        auto& job = m_jobs.at(start.task.job);
+        const auto& spec = job.spec.steps[start.task.step];
+        auto& started = *locate(start.task);
+        if (!started.isActive()) {
+            started.phase = unit_phase::active;
+            started.lastRun = start.run;
+            started.runFailed = false;
+            started.members.assign(membersOf(spec), {});
+        }
+        started.members[memberOf(spec, start.task.index)].worker = start.worker;
+        m_runs[start.worker].insert({ start.task, start.run });
+        job.hasStarted = true;
+        job.phase = job_phase::running;
+    }
+    return apply_outcome::applied;
+}
+
+apply_outcome job_table::applyBody(const record_ends& command, instant at)
+{
+    for (const auto& end : command.ends)
+        endMember(end.task, end.run, end.kind, end.saved, at);
+    return apply_outcome::applied;
+}
+
+apply_outcome job_table::applyBody(const release_runs& command, instant at)
+{
+    for (const auto& released : command.runs)
+        endMember(released.task, released.run, end_kind::lapsed, released.saved, at);
+    return apply_outcome::applied;
+}
+
+void job_table::endMember(const task_key& task, run_number run, end_kind kind, const checkpoint& saved, instant at)
+{
+    auto* ended = locate(task);
+    if (ended == nullptr || ended->phase == unit_phase::done)
+        return;
+    auto& job = m_jobs.at(task.job);
+    const auto& spec = job.spec.steps[task.step];
+    if (kind == end_kind::done && !spec.longRunning)
+        return settle(job, task, *ended, true, at);
+    if (!ended->isActive() || run != ended->lastRun)
+        return;
+    if (!saved.value().empty())
+        ended->saved = saved;
+    ended->runFailed = ended->runFailed || kind == end_kind::failed;
+    auto& member = ended->members[memberOf(spec, task.index)];
+    member.isOver = true;
+    forgetRun(member.worker, { task, run });
+    const bool over
+        = std::all_of(ended->members.begin(), ended->members.end(), [](const unit_member& m) { return m.isOver; });
+    if (over)
+        settle(job, task, *ended, false, at);
+}
+
+void job_table::settle(job_record& job, const task_key& task, unit& ended, bool isDone, instant at)
+{
+    forgetRuns(task, job.spec.steps[task.step], ended);
+    ended.members.clear();
+    auto& step = job.occurrences[task.occurrence].steps[task.step];
+    if (isDone) {
+        ended.phase = unit_phase::done;
+        ++step.doneUnits;
+        const bool complete = std::all_of(
+            job.occurrences.begin(), job.occurrences.end(), [](const job_occurrence& each) { return each.isDone(); });
+        if (complete && !job.isTerminal())
+            finish(job, job_phase::completed, at);
+    } else {
+        ended.phase = unit_phase::waiting;
+        ended.waitingSince = at;
+        if (ended.runFailed && !job.spec.steps[task.step].longRunning)
+            ++ended.failures;
+        if (ended.failures >= job.attempts && !job.isTerminal())
+            finish(job, job_phase::failed, at);
+    }
+    closeIfOver(job);
+}
+
+const std::set<run_key>& job_table::runsOn(const worker_boot& boot) const
+{
+    static const std::set<run_key> none;
+    const auto found = m_runs.find(boot);
+    return found == m_runs.end() ? none : found->second;
+}
+
+void job_table::forgetRun(const worker_boot& worker, const run_key& run)
+{
+    const auto found = m_runs.find(worker);
+    if (found == m_runs.end())
+        return;
+    found->second.erase(run);
+    if (found->second.empty())
+        m_runs.erase(found);
+}
+
+void job_table::forgetRuns(const task_key& any, const step_spec& step, const unit& ended)
+{
+    for (std::uint32_t m = 0; m < ended.members.size(); ++m) {
+        auto task = any;
+        task.index = taskIndexOf(step, unitOf(step, any.index), m);
+        forgetRun(ended.members[m].worker, { task, ended.lastRun });
+    }
+}
+
+void job_table::indexRuns(const job_record& job)
+{
+    for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
+        for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+            const auto& units = job.occurrences[o].steps[s].units;
+            for (std::uint32_t u = 0; u < units.size(); ++u) {
+                for (std::uint32_t m = 0; m < units[u].members.size(); ++m) {
+                    const task_key task { job.id, o, s, taskIndexOf(job.spec.steps[s], u, m) };
+                    if (!units[u].members[m].isOver)
+                        m_runs[units[u].members[m].worker].insert({ task, units[u].lastRun });
+                }
+            }
+        }
+    }
+}
+
+void job_table::finish(job_record& job, job_phase phase, instant at)
+{
+    job.phase = phase;
+    job.endedAt = at;
+    closeIfOver(job);
+}
+
+void job_table::closeIfOver(const job_record& job)
+{
+    if (job.isTerminal() && !job.hasActiveUnits())
+        m_open.erase(job.id);
+}
+
+void job_table::prune(instant at)
+{
+    constexpr duration pruneInterval = std::chrono::seconds(10);
+    if (at < m_prunedAt + pruneInterval)
+        return;
+    m_prunedAt = at;
+    std::erase_if(m_jobs, [this, at](const auto& item) {
+        return item.second.isTerminal() && item.second.endedAt + retention < at && !m_open.contains(item.first);
+    });
+}
+
+std::size_t job_table::pendingCount(const queue_name& queue) const
+{
+    return static_cast<std::size_t>(std::count_if(m_open.begin(), m_open.end(), [&](const submission_id& id) {
+        const auto& job = m_jobs.at(id);
+        return job.queue == queue && !job.hasStarted && !job.isTerminal();
+    }));
+}
+
+std::string job_table::save() const
+{
+    nlohmann::json out;
+    out["plan"] = m_plan;
+    out["out_of_service"] = m_outOfService;
+    out["sequence"] = m_sequence;
+    out["pruned_at"] = m_prunedAt;
+    auto& jobs = out["jobs"] = nlohmann::json::array();
+    for (const auto& [id, job] : m_jobs)
+        jobs.push_back(job);
+    return toCbor(out);
+}
+
+result<void> job_table::restore(std::string_view bytes)
+{
+    try {
+        const auto in = nlohmann::json::from_cbor(bytes.begin(), bytes.end());
+        job_table read;
+        read.m_plan = in.at("plan").get<queue_plan>();
+        read.m_outOfService = in.at("out_of_service").get<std::set<data_centre_name>>();
+        read.m_sequence = in.at("sequence").get<std::uint64_t>();
+        read.m_prunedAt = in.at("pruned_at").get<instant>();
+        for (const auto& item : in.at("jobs")) {
+            auto job = item.get<job_record>();
+            if (!job.isTerminal() || job.hasActiveUnits())
+                read.m_open.insert(job.id);
+            read.indexRuns(job);
+            read.m_jobs.emplace(job.id, std::move(job));
+        }
+        *this = std::move(read);
+        return success();
+    } catch (const nlohmann::json::exception& error) {
+        return failure { failure_code::corrupt, std::string("job snapshot: ") + error.what() };
+    }
+}
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/jobs/src/model.cpp
@@ -0,0 +1,142 @@
+#include <array>
+#include <charconv>
+#include <poplardeal/jobs/model.h>
+#include <set>
+#include <string_view>
+
+namespace poplardeal {
+
+const queue_spec* queue_plan::find(const queue_name& name) const
+{
+    for (const auto& queue : queues) {
+        if (queue.name == name)
+            return &queue;
+    }
+    return nullptr;
+}
+
+const queue_spec* queue_plan::match(std::string_view host, std::string_view path) const
+{
+    const queue_spec* best = nullptr;
+    for (const auto& queue : queues) {
+        if (queue.host != host || !path.starts_with(queue.pathPrefix))
+            continue;
+        if (best == nullptr || queue.pathPrefix.size() > best->pathPrefix.size())
+            best = &queue;
+    }
+    return best;
+}
+
+const quota_spec* queue_plan::owner(const api_key& key) const
+{
+    for (const auto& workspace : workspaces) {
+        for (const auto& own : workspace.keys) {
+            if (own == key)
+                return &workspace;
+        }
+    }
+    return nullptr;
+}
+
+static std::optional<std::string> findSharedKey(const queue_plan& plan)
+{
+    std::set<api_key> seen;
+    for (const auto& workspace : plan.workspaces) {
+        for (const auto& key : std::set<api_key>(workspace.keys.begin(), workspace.keys.end())) {
+            if (!seen.insert(key).second)
+                return "workspace '" + workspace.name.value() + "' shares a key with another workspace";
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> findFault(const queue_plan& plan)
+{
+    std::set<service_name> pools;
+    for (const auto& pool : plan.pools)
+        pools.insert(pool.name);
+    std::set<std::pair<std::string, std::string>> places;
+    for (const auto& queue : plan.queues) {
+        if (!pools.contains(queue.service))
+            return "queue '" + queue.name.value() + "' names the unknown service '" + queue.service.value() + "'";
+        if (!places.emplace(queue.host, queue.pathPrefix).second)
+            return "queue '" + queue.name.value() + "' has the host and prefix of another queue";
+        if (queue.timeout <= duration::zero())
+            return "queue '" + queue.name.value() + "' has a timeout of 0";
+    }
+    return findSharedKey(plan);
+}
+
+std::optional<std::string> findFault(const job_spec& job)
+{
+    if (job.payload.size() > maxPayloadBytes)
+        return "the payload is longer than " + std::to_string(maxPayloadBytes) + " bytes";
+    if (job.steps.empty() || job.steps.size() > maxSteps)
+        return "a job has 1 to " + std::to_string(maxSteps) + " steps";
+    if (job.occurrences > maxOccurrences)
+        return "a job has at most " + std::to_string(maxOccurrences) + " occurrences";
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+        const auto& step = job.steps[i];
+        if (step.count == 0 || step.count > maxTasksOfStep)
+            return "step " + std::to_string(i) + ": count must be 1 to " + std::to_string(maxTasksOfStep);
+        for (const auto earlier : step.after) {
+            if (earlier >= i)
+                return "step " + std::to_string(i) + ": may only follow earlier steps";
+        }
+    }
+    return std::nullopt;
+}
+
+std::string toString(const task_key& task)
+{
+    return task.job.value() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
+        + std::to_string(task.index);
+}
+
+static bool readNumber(std::string_view& text, std::uint32_t& out)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+    if (error != std::errc())
+        return false;
+    text.remove_prefix(static_cast<std::size_t>(end - text.data()));
+    return true;
+}
+
+static bool skipDot(std::string_view& text)
+{
+    if (!text.starts_with('.'))
+        return false;
+    text.remove_prefix(1);
+    return true;
+}
+
+std::optional<task_key> parseTaskKey(std::string_view text)
+{
+    const auto dot = text.find('.');
+    if (dot == std::string_view::npos || dot == 0)
+        return std::nullopt;
+    task_key out;
+    out.job = submission_id(std::string(text.substr(0, dot)));
+    text.remove_prefix(dot);
+    for (auto* part : { &out.occurrence, &out.step, &out.index }) {
+        if (!skipDot(text) || !readNumber(text, *part))
+            return std::nullopt;
+    }
+    if (!text.empty())
+        return std::nullopt;
+    return out;
+}
+
+std::string_view toString(end_kind kind)
+{
+    constexpr std::array<std::string_view, 6> names { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+    return names[static_cast<std::size_t>(kind)];
+}
+
+std::string_view toString(job_phase phase)
+{
+    constexpr std::array<std::string_view, 5> names { "queued", "running", "completed", "failed", "cancelled" };
+    return names[static_cast<std::size_t>(phase)];
+}
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/jobs/src/placement_round.cpp
@@ -0,0 +1,538 @@
+#include "placement_round.h"
+#include <cmath>
+
+namespace poplardeal::detail {
+
+namespace {
+
+    constexpr double coresPerAccelerator = 8; // An accelerator-second is charged as 8 core-seconds by the platform.
+    constexpr duration restartCost = std::chrono::milliseconds(1200); // Stop, restore and up to one checkpoint interval.
+    constexpr double lateFactor = 3; // After this many objectives a job earns nothing.
+    constexpr duration minimumRunTime = std::chrono::milliseconds(100);
+
+    double seconds(duration d) { return std::chrono::duration<double>(d).count(); }
+
+    duration scaled(duration d, double factor)
+    {
+        return duration(static_cast<duration::rep>(static_cast<double>(d.count()) * factor));
+    }
+
+} // namespace
+
+double weightOf(const demand& need)
+{
+    return static_cast<double>(need.cpu.count()) / 1000
+        + coresPerAccelerator * static_cast<double>(need.accelerator.count());
+}
+
+placement_round::placement_round(const planner_options& options, const planner_input& input)
+    : m_options(options)
+    , m_input(input)
+    , m_guaranteed(guaranteedJobs(input.table))
+{
+    for (const auto& [id, view] : input.workers) {
+        round_worker worker;
+        worker.view = &view;
+        worker.free = view.room;
+        m_workers.emplace(id, std::move(worker));
+    }
+    occupyWorkers();
+}
+
+duration placement_round::expectedRunTime(const step_spec& step) const
+{
+    return std::max(step.estimate, minimumRunTime);
+}
+
+void placement_round::occupyWorkers()
+{
+    for (const auto& id : m_input.table.openJobs()) {
+        const auto& job = *m_input.table.find(id);
+        for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
+            for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+                const auto& units = job.occurrences[o].steps[s].units;
+                for (std::uint32_t u = 0; u < units.size(); ++u) {
+                    if (units[u].isActive())
+                        occupy(job, { id, o, s, u }, job.spec.steps[s], units[u]);
+                }
+            }
+        }
+    }
+}
+
+void placement_round::occupy(
+    const job_record& job, const unit_key& key, const step_spec& step, const unit& active)
+{
+    for (std::uint32_t m = 0; m < active.members.size(); ++m) {
+        const auto& member = active.members[m];
+        const auto found = m_workers.find(member.worker.worker);
+        if (member.isOver || found == m_workers.end() || found->second.view->boot != member.worker)
+            continue;
+        occupant entry;
+        entry.run = { { key.job, key.occurrence, key.step, taskIndexOf(step, key.unit, m) }, active.lastRun };
+        entry.need = step.need;
+        if (step.bestEffort)
+            entry.need.cpu = {};
+        entry.priority = job.priority;
+        entry.isGuaranteed = m_guaranteed.contains(job.id);
+        entry.isStopping = m_input.stopping.contains(entry.run);
+        entry.unit = key;
+        const auto& running = found->second.view->running;
+        const auto seen = running.find(entry.run.task);
+        const bool started = seen != running.end() && seen->second.run == active.lastRun;
+        const auto elapsed = started ? m_input.now - seen->second.startedAt : duration::zero();
+        const auto lost = step.checkpointable ? std::min(elapsed, restartCost) : elapsed;
+        entry.lossIfStopped = weightOf(step.need) * static_cast<double>(active.members.size()) * seconds(lost);
+        auto left = expectedRunTime(step) - elapsed;
+        if (started && seen->second.percent > 5)
+            left = scaled(elapsed, (100 - seen->second.percent) / seen->second.percent);
+        entry.endsAt = m_input.now + std::max(left, minimumRunTime);
+        found->second.free -= entry.need;
+        found->second.occupants.push_back(std::move(entry));
+    }
+}
+
+void placement_round::stop(const run_key& run, const worker_boot& worker, stop_reason reason)
+{
+    if (m_input.stopping.contains(run))
+        return;
+    for (const auto& planned : m_decisions.stops) {
+        if (planned.run == run)
+            return;
+    }
+    m_decisions.stops.push_back({ run, worker, reason });
+}
+
+void placement_round::stopUnit(const job_record& job, const unit_key& key, stop_reason reason)
+{
+    const auto& step = job.spec.steps[key.step];
+    const auto& active = job.occurrences[key.occurrence].steps[key.step].units[key.unit];
+    for (std::uint32_t m = 0; m < active.members.size(); ++m) {
+        if (active.members[m].isOver)
+            continue;
+        const task_key task { key.job, key.occurrence, key.step, taskIndexOf(step, key.unit, m) };
+        stop({ task, active.lastRun }, active.members[m].worker, reason);
+    }
+}
+
+void placement_round::stopMembersOf(
+    const job_record& job, const unit_key& key, const step_spec& step, const unit& active)
+{
+    if (job.isTerminal())
+        return stopUnit(job, key, stop_reason::job_ended);
+    for (std::uint32_t m = 0; m < active.members.size(); ++m) {
+        const auto& member = active.members[m];
+        if (member.isOver) {
+            stopUnit(job, key, stop_reason::gang_broken);
+            continue;
+        }
+        const auto found = m_input.workers.find(member.worker.worker);
+        if (found == m_input.workers.end() || found->second.boot != member.worker || !found->second.isReachable)
+            continue;
+        const auto& view = found->second;
+        const task_key task { key.job, key.occurrence, key.step, taskIndexOf(step, key.unit, m) };
+        const auto seen = view.running.find(task);
+        if (seen == view.running.end() || seen->second.run != active.lastRun)
+            continue;
+        const auto elapsed = m_input.now - seen->second.startedAt;
+        auto left = expectedRunTime(step) - elapsed;
+        if (seen->second.percent > 5)
+            left = scaled(elapsed, (100 - seen->second.percent) / seen->second.percent);
+        if (view.isDraining && (step.longRunning || m_input.now + left > view.leavesAt))
+            stopUnit(job, key, stop_reason::worker_leaves);
+        else if (!step.longRunning && m_input.now - seen->second.progressedAt > m_options.stallLimit)
+            stopUnit(job, key, stop_reason::no_progress);
+    }
+}
+
+void placement_round::stopWhatMustEnd()
+{
+    for (const auto& id : m_input.table.openJobs()) {
+        const auto& job = *m_input.table.find(id);
+        for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
+            for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+                const auto& units = job.occurrences[o].steps[s].units;
+                for (std::uint32_t u = 0; u < units.size(); ++u) {
+                    if (units[u].isActive())
+                        stopMembersOf(job, { id, o, s, u }, job.spec.steps[s], units[u]);
+                }
+            }
+        }
+    }
+}
+
+bool placement_round::isReady(const job_record& job, std::uint32_t occurrence, std::uint32_t step) const
+{
+    if (dueTime(job.spec, occurrence) > m_input.wallClock + m_options.startLead)
+        return false;
+    const auto& steps = job.occurrences[occurrence].steps;
+    const auto& after = job.spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&steps](std::uint32_t earlier) { return steps[earlier].isDone(); });
+}
+
+/// Objective of a job: its longest chain of declared work, stretched, plus the queue's allowance.
+static duration objectiveOf(const job_record& job)
+{
+    std::vector<duration> finish(job.spec.steps.size());
+    duration longest { 0 };
+    for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
+        duration start { 0 };
+        for (const auto earlier : job.spec.steps[s].after)
+            start = std::max(start, finish[earlier]);
+        finish[s] = start + job.spec.steps[s].estimate;
+        longest = std::max(longest, finish[s]);
+    }
+    return scaled(longest, job.stretch) + job.allowance;
+}
+
+void placement_round::collectJob(const job_record& job, std::vector<candidate>& out) const
+{
+    const auto objective = objectiveOf(job);
+    for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
+        const auto begun = std::max(job.acceptedAt, dueTime(job.spec, o));
+        for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+            const auto& state = job.occurrences[o].steps[s];
+            if (state.isDone() || !isReady(job, o, s))
+                continue;
+            for (std::uint32_t u = 0; u < state.units.size(); ++u) {
+                if (state.units[u].phase != unit_phase::waiting)
+                    continue;
+                candidate item;
+                item.key = { job.id, o, s, u };
+                item.job = &job;
+                item.step = &job.spec.steps[s];
+                item.state = &state.units[u];
+                item.isGuaranteed = m_guaranteed.contains(job.id);
+                item.expected = expectedRunTime(*item.step);
+                item.deadline = begun + objective;
+                item.isHopeless
+                    = !item.step->longRunning && m_input.wallClock > begun + scaled(objective, lateFactor);
+                item.waited = m_input.wallClock - std::max(begun, item.state->waitingSince);
+                out.push_back(item);
+            }
+        }
+    }
+}
+
+std::vector<candidate> placement_round::collect() const
+{
+    std::vector<candidate> out;
+    for (const auto& id : m_input.table.openJobs()) {
+        const auto& job = *m_input.table.find(id);
+        if (!job.isTerminal())
+            collectJob(job, out);
+    }
+    const auto rank = [](const candidate& c) { return c.isGuaranteed ? 0 : c.isHopeless ? 2 : 1; };
+    std::sort(out.begin(), out.end(), [&rank](const candidate& a, const candidate& b) {
+        return std::tuple(rank(a), a.job->priority, a.deadline, a.job->sequence, a.key)
+            < std::tuple(rank(b), b.job->priority, b.deadline, b.job->sequence, b.key);
+    });
+    return out;
+}
+
+bool placement_round::mayUse(const candidate& item, const round_worker& worker) const
+{
+    const auto& view = *worker.view;
+    const auto* queue = m_input.table.plan().find(item.job->queue);
+    const auto& service = queue != nullptr ? queue->service : item.job->service;
+    if (view.service != service || !view.isReachable || view.isDraining || view.avoidUntil > m_input.now)
+        return false;
+    if (!m_input.table.isInService(view.dataCentre))
+        return false;
+    const auto& label = item.step->requiredLabel;
+    return label.value().empty()
+        || std::find(view.labels.begin(), view.labels.end(), label) != view.labels.end();
+}
+
+std::vector<worker_id> placement_round::usableWorkers(const candidate& item, const rack_name* rack) const
+{
+    std::vector<worker_id> out;
+    for (const auto& [id, worker] : m_workers) {
+        if ((rack == nullptr || worker.view->rack == *rack) && mayUse(item, worker))
+            out.push_back(id);
+    }
+    return out;
+}
+
+/// Racks on which the unit runs at full speed, best first; empty if every worker will do.
+std::vector<rack_name> placement_round::racksFor(const candidate& item) const
+{
+    if (!item.step->affinity.value().empty())
+        return { item.step->affinity };
+    std::set<rack_name> all;
+    if (item.step->rackLocal && item.step->gang) {
+        for (const auto& [id, worker] : m_workers)
+            all.insert(worker.view->rack);
+    }
+    return { all.begin(), all.end() };
+}
+
+std::map<worker_id, std::uint32_t> placement_round::perWorkerCounts(const candidate& item) const
+{
+    std::map<worker_id, std::uint32_t> out;
+    for (const auto& each : item.job->occurrences[item.key.occurrence].steps[item.key.step].units) {
+        for (const auto& member : each.members) {
+            if (!member.isOver)
+                ++out[member.worker.worker];
+        }
+    }
+    for (const auto& planned : m_decisions.starts) {
+        for (const auto& start : planned.starts) {
+            if (start.task.job == item.key.job && start.task.occurrence == item.key.occurrence
+                && start.task.step == item.key.step)
+                ++out[start.worker.worker];
+        }
+    }
+    return out;
+}
+
+/// Share of a worker that stays free; the tightest fit keeps whole workers for large tasks.
+static double leftover(const demand& free, const demand& room)
+{
+    const auto share = [](auto part, auto whole) {
+        return whole.count() > 0 ? static_cast<double>(part.count()) / static_cast<double>(whole.count()) : 0.0;
+    };
+    return 2 * share(free.accelerator, room.accelerator) + share(free.cpu, room.cpu) + share(free.memory, room.memory);
+}
+
+std::optional<member_placement> placement_round::fill(
+    const candidate& item, const std::vector<worker_id>& usable, bool respectReservations) const
+{
+    auto need = item.step->need;
+    if (item.step->bestEffort)
+        need.cpu = {};
+    std::map<worker_id, demand> free;
+    for (const auto& id : usable) {
+        const auto& worker = m_workers.at(id);
+        if (respectReservations && worker.reservedFrom < m_input.now + item.expected)
+            continue;
+        free.emplace(id, worker.free);
+    }
+    auto counts = item.step->maxPerWorker > 0 ? perWorkerCounts(item) : std::map<worker_id, std::uint32_t>();
+    member_placement out;
+    for (std::uint32_t m = 0; m < membersOf(*item.step); ++m) {
+        const worker_id* best = nullptr;
+        double bestScore = 0;
+        for (const auto& [id, available] : free) {
+            if (!need.fitsIn(available) || (item.step->maxPerWorker > 0 && counts[id] >= item.step->maxPerWorker))
+                continue;
+            auto rest = available;
+            rest -= need;
+            const double score = leftover(rest, m_workers.at(id).view->room);
+            if (best == nullptr || score < bestScore) {
+                best = &id;
+                bestScore = score;
+            }
+        }
+        if (best == nullptr)
+            return std::nullopt;
+        free.at(*best) -= need;
+        ++counts[*best];
+        out.push_back(*best);
+    }
+    return out;
+}
+
+std::optional<member_placement> placement_round::findFree(const candidate& item) const
+{
+    const auto racks = racksFor(item);
+    for (const auto& rack : racks) {
+        if (auto found = fill(item, usableWorkers(item, &rack), !item.isGuaranteed))
+            return found;
+    }
+    // Off the rack the work takes `distanceFactor` times as long, so waiting as long as the work itself is cheaper.
+    if (!racks.empty() && (item.isGuaranteed || item.waited < item.expected))
+        return std::nullopt;
+    return fill(item, usableWorkers(item, nullptr), !item.isGuaranteed);
+}
+
+/// Frees room for a unit by stopping runs of lower rank. Returns nothing; the room is reserved until the ends are known.
+std::optional<member_placement> placement_round::makeRoom(const candidate& item)
+{
+    const auto isVictim = [&item](const occupant& each) {
+        return each.priority > item.job->priority || (item.isGuaranteed && !each.isGuaranteed);
+    };
+    auto need = item.step->need;
+    if (item.step->bestEffort)
+        need.cpu = {};
+    struct choice {
+        double loss { 0 };
+        std::vector<std::pair<worker_id, std::vector<const occupant*>>> victims;
+    };
+    std::optional<choice> best;
+    auto racks = racksFor(item);
+    std::vector<const rack_name*> scopes;
+    for (const auto& rack : racks)
+        scopes.push_back(&rack);
+    scopes.push_back(nullptr);
+    for (const auto* rack : scopes) {
+        if (best)
+            break;
+        if (rack == nullptr && !racks.empty()) {
+            // Spread or off the rack: still better than a broken guarantee.
+            if (auto found = fill(item, usableWorkers(item, nullptr), false))
+                return found;
+        }
+        choice attempt;
+        auto counts = item.step->maxPerWorker > 0 ? perWorkerCounts(item) : std::map<worker_id, std::uint32_t>();
+        std::map<worker_id, demand> free;
+        std::map<worker_id, std::set<const occupant*>> taken;
+        const auto usable = usableWorkers(item, rack);
+        for (const auto& id : usable)
+            free[id] = m_workers.at(id).free;
+        std::uint32_t placed = 0;
+        for (; placed < membersOf(*item.step); ++placed) {
+            const worker_id* chosen = nullptr;
+            double chosenLoss = 0;
+            std::vector<const occupant*> chosenVictims;
+            for (const auto& id : usable) {
+                if (item.step->maxPerWorker > 0 && counts[id] >= item.step->maxPerWorker)
+                    continue;
+                auto available = free[id];
+                double loss = 0;
+                std::vector<const occupant*> victims;
+                std::vector<const occupant*> possible;
+                for (const auto& each : m_workers.at(id).occupants) {
+                    if (!taken[id].contains(&each) && (each.isStopping || isVictim(each)))
+                        possible.push_back(&each);
+                }
+                std::sort(possible.begin(), possible.end(), [](const occupant* a, const occupant* b) {
+                    const double lossA = a->isStopping ? -1 : a->lossIfStopped;
+                    const double lossB = b->isStopping ? -1 : b->lossIfStopped;
+                    return std::pair(lossA, a->run) < std::pair(lossB, b->run);
+                });
+                for (const auto* each : possible) {
+                    if (need.fitsIn(available))
+                        break;
+                    available += each->need;
+                    loss += each->isStopping ? 0 : each->lossIfStopped;
+                    victims.push_back(each);
+                }
+                if (need.fitsIn(available) && (chosen == nullptr || loss < chosenLoss)) {
+                    chosen = &id;
+                    chosenLoss = loss;
+                    chosenVictims = victims;
+                }
+            }
+            if (chosen == nullptr)
+                break;
+            for (const auto* victim : chosenVictims) {
+                free[*chosen] += victim->need;
+                taken[*chosen].insert(victim);
+            }
+            free[*chosen] -= need;
+            ++counts[*chosen];
+            attempt.loss += chosenLoss;
+            attempt.victims.emplace_back(*chosen, chosenVictims);
+        }
+        if (placed == membersOf(*item.step))
+            best = std::move(attempt);
+    }
+    if (!best)
+        return std::nullopt;
+    for (const auto& [id, victims] : best->victims) {
+        auto& worker = m_workers.at(id);
+        for (const auto* victim : victims) {
+            if (!victim->isStopping)
+                stopUnit(*m_input.table.find(victim->unit.job), victim->unit, stop_reason::preempted);
+            worker.free += victim->need;
+        }
+        worker.free -= need;
+        worker.reservedFrom = m_input.now;
+    }
+    // The occupants that were counted must not be counted for another unit.
+    for (const auto& [id, victims] : best->victims) {
+        auto& occupants = m_workers.at(id).occupants;
+        std::set<run_key> gone;
+        for (const auto* victim : victims)
+            gone.insert(victim->run);
+        std::erase_if(occupants, [&gone](const occupant& each) { return gone.contains(each.run); });
+    }
+    return std::nullopt;
+}
+
+/// Keeps workers free for a blocked unit: those on which it can start first, by the estimated ends of what runs there.
+void placement_round::reserve(const candidate& item)
+{
+    if (++m_reservations > m_options.maxReservations)
+        return;
+    auto need = item.step->need;
+    if (item.step->bestEffort)
+        need.cpu = {};
+    const auto racks = racksFor(item);
+    std::vector<std::pair<instant, worker_id>> bestSet;
+    std::vector<const rack_name*> scopes;
+    for (const auto& rack : racks)
+        scopes.push_back(&rack);
+    if (scopes.empty())
+        scopes.push_back(nullptr);
+    for (const auto* rack : scopes) {
+        std::vector<std::pair<instant, worker_id>> slots;
+        for (const auto& id : usableWorkers(item, rack)) {
+            const auto& worker = m_workers.at(id);
+            if (worker.reservedFrom != instant::max())
+                continue;
+            auto occupants = worker.occupants;
+            std::sort(occupants.begin(), occupants.end(),
+                [](const occupant& a, const occupant& b) { return a.endsAt < b.endsAt; });
+            auto available = worker.free;
+            auto at = m_input.now;
+            auto next = occupants.begin();
+            while (true) {
+                while (!need.fitsIn(available) && next != occupants.end()) {
+                    available += next->need;
+                    at = next->endsAt;
+                    ++next;
+                }
+                if (!need.fitsIn(available))
+                    break;
+                available -= need;
+                slots.emplace_back(at, id);
+            }
+        }
+        std::sort(slots.begin(), slots.end());
+        const auto members = membersOf(*item.step);
+        if (slots.size() < members)
+            continue;
+        slots.resize(members);
+        if (bestSet.empty() || slots.back().first < bestSet.back().first)
+            bestSet = std::move(slots);
+    }
+    if (bestSet.empty())
+        return;
+    const auto startsAt = bestSet.back().first;
+    for (const auto& [at, id] : bestSet)
+        m_workers.at(id).reservedFrom = startsAt;
+}
+
+bool placement_round::commit(const candidate& item, const member_placement& placement)
+{
+    start_tasks command;
+    auto need = item.step->need;
+    if (item.step->bestEffort)
+        need.cpu = {};
+    for (std::uint32_t m = 0; m < placement.size(); ++m) {
+        auto& worker = m_workers.at(placement[m]);
+        worker.free -= need;
+        command.starts.push_back(
+            { { item.key.job, item.key.occurrence, item.key.step, taskIndexOf(*item.step, item.key.unit, m) },
+                run_number(item.state->lastRun.value() + 1), worker.view->boot });
+    }
+    m_decisions.starts.push_back(std::move(command));
+    return true;
+}
+
+void placement_round::placeWaiting()
+{
+    for (const auto& item : collect()) {
+        auto placement = findFree(item);
+        if (!placement && (item.isGuaranteed || item.job->priority == 0))
+            placement = makeRoom(item);
+        if (placement)
+            commit(item, *placement);
+        else if (!item.isGuaranteed)
+            reserve(item);
+    }
+}
+
+} // namespace poplardeal::detail
--- /dev/null
+++ b/packages/jobs/src/placement_round.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <poplardeal/jobs/planner.h>
+#include <set>
+#include <vector>
+
+namespace poplardeal::detail {
+
+/// A run that occupies a worker.
+struct occupant {
+    run_key run;
+    demand need;
+    std::uint32_t priority { 0 };
+    bool isGuaranteed { false };
+    bool isStopping { false };
+    double lossIfStopped { 0 }; ///< Accelerator-weighted seconds of work that would be repeated.
+    instant endsAt; ///< Estimate on the leader's clock.
+    unit_key unit;
+};
+
+/// A worker during one round.
+struct round_worker {
+    const worker_view* view { nullptr };
+    demand free; ///< Room less everything that may run there.
+    std::vector<occupant> occupants;
+    instant reservedFrom { instant::max() }; ///< A blocked unit needs this worker from then on.
+};
+
+/// A unit that may start now.
+struct candidate {
+    unit_key key;
+    const job_record* job { nullptr };
+    const step_spec* step { nullptr };
+    const unit* state { nullptr };
+    bool isGuaranteed { false };
+    duration expected { 0 }; ///< Run time near the data.
+    instant deadline; ///< Wall clock: end of the objective.
+    bool isHopeless { false }; ///< Can no longer earn anything.
+    duration waited { 0 };
+};
+
+/// Where the members of a unit go, by member number.
+using member_placement = std::vector<worker_id>;
+
+/// One pass over the waiting units, most valuable first.
+class placement_round {
+public:
+    placement_round(const planner_options&, const planner_input&);
+
+    void stopWhatMustEnd();
+    void placeWaiting();
+    job_decisions takeDecisions() { return std::move(m_decisions); }
+
+private:
+    void occupyWorkers();
+    void occupy(const job_record&, const unit_key&, const step_spec&, const unit&);
+    void stopUnit(const job_record&, const unit_key&, stop_reason);
+    void stopMembersOf(const job_record&, const unit_key&, const step_spec&, const unit&);
+    void stop(const run_key&, const worker_boot&, stop_reason);
+
+    std::vector<candidate> collect() const;
+    void collectJob(const job_record&, std::vector<candidate>&) const;
+    bool isReady(const job_record&, std::uint32_t occurrence, std::uint32_t step) const;
+    duration expectedRunTime(const step_spec&) const;
+
+    bool mayUse(const candidate&, const round_worker&) const;
+    std::optional<member_placement> findFree(const candidate&) const;
+    std::optional<member_placement> fill(const candidate&, const std::vector<worker_id>&, bool respectReservations) const;
+    std::vector<worker_id> usableWorkers(const candidate&, const rack_name* rack) const;
+    std::vector<rack_name> racksFor(const candidate&) const;
+    std::optional<member_placement> makeRoom(const candidate&);
+    void reserve(const candidate&);
+    bool commit(const candidate&, const member_placement&);
+    std::map<worker_id, std::uint32_t> perWorkerCounts(const candidate&) const;
+
+    const planner_options& m_options;
+    const planner_input& m_input;
+    std::set<submission_id> m_guaranteed;
+    std::map<worker_id, round_worker> m_workers;
+    std::size_t m_reservations { 0 };
+    job_decisions m_decisions;
+};
+
+/// Weight of a demand for comparing losses: accelerators dominate, as a worker has 16 processors for each.
+double weightOf(const demand&);
+
+} // namespace poplardeal::detail
--- /dev/null
+++ b/packages/jobs/src/planner.cpp
@@ -0,0 +1,54 @@
+#include "placement_round.h"
+#include <array>
+#include <poplardeal/jobs/planner.h>
+
+namespace poplardeal {
+
+std::string_view toString(stop_reason reason)
+{
+    constexpr std::array<std::string_view, 5> names { "job_ended", "gang_broken", "preempted", "worker_leaves",
+        "no_progress" };
+    return names[static_cast<std::size_t>(reason)];
+}
+
+static accelerators widestStep(const job_spec& spec)
+{
+    accelerators widest;
+    for (const auto& step : spec.steps)
+        widest = std::max(widest, step.need.accelerator * step.count);
+    return widest;
+}
+
+std::set<submission_id> guaranteedJobs(const job_table& table)
+{
+    std::vector<const job_record*> urgent;
+    for (const auto& id : table.openJobs()) {
+        const auto* job = table.find(id);
+        if (job->priority == 0 && !job->isTerminal())
+            urgent.push_back(job);
+    }
+    std::sort(urgent.begin(), urgent.end(), [](const auto* a, const auto* b) { return a->sequence < b->sequence; });
+    std::map<workspace_name, accelerators> left;
+    for (const auto& workspace : table.plan().workspaces)
+        left[workspace.name] = workspace.guaranteed;
+    std::set<submission_id> out;
+    for (const auto* job : urgent) {
+        const auto need = widestStep(job->spec);
+        auto& remaining = left[job->workspace];
+        if (need > remaining)
+            continue;
+        remaining -= need;
+        out.insert(job->id);
+    }
+    return out;
+}
+
+job_decisions planJobs(const planner_options& options, const planner_input& input)
+{
+    detail::placement_round round(options, input);
+    round.stopWhatMustEnd();
+    round.placeWaiting();
+    return round.takeDecisions();
+}
+
+} // namespace poplardeal
--- /dev/null
+++ b/packages/jobs/src/worker_registry.cpp
@@ -0,0 +1,294 @@
+#include <algorithm>
+#include <array>
+#include <poplardeal/jobs/worker_registry.h>
+
+namespace poplardeal {
+
+namespace {
+
+    /// Pauses of a worker after 1, 2 and 3 or more failures in a row. A worker that fails everything at once would use up
+    /// the attempts of every waiting job.
+    constexpr std::array<duration, 3> strikePauses { std::chrono::milliseconds(1500), std::chrono::seconds(5),
+        std::chrono::seconds(8) };
+
+    std::int64_t toMilliseconds(duration d)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+    }
+
+} // namespace
+
+worker_registry::worker_registry(lease_options options)
+    : m_options(options)
+{
+}
+
+void worker_registry::takeOver(instant now)
+{
+    m_takenOverAt = now;
+    m_views.clear();
+    m_sessions.clear();
+    m_stopping.clear();
+}
+
+std::int64_t worker_registry::estimatedClock(const session& known, instant now) const
+{
+    return known.clockMs + toMilliseconds(now - known.clockAt);
+}
+
+/// When the worker's lease is over whatever it has received, on the leader's clock.
+instant worker_registry::leaseEnd(const session& known) const
+{
+    auto until = known.grantedUntilMs;
+    for (const auto& [run, startUntil] : known.startUntilMs)
+        until = std::max(until, startUntil);
+    const auto left = static_cast<double>(std::max<std::int64_t>(until - known.clockMs, 0)) / m_options.slowestClock;
+    return known.clockAt + std::chrono::milliseconds(static_cast<std::int64_t>(left)) + m_options.margin;
+}
+
+released_run worker_registry::releaseOf(const run_key& run, const worker_boot& boot, const job_table& table) const
+{
+    released_run out { run.task, run.run, {} };
+    const auto view = m_views.find(boot.worker);
+    if (view != m_views.end() && view->second.boot == boot) {
+        const auto seen = view->second.running.find(run.task);
+        if (seen != view->second.running.end() && seen->second.run == run.run)
+            out.saved = seen->second.saved;
+    }
+    const auto* unit = table.findUnit(run.task);
+    if (out.saved.value().empty() && unit != nullptr)
+        out.saved = unit->saved;
+    return out;
+}
+
+std::vector<released_run> worker_registry::releaseBoot(const worker_boot& boot, const job_table& table) const
+{
+    std::vector<released_run> out;
+    for (const auto& run : table.runsOn(boot))
+        out.push_back(releaseOf(run, boot, table));
+    return out;
+}
+
+void worker_registry::adopt(const worker_status& status, instant now)
+{
+    auto& view = m_views[status.boot.worker];
+    auto& known = m_sessions[status.boot.worker];
+    if (view.boot != status.boot) {
+        view = {};
+        known = {};
+        view.boot = status.boot;
+    }
+    view.service = status.service;
+    view.dataCentre = status.dataCentre;
+    view.rack = status.rack;
+    view.labels = status.labels;
+    view.room = status.room;
+    if (status.isDraining && !view.isDraining)
+        view.leavesAt = now + status.drainLeft;
+    view.isDraining = status.isDraining;
+    known.address = status.address;
+}
+
+void worker_registry::updateRunning(const worker_status& status, worker_view& view, instant now) const
+{
+    std::map<task_key, run_view> fresh;
+    for (const auto& listed : status.running) {
+        run_view item { listed.run, listed.saved, listed.percent, now, now };
+        const auto before = view.running.find(listed.task);
+        if (before != view.running.end() && before->second.run == listed.run) {
+            item.startedAt = before->second.startedAt;
+            if (listed.percent <= before->second.percent && listed.saved == before->second.saved)
+                item.progressedAt = before->second.progressedAt;
+        }
+        fresh[listed.task] = item;
+    }
+    view.running = std::move(fresh);
+}
+
+void worker_registry::addStrike(session& known, worker_view& view, instant now)
+{
+    const auto level = std::min<std::size_t>(known.strikes, strikePauses.size() - 1);
+    ++known.strikes;
+    view.avoidUntil = now + strikePauses[level];
+}
+
+void worker_registry::judgeEnds(
+    const record_ends& fresh, const job_table& table, session& known, worker_view& view, instant now)
+{
+    for (const auto& end : fresh.ends) {
+        const auto* unit = table.findUnit(end.task);
+        if (end.kind == end_kind::done)
+            known.strikes = 0;
+        // A task that has failed elsewhere says more about the task than about the worker.
+        else if (end.kind == end_kind::failed && (known.strikes > 0 || unit == nullptr || unit->failures == 0))
+            addStrike(known, view, now);
+    }
+}
+
+report_effects worker_registry::report(const worker_status& status, const job_table& table, instant now)
+{
+    report_effects out;
+    out.ends.worker = status.boot;
+    // Another boot under this id or at this address is over.
+    for (auto it = m_sessions.begin(); it != m_sessions.end();) {
+        const auto boot = m_views.at(it->first).boot;
+        if (boot == status.boot || (it->first != status.boot.worker && it->second.address != status.address)) {
+            ++it;
+            continue;
+        }
+        const auto released = releaseBoot(boot, table);
+        out.released.insert(out.released.end(), released.begin(), released.end());
+        m_views.erase(it->first);
+        it = m_sessions.erase(it);
+    }
+    for (const auto& [boot, runs] : table.runsByWorker()) {
+        if (boot.worker == status.boot.worker && boot.startedAtMs < status.boot.startedAtMs && !m_sessions.contains(boot.worker)) {
+            const auto released = releaseBoot(boot, table);
+            out.released.insert(out.released.end(), released.begin(), released.end());
+        }
+    }
+    if (status.isGone) {
+        const auto released = releaseBoot(status.boot, table);
+        out.released.insert(out.released.end(), released.begin(), released.end());
+        m_views.erase(status.boot.worker);
+        m_sessions.erase(status.boot.worker);
+        return out;
+    }
+    adopt(status, now);
+    auto& view = m_views.at(status.boot.worker);
+    auto& known = m_sessions.at(status.boot.worker);
+    for (const auto& refused : status.refused) {
+        if (table.runsOn(status.boot).contains(refused.run))
+            out.released.push_back(releaseOf(refused.run, status.boot, table));
+        known.startUntilMs.erase(refused.run);
+    }
+    if (!status.hasLists || status.clockMs < known.clockMs)
+        return out;
+    known.clockMs = status.clockMs;
+    known.clockAt = now;
+    known.hasLists = true;
+    std::set<run_key> listed;
+    for (const auto& each : status.running)
+        listed.insert({ each.task, each.run });
+    for (const auto& end : status.ended) {
+        listed.insert({ end.task, end.run });
+        if (end.number > known.proposedEnds)
+            out.ends.ends.push_back(end);
+    }
+    for (const auto& end : out.ends.ends)
+        known.proposedEnds = std::max(known.proposedEnds, end.number);
+    judgeEnds(out.ends, table, known, view, now);
+    for (const auto& run : table.runsOn(status.boot)) {
+        if (listed.contains(run)) {
+            known.startUntilMs.erase(run);
+            continue;
+        }
+        const auto before = view.running.find(run.task);
+        const bool wasRunning = before != view.running.end() && before->second.run == run.run;
+        const auto until = known.startUntilMs.find(run);
+        if (until == known.startUntilMs.end() && !wasRunning) {
+            // An order of an earlier leader; it is given again and has to be carried out in time.
+            known.startUntilMs[run] = status.clockMs + toMilliseconds(m_options.startWindow);
+        } else if (wasRunning || (until != known.startUntilMs.end() && status.clockMs > until->second)) {
+            out.released.push_back(releaseOf(run, status.boot, table));
+            known.startUntilMs.erase(run);
+        }
+    }
+    updateRunning(status, view, now);
+    return out;
+}
+
+void worker_registry::endsSettled(const worker_boot& boot, std::uint64_t upTo, bool recorded)
+{
+    const auto found = m_sessions.find(boot.worker);
+    if (found == m_sessions.end() || m_views.at(boot.worker).boot != boot)
+        return;
+    if (recorded)
+        found->second.acknowledged = std::max(found->second.acknowledged, upTo);
+    else
+        found->second.proposedEnds = found->second.acknowledged;
+}
+
+void worker_registry::startOrdered(const task_start& start, instant now)
+{
+    const auto found = m_sessions.find(start.worker.worker);
+    if (found == m_sessions.end() || m_views.at(start.worker.worker).boot != start.worker)
+        return;
+    found->second.startUntilMs[{ start.task, start.run }]
+        = estimatedClock(found->second, now) + toMilliseconds(m_options.startWindow);
+}
+
+void worker_registry::stopOrdered(const planned_stop& stop, instant now)
+{
+    m_stopping.insert(stop.run);
+    const auto found = m_sessions.find(stop.worker.worker);
+    if (stop.reason == stop_reason::no_progress && found != m_sessions.end())
+        addStrike(found->second, m_views.at(stop.worker.worker), now);
+}
+
+std::optional<worker_instructions> worker_registry::instructionsFor(
+    const worker_boot& boot, const job_table& table, instant now)
+{
+    const auto found = m_sessions.find(boot.worker);
+    if (found == m_sessions.end() || m_views.at(boot.worker).boot != boot || !found->second.hasLists)
+        return std::nullopt;
+    auto& known = found->second;
+    worker_instructions out;
+    out.boot = boot;
+    known.grantedUntilMs = std::max(known.grantedUntilMs, known.clockMs + toMilliseconds(m_options.length));
+    out.leaseUntilMs = known.grantedUntilMs;
+    out.acknowledged = known.acknowledged;
+    const auto& running = m_views.at(boot.worker).running;
+    for (const auto& run : table.runsOn(boot)) {
+        if (m_stopping.contains(run)) {
+            out.stops.push_back(run);
+            continue;
+        }
+        const auto seen = running.find(run.task);
+        const auto until = known.startUntilMs.find(run);
+        if ((seen != running.end() && seen->second.run == run.run) || until == known.startUntilMs.end()
+            || estimatedClock(known, now) >= until->second)
+            continue;
+        const auto* job = table.find(run.task.job);
+        const auto* unit = table.findUnit(run.task);
+        out.starts.push_back({ run, job->spec.payload, unit->saved, until->second });
+    }
+    return out;
+}
+
+std::vector<released_run> worker_registry::expired(const job_table& table, instant now)
+{
+    dropStopping(table);
+    std::vector<released_run> out;
+    for (const auto& [boot, runs] : table.runsByWorker()) {
+        const auto found = m_sessions.find(boot.worker);
+        const bool isCurrent = found != m_sessions.end() && m_views.at(boot.worker).boot == boot;
+        const auto firstLease = std::chrono::duration_cast<duration>(m_options.length / m_options.slowestClock);
+        const auto end = isCurrent && found->second.hasLists ? leaseEnd(found->second)
+                                                             : m_takenOverAt + firstLease + m_options.margin;
+        if (now <= end)
+            continue;
+        const auto released = releaseBoot(boot, table);
+        out.insert(out.end(), released.begin(), released.end());
+    }
+    return out;
+}
+
+void worker_registry::dropStopping(const job_table& table)
+{
+    std::erase_if(m_stopping, [&table](const run_key& run) {
+        const auto* unit = table.findUnit(run.task);
+        return unit == nullptr || !unit->isActive() || unit->lastRun != run.run;
+    });
+}
+
+const std::map<worker_id, worker_view>& worker_registry::views(instant now)
+{
+    for (auto& [id, view] : m_views) {
+        const auto& known = m_sessions.at(id);
+        view.isReachable = known.hasLists && now - known.clockAt < m_options.reachable;
+    }
+    return m_views;
+}
+
+} // namespace poplardeal
--- a/packages/wire/include/poplardeal/wire/channel.h
+++ b/packages/wire/include/poplardeal/wire/channel.h
@@ -59,6 +59,8 @@
 class dialer {
 public:
     dialer(event_loop&, address peer, std::uint64_t seed);
+    /// `longestDelay` bounds the pause between dials.
+    dialer(event_loop&, address peer, std::uint64_t seed, duration longestDelay);
     ~dialer();
     dialer(const dialer&) = delete;
     dialer& operator=(const dialer&) = delete;
--- a/packages/wire/include/poplardeal/wire/event_loop.h
+++ b/packages/wire/include/poplardeal/wire/event_loop.h
@@ -44,8 +44,11 @@
 
     /// Calls the function on the loop's thread when the process gets SIGTERM or SIGINT.
     void onTerminate(std::function<void()>);
+    /// Calls the function on the loop's thread at SIGHUP. Without it the signal ends the process.
+    void onReload(std::function<void()>);
 
-    /// Monotonic clock of this machine; for leases and timeouts.
+    /// Steady clock of this machine that also counts the time of a suspension; for leases and timeouts. Read afresh at
+    /// each call.
     instant now() const;
     /// Wall clock, from 1970-01-01 UTC; for records only.
     instant wallClock() const;
--- a/packages/wire/include/poplardeal/wire/frame.h
+++ b/packages/wire/include/poplardeal/wire/frame.h
@@ -38,6 +38,13 @@
     settle,
     settle_ack,
     goodbye,
+    control_hint,
+    control_probe,
+    join_group,
+    queue_call,
+    queue_answer,
+    worker_report,
+    worker_orders,
 };
 
 /// One message between two processes of the system.
