--- a/packages/wire/include/poplardeal/wire/messages_generated.h
+++ b/packages/wire/include/poplardeal/wire/messages_generated.h
@@ -105,6 +105,54 @@
 struct goodbyeBuilder;
 struct goodbyeT;
 
+struct control_hint;
+struct control_hintBuilder;
+struct control_hintT;
+
+struct control_probe;
+struct control_probeBuilder;
+struct control_probeT;
+
+struct join_group;
+struct join_groupBuilder;
+struct join_groupT;
+
+struct queue_call;
+struct queue_callBuilder;
+struct queue_callT;
+
+struct queue_answer;
+struct queue_answerBuilder;
+struct queue_answerT;
+
+struct listed_task;
+struct listed_taskBuilder;
+struct listed_taskT;
+
+struct listed_end;
+struct listed_endBuilder;
+struct listed_endT;
+
+struct refused_start;
+struct refused_startBuilder;
+struct refused_startT;
+
+struct worker_report;
+struct worker_reportBuilder;
+struct worker_reportT;
+
+struct start_order;
+struct start_orderBuilder;
+struct start_orderT;
+
+struct stop_order;
+struct stop_orderBuilder;
+struct stop_orderT;
+
+struct worker_orders;
+struct worker_ordersBuilder;
+struct worker_ordersT;
+
 enum class process_role : int8_t {
   control = 0,
   entry = 1,
@@ -291,6 +339,90 @@
   return EnumNamesclaim_outcome()[index];
 }
 
+enum class queue_verb : int8_t {
+  submit = 0,
+  status = 1,
+  cancel = 2,
+  MIN = submit,
+  MAX = cancel
+};
+
+inline const queue_verb (&EnumValuesqueue_verb())[3] {
+  static const queue_verb values[] = {
+    queue_verb::submit,
+    queue_verb::status,
+    queue_verb::cancel
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesqueue_verb() {
+  static const char * const names[4] = {
+    "submit",
+    "status",
+    "cancel",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamequeue_verb(queue_verb e) {
+  if (flatbuffers::IsOutRange(e, queue_verb::submit, queue_verb::cancel)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesqueue_verb()[index];
+}
+
+enum class queue_outcome : int8_t {
+  accepted = 0,
+  shown = 1,
+  counted = 2,
+  unknown_job = 3,
+  unknown_queue = 4,
+  bad_key = 5,
+  malformed = 6,
+  not_ready = 7,
+  uncertain = 8,
+  MIN = accepted,
+  MAX = uncertain
+};
+
+inline const queue_outcome (&EnumValuesqueue_outcome())[9] {
+  static const queue_outcome values[] = {
+    queue_outcome::accepted,
+    queue_outcome::shown,
+    queue_outcome::counted,
+    queue_outcome::unknown_job,
+    queue_outcome::unknown_queue,
+    queue_outcome::bad_key,
+    queue_outcome::malformed,
+    queue_outcome::not_ready,
+    queue_outcome::uncertain
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesqueue_outcome() {
+  static const char * const names[10] = {
+    "accepted",
+    "shown",
+    "counted",
+    "unknown_job",
+    "unknown_queue",
+    "bad_key",
+    "malformed",
+    "not_ready",
+    "uncertain",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamequeue_outcome(queue_outcome e) {
+  if (flatbuffers::IsOutRange(e, queue_outcome::accepted, queue_outcome::uncertain)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesqueue_outcome()[index];
+}
+
 struct helloT : public flatbuffers::NativeTable {
   typedef hello TableType;
   poplardeal::message::process_role role = poplardeal::message::process_role::control;
@@ -2890,170 +3022,1630 @@
 
 flatbuffers::Offset<goodbye> Creategoodbye(flatbuffers::FlatBufferBuilder &_fbb, const goodbyeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline helloT *hello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<helloT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void hello::UnPackTo(helloT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = role(); _o->role = _e; }
-  { auto _e = name(); if (_e) _o->name = _e->str(); }
-  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
-  { auto _e = replica(); _o->replica = _e; }
-  { auto _e = protocol(); _o->protocol = _e; }
-}
-
-inline flatbuffers::Offset<hello> hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const helloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createhello(_fbb, _o, _rehasher);
-}
+struct control_hintT : public flatbuffers::NativeTable {
+  typedef control_hint TableType;
+  bool leads = false;
+  uint64_t term = 0;
+  std::string leader{};
+  std::vector<std::string> controls{};
+};
 
-inline flatbuffers::Offset<hello> Createhello(flatbuffers::FlatBufferBuilder &_fbb, const helloT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const helloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _role = _o->role;
-  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
-  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
-  auto _replica = _o->replica;
-  auto _protocol = _o->protocol;
-  return poplardeal::message::Createhello(
-      _fbb,
-      _role,
-      _name,
-      _data_centre,
-      _replica,
-      _protocol);
-}
+struct control_hint FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef control_hintT NativeTableType;
+  typedef control_hintBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LEADS = 4,
+    VT_TERM = 6,
+    VT_LEADER = 8,
+    VT_CONTROLS = 10
+  };
+  bool leads() const {
+    return GetField<uint8_t>(VT_LEADS, 0) != 0;
+  }
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  const flatbuffers::String *leader() const {
+    return GetPointer<const flatbuffers::String *>(VT_LEADER);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *controls() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_CONTROLS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_LEADS, 1) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyOffset(verifier, VT_LEADER) &&
+           verifier.VerifyString(leader()) &&
+           VerifyOffset(verifier, VT_CONTROLS) &&
+           verifier.VerifyVector(controls()) &&
+           verifier.VerifyVectorOfStrings(controls()) &&
+           verifier.EndTable();
+  }
+  control_hintT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(control_hintT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<control_hint> Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_hintT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-inline worker_taskT *worker_task::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<worker_taskT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
+struct control_hintBuilder {
+  typedef control_hint Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_leads(bool leads) {
+    fbb_.AddElement<uint8_t>(control_hint::VT_LEADS, static_cast<uint8_t>(leads), 0);
+  }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(control_hint::VT_TERM, term, 0);
+  }
+  void add_leader(flatbuffers::Offset<flatbuffers::String> leader) {
+    fbb_.AddOffset(control_hint::VT_LEADER, leader);
+  }
+  void add_controls(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> controls) {
+    fbb_.AddOffset(control_hint::VT_CONTROLS, controls);
+  }
+  explicit control_hintBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<control_hint> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<control_hint>(end);
+    return o;
+  }
+};
 
-inline void worker_task::UnPackTo(worker_taskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = job(); _o->job = _e; }
-  { auto _e = index(); _o->index = _e; }
-  { auto _e = attempt(); _o->attempt = _e; }
-  { auto _e = lease(); _o->lease = _e; }
-  { auto _e = state(); if (_e) _o->state = _e->str(); }
+inline flatbuffers::Offset<control_hint> Createcontrol_hint(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool leads = false,
+    uint64_t term = 0,
+    flatbuffers::Offset<flatbuffers::String> leader = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> controls = 0) {
+  control_hintBuilder builder_(_fbb);
+  builder_.add_term(term);
+  builder_.add_controls(controls);
+  builder_.add_leader(leader);
+  builder_.add_leads(leads);
+  return builder_.Finish();
 }
 
-inline flatbuffers::Offset<worker_task> worker_task::Pack(flatbuffers::FlatBufferBuilder &_fbb, const worker_taskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createworker_task(_fbb, _o, _rehasher);
-}
+struct control_hint::Traits {
+  using type = control_hint;
+  static auto constexpr Create = Createcontrol_hint;
+};
 
-inline flatbuffers::Offset<worker_task> Createworker_task(flatbuffers::FlatBufferBuilder &_fbb, const worker_taskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const worker_taskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _job = _o->job;
-  auto _index = _o->index;
-  auto _attempt = _o->attempt;
-  auto _lease = _o->lease;
-  auto _state = _o->state.empty() ? 0 : _fbb.CreateString(_o->state);
-  return poplardeal::message::Createworker_task(
+inline flatbuffers::Offset<control_hint> Createcontrol_hintDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool leads = false,
+    uint64_t term = 0,
+    const char *leader = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *controls = nullptr) {
+  auto leader__ = leader ? _fbb.CreateString(leader) : 0;
+  auto controls__ = controls ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*controls) : 0;
+  return poplardeal::message::Createcontrol_hint(
       _fbb,
-      _job,
-      _index,
-      _attempt,
-      _lease,
-      _state);
+      leads,
+      term,
+      leader__,
+      controls__);
 }
 
-inline session_openT::session_openT(const session_openT &o)
-      : worker(o.worker),
-        incarnation(o.incarnation),
-        data_centre(o.data_centre),
-        rack(o.rack),
-        cores(o.cores),
-        memory_mib(o.memory_mib),
-        accelerators(o.accelerators) {
-  tasks.reserve(o.tasks.size());
-  for (const auto &tasks_ : o.tasks) { tasks.emplace_back((tasks_) ? new poplardeal::message::worker_taskT(*tasks_) : nullptr); }
-}
+flatbuffers::Offset<control_hint> Createcontrol_hint(flatbuffers::FlatBufferBuilder &_fbb, const control_hintT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline session_openT &session_openT::operator=(session_openT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(worker, o.worker);
-  std::swap(incarnation, o.incarnation);
-  std::swap(data_centre, o.data_centre);
-  std::swap(rack, o.rack);
-  std::swap(cores, o.cores);
-  std::swap(memory_mib, o.memory_mib);
-  std::swap(accelerators, o.accelerators);
-  std::swap(tasks, o.tasks);
-  return *this;
-}
+struct control_probeT : public flatbuffers::NativeTable {
+  typedef control_probe TableType;
+};
 
-inline session_openT *session_open::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<session_openT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
+struct control_probe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef control_probeT NativeTableType;
+  typedef control_probeBuilder Builder;
+  struct Traits;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           verifier.EndTable();
+  }
+  control_probeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(control_probeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<control_probe> Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_probeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-inline void session_open::UnPackTo(session_openT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
-  { auto _e = incarnation(); _o->incarnation = _e; }
-  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
-  { auto _e = rack(); if (_e) _o->rack = _e->str(); }
-  { auto _e = cores(); _o->cores = _e; }
-  { auto _e = memory_mib(); _o->memory_mib = _e; }
-  { auto _e = accelerators(); _o->accelerators = _e; }
-  { auto _e = tasks(); if (_e) { _o->tasks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tasks[_i] = std::unique_ptr<poplardeal::message::worker_taskT>(_e->Get(_i)->UnPack(_resolver)); } } }
-}
+struct control_probeBuilder {
+  typedef control_probe Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit control_probeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<control_probe> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<control_probe>(end);
+    return o;
+  }
+};
 
-inline flatbuffers::Offset<session_open> session_open::Pack(flatbuffers::FlatBufferBuilder &_fbb, const session_openT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createsession_open(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<control_probe> Createcontrol_probe(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  control_probeBuilder builder_(_fbb);
+  return builder_.Finish();
 }
 
-inline flatbuffers::Offset<session_open> Createsession_open(flatbuffers::FlatBufferBuilder &_fbb, const session_openT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const session_openT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
-  auto _incarnation = _o->incarnation;
-  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
-  auto _rack = _o->rack.empty() ? 0 : _fbb.CreateString(_o->rack);
-  auto _cores = _o->cores;
-  auto _memory_mib = _o->memory_mib;
-  auto _accelerators = _o->accelerators;
-  auto _tasks = _o->tasks.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::worker_task>> (_o->tasks.size(), [](size_t i, _VectorArgs *__va) { return Createworker_task(*__va->__fbb, __va->__o->tasks[i].get(), __va->__rehasher); }, &_va ) : 0;
-  return poplardeal::message::Createsession_open(
-      _fbb,
-      _worker,
-      _incarnation,
-      _data_centre,
-      _rack,
-      _cores,
-      _memory_mib,
-      _accelerators,
-      _tasks);
-}
+struct control_probe::Traits {
+  using type = control_probe;
+  static auto constexpr Create = Createcontrol_probe;
+};
 
-inline session_renewT *session_renew::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<session_renewT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
+flatbuffers::Offset<control_probe> Createcontrol_probe(flatbuffers::FlatBufferBuilder &_fbb, const control_probeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline void session_renew::UnPackTo(session_renewT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-}
+struct join_groupT : public flatbuffers::NativeTable {
+  typedef join_group TableType;
+  uint32_t replica = 0;
+};
 
-inline flatbuffers::Offset<session_renew> session_renew::Pack(flatbuffers::FlatBufferBuilder &_fbb, const session_renewT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createsession_renew(_fbb, _o, _rehasher);
-}
+struct join_group FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef join_groupT NativeTableType;
+  typedef join_groupBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPLICA = 4
+  };
+  uint32_t replica() const {
+    return GetField<uint32_t>(VT_REPLICA, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_REPLICA, 4) &&
+           verifier.EndTable();
+  }
+  join_groupT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(join_groupT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<join_group> Pack(flatbuffers::FlatBufferBuilder &_fbb, const join_groupT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-inline flatbuffers::Offset<session_renew> Createsession_renew(flatbuffers::FlatBufferBuilder &_fbb, const session_renewT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
+struct join_groupBuilder {
+  typedef join_group Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_replica(uint32_t replica) {
+    fbb_.AddElement<uint32_t>(join_group::VT_REPLICA, replica, 0);
+  }
+  explicit join_groupBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<join_group> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<join_group>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<join_group> Createjoin_group(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t replica = 0) {
+  join_groupBuilder builder_(_fbb);
+  builder_.add_replica(replica);
+  return builder_.Finish();
+}
+
+struct join_group::Traits {
+  using type = join_group;
+  static auto constexpr Create = Createjoin_group;
+};
+
+flatbuffers::Offset<join_group> Createjoin_group(flatbuffers::FlatBufferBuilder &_fbb, const join_groupT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct queue_callT : public flatbuffers::NativeTable {
+  typedef queue_call TableType;
+  poplardeal::message::queue_verb verb = poplardeal::message::queue_verb::submit;
+  std::string host{};
+  std::string path{};
+  std::string key{};
+  std::vector<uint8_t> job{};
+};
+
+struct queue_call FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef queue_callT NativeTableType;
+  typedef queue_callBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERB = 4,
+    VT_HOST = 6,
+    VT_PATH = 8,
+    VT_KEY = 10,
+    VT_JOB = 12
+  };
+  poplardeal::message::queue_verb verb() const {
+    return static_cast<poplardeal::message::queue_verb>(GetField<int8_t>(VT_VERB, 0));
+  }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  const flatbuffers::String *path() const {
+    return GetPointer<const flatbuffers::String *>(VT_PATH);
+  }
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *job() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_JOB);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int8_t>(verifier, VT_VERB, 1) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_PATH) &&
+           verifier.VerifyString(path()) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyVector(job()) &&
+           verifier.EndTable();
+  }
+  queue_callT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(queue_callT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<queue_call> Pack(flatbuffers::FlatBufferBuilder &_fbb, const queue_callT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct queue_callBuilder {
+  typedef queue_call Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_verb(poplardeal::message::queue_verb verb) {
+    fbb_.AddElement<int8_t>(queue_call::VT_VERB, static_cast<int8_t>(verb), 0);
+  }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(queue_call::VT_HOST, host);
+  }
+  void add_path(flatbuffers::Offset<flatbuffers::String> path) {
+    fbb_.AddOffset(queue_call::VT_PATH, path);
+  }
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(queue_call::VT_KEY, key);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> job) {
+    fbb_.AddOffset(queue_call::VT_JOB, job);
+  }
+  explicit queue_callBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<queue_call> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<queue_call>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<queue_call> Createqueue_call(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    poplardeal::message::queue_verb verb = poplardeal::message::queue_verb::submit,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::String> path = 0,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> job = 0) {
+  queue_callBuilder builder_(_fbb);
+  builder_.add_job(job);
+  builder_.add_key(key);
+  builder_.add_path(path);
+  builder_.add_host(host);
+  builder_.add_verb(verb);
+  return builder_.Finish();
+}
+
+struct queue_call::Traits {
+  using type = queue_call;
+  static auto constexpr Create = Createqueue_call;
+};
+
+inline flatbuffers::Offset<queue_call> Createqueue_callDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    poplardeal::message::queue_verb verb = poplardeal::message::queue_verb::submit,
+    const char *host = nullptr,
+    const char *path = nullptr,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *job = nullptr) {
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto path__ = path ? _fbb.CreateString(path) : 0;
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto job__ = job ? _fbb.CreateVector<uint8_t>(*job) : 0;
+  return poplardeal::message::Createqueue_call(
+      _fbb,
+      verb,
+      host__,
+      path__,
+      key__,
+      job__);
+}
+
+flatbuffers::Offset<queue_call> Createqueue_call(flatbuffers::FlatBufferBuilder &_fbb, const queue_callT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct queue_answerT : public flatbuffers::NativeTable {
+  typedef queue_answer TableType;
+  poplardeal::message::queue_outcome outcome = poplardeal::message::queue_outcome::accepted;
+  uint8_t phase = 0;
+  uint64_t pending = 0;
+  uint32_t retry_after_ms = 0;
+  std::string reason{};
+};
+
+struct queue_answer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef queue_answerT NativeTableType;
+  typedef queue_answerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_OUTCOME = 4,
+    VT_PHASE = 6,
+    VT_PENDING = 8,
+    VT_RETRY_AFTER_MS = 10,
+    VT_REASON = 12
+  };
+  poplardeal::message::queue_outcome outcome() const {
+    return static_cast<poplardeal::message::queue_outcome>(GetField<int8_t>(VT_OUTCOME, 0));
+  }
+  uint8_t phase() const {
+    return GetField<uint8_t>(VT_PHASE, 0);
+  }
+  uint64_t pending() const {
+    return GetField<uint64_t>(VT_PENDING, 0);
+  }
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  const flatbuffers::String *reason() const {
+    return GetPointer<const flatbuffers::String *>(VT_REASON);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_PENDING, 8) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyOffset(verifier, VT_REASON) &&
+           verifier.VerifyString(reason()) &&
+           verifier.EndTable();
+  }
+  queue_answerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(queue_answerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<queue_answer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const queue_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct queue_answerBuilder {
+  typedef queue_answer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_outcome(poplardeal::message::queue_outcome outcome) {
+    fbb_.AddElement<int8_t>(queue_answer::VT_OUTCOME, static_cast<int8_t>(outcome), 0);
+  }
+  void add_phase(uint8_t phase) {
+    fbb_.AddElement<uint8_t>(queue_answer::VT_PHASE, phase, 0);
+  }
+  void add_pending(uint64_t pending) {
+    fbb_.AddElement<uint64_t>(queue_answer::VT_PENDING, pending, 0);
+  }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(queue_answer::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  void add_reason(flatbuffers::Offset<flatbuffers::String> reason) {
+    fbb_.AddOffset(queue_answer::VT_REASON, reason);
+  }
+  explicit queue_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<queue_answer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<queue_answer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<queue_answer> Createqueue_answer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    poplardeal::message::queue_outcome outcome = poplardeal::message::queue_outcome::accepted,
+    uint8_t phase = 0,
+    uint64_t pending = 0,
+    uint32_t retry_after_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> reason = 0) {
+  queue_answerBuilder builder_(_fbb);
+  builder_.add_pending(pending);
+  builder_.add_reason(reason);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_phase(phase);
+  builder_.add_outcome(outcome);
+  return builder_.Finish();
+}
+
+struct queue_answer::Traits {
+  using type = queue_answer;
+  static auto constexpr Create = Createqueue_answer;
+};
+
+inline flatbuffers::Offset<queue_answer> Createqueue_answerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    poplardeal::message::queue_outcome outcome = poplardeal::message::queue_outcome::accepted,
+    uint8_t phase = 0,
+    uint64_t pending = 0,
+    uint32_t retry_after_ms = 0,
+    const char *reason = nullptr) {
+  auto reason__ = reason ? _fbb.CreateString(reason) : 0;
+  return poplardeal::message::Createqueue_answer(
+      _fbb,
+      outcome,
+      phase,
+      pending,
+      retry_after_ms,
+      reason__);
+}
+
+flatbuffers::Offset<queue_answer> Createqueue_answer(flatbuffers::FlatBufferBuilder &_fbb, const queue_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct listed_taskT : public flatbuffers::NativeTable {
+  typedef listed_task TableType;
+  std::string task{};
+  uint32_t run = 0;
+  std::string saved{};
+  double percent = 0.0;
+};
+
+struct listed_task FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef listed_taskT NativeTableType;
+  typedef listed_taskBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_RUN = 6,
+    VT_SAVED = 8,
+    VT_PERCENT = 10
+  };
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *saved() const {
+    return GetPointer<const flatbuffers::String *>(VT_SAVED);
+  }
+  double percent() const {
+    return GetField<double>(VT_PERCENT, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyOffset(verifier, VT_SAVED) &&
+           verifier.VerifyString(saved()) &&
+           VerifyField<double>(verifier, VT_PERCENT, 8) &&
+           verifier.EndTable();
+  }
+  listed_taskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(listed_taskT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<listed_task> Pack(flatbuffers::FlatBufferBuilder &_fbb, const listed_taskT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct listed_taskBuilder {
+  typedef listed_task Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(listed_task::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(listed_task::VT_RUN, run, 0);
+  }
+  void add_saved(flatbuffers::Offset<flatbuffers::String> saved) {
+    fbb_.AddOffset(listed_task::VT_SAVED, saved);
+  }
+  void add_percent(double percent) {
+    fbb_.AddElement<double>(listed_task::VT_PERCENT, percent, 0.0);
+  }
+  explicit listed_taskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<listed_task> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<listed_task>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<listed_task> Createlisted_task(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint32_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> saved = 0,
+    double percent = 0.0) {
+  listed_taskBuilder builder_(_fbb);
+  builder_.add_percent(percent);
+  builder_.add_saved(saved);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  return builder_.Finish();
+}
+
+struct listed_task::Traits {
+  using type = listed_task;
+  static auto constexpr Create = Createlisted_task;
+};
+
+inline flatbuffers::Offset<listed_task> Createlisted_taskDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *task = nullptr,
+    uint32_t run = 0,
+    const char *saved = nullptr,
+    double percent = 0.0) {
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  auto saved__ = saved ? _fbb.CreateString(saved) : 0;
+  return poplardeal::message::Createlisted_task(
+      _fbb,
+      task__,
+      run,
+      saved__,
+      percent);
+}
+
+flatbuffers::Offset<listed_task> Createlisted_task(flatbuffers::FlatBufferBuilder &_fbb, const listed_taskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct listed_endT : public flatbuffers::NativeTable {
+  typedef listed_end TableType;
+  uint64_t number = 0;
+  std::string task{};
+  uint32_t run = 0;
+  uint8_t kind = 0;
+  std::string saved{};
+};
+
+struct listed_end FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef listed_endT NativeTableType;
+  typedef listed_endBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_TASK = 6,
+    VT_RUN = 8,
+    VT_KIND = 10,
+    VT_SAVED = 12
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  const flatbuffers::String *saved() const {
+    return GetPointer<const flatbuffers::String *>(VT_SAVED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_SAVED) &&
+           verifier.VerifyString(saved()) &&
+           verifier.EndTable();
+  }
+  listed_endT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(listed_endT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<listed_end> Pack(flatbuffers::FlatBufferBuilder &_fbb, const listed_endT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct listed_endBuilder {
+  typedef listed_end Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(listed_end::VT_NUMBER, number, 0);
+  }
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(listed_end::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(listed_end::VT_RUN, run, 0);
+  }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(listed_end::VT_KIND, kind, 0);
+  }
+  void add_saved(flatbuffers::Offset<flatbuffers::String> saved) {
+    fbb_.AddOffset(listed_end::VT_SAVED, saved);
+  }
+  explicit listed_endBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<listed_end> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<listed_end>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<listed_end> Createlisted_end(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint32_t run = 0,
+    uint8_t kind = 0,
+    flatbuffers::Offset<flatbuffers::String> saved = 0) {
+  listed_endBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_saved(saved);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct listed_end::Traits {
+  using type = listed_end;
+  static auto constexpr Create = Createlisted_end;
+};
+
+inline flatbuffers::Offset<listed_end> Createlisted_endDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *task = nullptr,
+    uint32_t run = 0,
+    uint8_t kind = 0,
+    const char *saved = nullptr) {
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  auto saved__ = saved ? _fbb.CreateString(saved) : 0;
+  return poplardeal::message::Createlisted_end(
+      _fbb,
+      number,
+      task__,
+      run,
+      kind,
+      saved__);
+}
+
+flatbuffers::Offset<listed_end> Createlisted_end(flatbuffers::FlatBufferBuilder &_fbb, const listed_endT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct refused_startT : public flatbuffers::NativeTable {
+  typedef refused_start TableType;
+  std::string task{};
+  uint32_t run = 0;
+  std::string reason{};
+};
+
+struct refused_start FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef refused_startT NativeTableType;
+  typedef refused_startBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_RUN = 6,
+    VT_REASON = 8
+  };
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *reason() const {
+    return GetPointer<const flatbuffers::String *>(VT_REASON);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyOffset(verifier, VT_REASON) &&
+           verifier.VerifyString(reason()) &&
+           verifier.EndTable();
+  }
+  refused_startT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(refused_startT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<refused_start> Pack(flatbuffers::FlatBufferBuilder &_fbb, const refused_startT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct refused_startBuilder {
+  typedef refused_start Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(refused_start::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(refused_start::VT_RUN, run, 0);
+  }
+  void add_reason(flatbuffers::Offset<flatbuffers::String> reason) {
+    fbb_.AddOffset(refused_start::VT_REASON, reason);
+  }
+  explicit refused_startBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<refused_start> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<refused_start>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<refused_start> Createrefused_start(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint32_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> reason = 0) {
+  refused_startBuilder builder_(_fbb);
+  builder_.add_reason(reason);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  return builder_.Finish();
+}
+
+struct refused_start::Traits {
+  using type = refused_start;
+  static auto constexpr Create = Createrefused_start;
+};
+
+inline flatbuffers::Offset<refused_start> Createrefused_startDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *task = nullptr,
+    uint32_t run = 0,
+    const char *reason = nullptr) {
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  auto reason__ = reason ? _fbb.CreateString(reason) : 0;
+  return poplardeal::message::Createrefused_start(
+      _fbb,
+      task__,
+      run,
+      reason__);
+}
+
+flatbuffers::Offset<refused_start> Createrefused_start(flatbuffers::FlatBufferBuilder &_fbb, const refused_startT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct worker_reportT : public flatbuffers::NativeTable {
+  typedef worker_report TableType;
+  std::string worker{};
+  int64_t started_at_ms = 0;
+  std::string address{};
+  std::string service{};
+  std::string data_centre{};
+  std::string rack{};
+  std::vector<std::string> labels{};
+  int64_t cpu_millicores = 0;
+  int64_t memory_mib = 0;
+  int64_t accelerators = 0;
+  bool draining = false;
+  int64_t drain_left_ms = 0;
+  bool gone = false;
+  int64_t clock_ms = 0;
+  bool has_lists = false;
+  std::vector<std::unique_ptr<poplardeal::message::listed_taskT>> running{};
+  std::vector<std::unique_ptr<poplardeal::message::listed_endT>> ended{};
+  std::vector<std::unique_ptr<poplardeal::message::refused_startT>> refused{};
+  worker_reportT() = default;
+  worker_reportT(const worker_reportT &o);
+  worker_reportT(worker_reportT&&) FLATBUFFERS_NOEXCEPT = default;
+  worker_reportT &operator=(worker_reportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct worker_report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef worker_reportT NativeTableType;
+  typedef worker_reportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKER = 4,
+    VT_STARTED_AT_MS = 6,
+    VT_ADDRESS = 8,
+    VT_SERVICE = 10,
+    VT_DATA_CENTRE = 12,
+    VT_RACK = 14,
+    VT_LABELS = 16,
+    VT_CPU_MILLICORES = 18,
+    VT_MEMORY_MIB = 20,
+    VT_ACCELERATORS = 22,
+    VT_DRAINING = 24,
+    VT_DRAIN_LEFT_MS = 26,
+    VT_GONE = 28,
+    VT_CLOCK_MS = 30,
+    VT_HAS_LISTS = 32,
+    VT_RUNNING = 34,
+    VT_ENDED = 36,
+    VT_REFUSED = 38
+  };
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  int64_t started_at_ms() const {
+    return GetField<int64_t>(VT_STARTED_AT_MS, 0);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  const flatbuffers::String *rack() const {
+    return GetPointer<const flatbuffers::String *>(VT_RACK);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *labels() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LABELS);
+  }
+  int64_t cpu_millicores() const {
+    return GetField<int64_t>(VT_CPU_MILLICORES, 0);
+  }
+  int64_t memory_mib() const {
+    return GetField<int64_t>(VT_MEMORY_MIB, 0);
+  }
+  int64_t accelerators() const {
+    return GetField<int64_t>(VT_ACCELERATORS, 0);
+  }
+  bool draining() const {
+    return GetField<uint8_t>(VT_DRAINING, 0) != 0;
+  }
+  int64_t drain_left_ms() const {
+    return GetField<int64_t>(VT_DRAIN_LEFT_MS, 0);
+  }
+  bool gone() const {
+    return GetField<uint8_t>(VT_GONE, 0) != 0;
+  }
+  int64_t clock_ms() const {
+    return GetField<int64_t>(VT_CLOCK_MS, 0);
+  }
+  bool has_lists() const {
+    return GetField<uint8_t>(VT_HAS_LISTS, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::listed_task>> *running() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::listed_task>> *>(VT_RUNNING);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::listed_end>> *ended() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::listed_end>> *>(VT_ENDED);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::refused_start>> *refused() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::refused_start>> *>(VT_REFUSED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyOffset(verifier, VT_RACK) &&
+           verifier.VerifyString(rack()) &&
+           VerifyOffset(verifier, VT_LABELS) &&
+           verifier.VerifyVector(labels()) &&
+           verifier.VerifyVectorOfStrings(labels()) &&
+           VerifyField<int64_t>(verifier, VT_CPU_MILLICORES, 8) &&
+           VerifyField<int64_t>(verifier, VT_MEMORY_MIB, 8) &&
+           VerifyField<int64_t>(verifier, VT_ACCELERATORS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
+           VerifyField<int64_t>(verifier, VT_DRAIN_LEFT_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_GONE, 1) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_LISTS, 1) &&
+           VerifyOffset(verifier, VT_RUNNING) &&
+           verifier.VerifyVector(running()) &&
+           verifier.VerifyVectorOfTables(running()) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
+           verifier.VerifyVectorOfTables(ended()) &&
+           VerifyOffset(verifier, VT_REFUSED) &&
+           verifier.VerifyVector(refused()) &&
+           verifier.VerifyVectorOfTables(refused()) &&
+           verifier.EndTable();
+  }
+  worker_reportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(worker_reportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<worker_report> Pack(flatbuffers::FlatBufferBuilder &_fbb, const worker_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct worker_reportBuilder {
+  typedef worker_report Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(worker_report::VT_WORKER, worker);
+  }
+  void add_started_at_ms(int64_t started_at_ms) {
+    fbb_.AddElement<int64_t>(worker_report::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(worker_report::VT_ADDRESS, address);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(worker_report::VT_SERVICE, service);
+  }
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(worker_report::VT_DATA_CENTRE, data_centre);
+  }
+  void add_rack(flatbuffers::Offset<flatbuffers::String> rack) {
+    fbb_.AddOffset(worker_report::VT_RACK, rack);
+  }
+  void add_labels(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> labels) {
+    fbb_.AddOffset(worker_report::VT_LABELS, labels);
+  }
+  void add_cpu_millicores(int64_t cpu_millicores) {
+    fbb_.AddElement<int64_t>(worker_report::VT_CPU_MILLICORES, cpu_millicores, 0);
+  }
+  void add_memory_mib(int64_t memory_mib) {
+    fbb_.AddElement<int64_t>(worker_report::VT_MEMORY_MIB, memory_mib, 0);
+  }
+  void add_accelerators(int64_t accelerators) {
+    fbb_.AddElement<int64_t>(worker_report::VT_ACCELERATORS, accelerators, 0);
+  }
+  void add_draining(bool draining) {
+    fbb_.AddElement<uint8_t>(worker_report::VT_DRAINING, static_cast<uint8_t>(draining), 0);
+  }
+  void add_drain_left_ms(int64_t drain_left_ms) {
+    fbb_.AddElement<int64_t>(worker_report::VT_DRAIN_LEFT_MS, drain_left_ms, 0);
+  }
+  void add_gone(bool gone) {
+    fbb_.AddElement<uint8_t>(worker_report::VT_GONE, static_cast<uint8_t>(gone), 0);
+  }
+  void add_clock_ms(int64_t clock_ms) {
+    fbb_.AddElement<int64_t>(worker_report::VT_CLOCK_MS, clock_ms, 0);
+  }
+  void add_has_lists(bool has_lists) {
+    fbb_.AddElement<uint8_t>(worker_report::VT_HAS_LISTS, static_cast<uint8_t>(has_lists), 0);
+  }
+  void add_running(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::listed_task>>> running) {
+    fbb_.AddOffset(worker_report::VT_RUNNING, running);
+  }
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::listed_end>>> ended) {
+    fbb_.AddOffset(worker_report::VT_ENDED, ended);
+  }
+  void add_refused(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::refused_start>>> refused) {
+    fbb_.AddOffset(worker_report::VT_REFUSED, refused);
+  }
+  explicit worker_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<worker_report> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<worker_report>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<worker_report> Createworker_report(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    int64_t started_at_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    flatbuffers::Offset<flatbuffers::String> rack = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> labels = 0,
+    int64_t cpu_millicores = 0,
+    int64_t memory_mib = 0,
+    int64_t accelerators = 0,
+    bool draining = false,
+    int64_t drain_left_ms = 0,
+    bool gone = false,
+    int64_t clock_ms = 0,
+    bool has_lists = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::listed_task>>> running = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::listed_end>>> ended = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::refused_start>>> refused = 0) {
+  worker_reportBuilder builder_(_fbb);
+  builder_.add_clock_ms(clock_ms);
+  builder_.add_drain_left_ms(drain_left_ms);
+  builder_.add_accelerators(accelerators);
+  builder_.add_memory_mib(memory_mib);
+  builder_.add_cpu_millicores(cpu_millicores);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_refused(refused);
+  builder_.add_ended(ended);
+  builder_.add_running(running);
+  builder_.add_labels(labels);
+  builder_.add_rack(rack);
+  builder_.add_data_centre(data_centre);
+  builder_.add_service(service);
+  builder_.add_address(address);
+  builder_.add_worker(worker);
+  builder_.add_has_lists(has_lists);
+  builder_.add_gone(gone);
+  builder_.add_draining(draining);
+  return builder_.Finish();
+}
+
+struct worker_report::Traits {
+  using type = worker_report;
+  static auto constexpr Create = Createworker_report;
+};
+
+inline flatbuffers::Offset<worker_report> Createworker_reportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *worker = nullptr,
+    int64_t started_at_ms = 0,
+    const char *address = nullptr,
+    const char *service = nullptr,
+    const char *data_centre = nullptr,
+    const char *rack = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *labels = nullptr,
+    int64_t cpu_millicores = 0,
+    int64_t memory_mib = 0,
+    int64_t accelerators = 0,
+    bool draining = false,
+    int64_t drain_left_ms = 0,
+    bool gone = false,
+    int64_t clock_ms = 0,
+    bool has_lists = false,
+    const std::vector<flatbuffers::Offset<poplardeal::message::listed_task>> *running = nullptr,
+    const std::vector<flatbuffers::Offset<poplardeal::message::listed_end>> *ended = nullptr,
+    const std::vector<flatbuffers::Offset<poplardeal::message::refused_start>> *refused = nullptr) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  auto rack__ = rack ? _fbb.CreateString(rack) : 0;
+  auto labels__ = labels ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*labels) : 0;
+  auto running__ = running ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::listed_task>>(*running) : 0;
+  auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::listed_end>>(*ended) : 0;
+  auto refused__ = refused ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::refused_start>>(*refused) : 0;
+  return poplardeal::message::Createworker_report(
+      _fbb,
+      worker__,
+      started_at_ms,
+      address__,
+      service__,
+      data_centre__,
+      rack__,
+      labels__,
+      cpu_millicores,
+      memory_mib,
+      accelerators,
+      draining,
+      drain_left_ms,
+      gone,
+      clock_ms,
+      has_lists,
+      running__,
+      ended__,
+      refused__);
+}
+
+flatbuffers::Offset<worker_report> Createworker_report(flatbuffers::FlatBufferBuilder &_fbb, const worker_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct start_orderT : public flatbuffers::NativeTable {
+  typedef start_order TableType;
+  std::string task{};
+  uint32_t run = 0;
+  std::string payload{};
+  std::string saved{};
+  int64_t until_ms = 0;
+};
+
+struct start_order FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef start_orderT NativeTableType;
+  typedef start_orderBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_RUN = 6,
+    VT_PAYLOAD = 8,
+    VT_SAVED = 10,
+    VT_UNTIL_MS = 12
+  };
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *payload() const {
+    return GetPointer<const flatbuffers::String *>(VT_PAYLOAD);
+  }
+  const flatbuffers::String *saved() const {
+    return GetPointer<const flatbuffers::String *>(VT_SAVED);
+  }
+  int64_t until_ms() const {
+    return GetField<int64_t>(VT_UNTIL_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           VerifyOffset(verifier, VT_PAYLOAD) &&
+           verifier.VerifyString(payload()) &&
+           VerifyOffset(verifier, VT_SAVED) &&
+           verifier.VerifyString(saved()) &&
+           VerifyField<int64_t>(verifier, VT_UNTIL_MS, 8) &&
+           verifier.EndTable();
+  }
+  start_orderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(start_orderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<start_order> Pack(flatbuffers::FlatBufferBuilder &_fbb, const start_orderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct start_orderBuilder {
+  typedef start_order Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(start_order::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(start_order::VT_RUN, run, 0);
+  }
+  void add_payload(flatbuffers::Offset<flatbuffers::String> payload) {
+    fbb_.AddOffset(start_order::VT_PAYLOAD, payload);
+  }
+  void add_saved(flatbuffers::Offset<flatbuffers::String> saved) {
+    fbb_.AddOffset(start_order::VT_SAVED, saved);
+  }
+  void add_until_ms(int64_t until_ms) {
+    fbb_.AddElement<int64_t>(start_order::VT_UNTIL_MS, until_ms, 0);
+  }
+  explicit start_orderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<start_order> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<start_order>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<start_order> Createstart_order(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint32_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> payload = 0,
+    flatbuffers::Offset<flatbuffers::String> saved = 0,
+    int64_t until_ms = 0) {
+  start_orderBuilder builder_(_fbb);
+  builder_.add_until_ms(until_ms);
+  builder_.add_saved(saved);
+  builder_.add_payload(payload);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  return builder_.Finish();
+}
+
+struct start_order::Traits {
+  using type = start_order;
+  static auto constexpr Create = Createstart_order;
+};
+
+inline flatbuffers::Offset<start_order> Createstart_orderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *task = nullptr,
+    uint32_t run = 0,
+    const char *payload = nullptr,
+    const char *saved = nullptr,
+    int64_t until_ms = 0) {
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  auto payload__ = payload ? _fbb.CreateString(payload) : 0;
+  auto saved__ = saved ? _fbb.CreateString(saved) : 0;
+  return poplardeal::message::Createstart_order(
+      _fbb,
+      task__,
+      run,
+      payload__,
+      saved__,
+      until_ms);
+}
+
+flatbuffers::Offset<start_order> Createstart_order(flatbuffers::FlatBufferBuilder &_fbb, const start_orderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct stop_orderT : public flatbuffers::NativeTable {
+  typedef stop_order TableType;
+  std::string task{};
+  uint32_t run = 0;
+};
+
+struct stop_order FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef stop_orderT NativeTableType;
+  typedef stop_orderBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TASK = 4,
+    VT_RUN = 6
+  };
+  const flatbuffers::String *task() const {
+    return GetPointer<const flatbuffers::String *>(VT_TASK);
+  }
+  uint32_t run() const {
+    return GetField<uint32_t>(VT_RUN, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TASK) &&
+           verifier.VerifyString(task()) &&
+           VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
+           verifier.EndTable();
+  }
+  stop_orderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(stop_orderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<stop_order> Pack(flatbuffers::FlatBufferBuilder &_fbb, const stop_orderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct stop_orderBuilder {
+  typedef stop_order Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_task(flatbuffers::Offset<flatbuffers::String> task) {
+    fbb_.AddOffset(stop_order::VT_TASK, task);
+  }
+  void add_run(uint32_t run) {
+    fbb_.AddElement<uint32_t>(stop_order::VT_RUN, run, 0);
+  }
+  explicit stop_orderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<stop_order> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<stop_order>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<stop_order> Createstop_order(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> task = 0,
+    uint32_t run = 0) {
+  stop_orderBuilder builder_(_fbb);
+  builder_.add_run(run);
+  builder_.add_task(task);
+  return builder_.Finish();
+}
+
+struct stop_order::Traits {
+  using type = stop_order;
+  static auto constexpr Create = Createstop_order;
+};
+
+inline flatbuffers::Offset<stop_order> Createstop_orderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *task = nullptr,
+    uint32_t run = 0) {
+  auto task__ = task ? _fbb.CreateString(task) : 0;
+  return poplardeal::message::Createstop_order(
+      _fbb,
+      task__,
+      run);
+}
+
+flatbuffers::Offset<stop_order> Createstop_order(flatbuffers::FlatBufferBuilder &_fbb, const stop_orderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct worker_ordersT : public flatbuffers::NativeTable {
+  typedef worker_orders TableType;
+  std::string worker{};
+  int64_t started_at_ms = 0;
+  uint64_t term = 0;
+  int64_t lease_until_ms = 0;
+  uint64_t acknowledged = 0;
+  std::vector<std::unique_ptr<poplardeal::message::start_orderT>> starts{};
+  std::vector<std::unique_ptr<poplardeal::message::stop_orderT>> stops{};
+  worker_ordersT() = default;
+  worker_ordersT(const worker_ordersT &o);
+  worker_ordersT(worker_ordersT&&) FLATBUFFERS_NOEXCEPT = default;
+  worker_ordersT &operator=(worker_ordersT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct worker_orders FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef worker_ordersT NativeTableType;
+  typedef worker_ordersBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKER = 4,
+    VT_STARTED_AT_MS = 6,
+    VT_TERM = 8,
+    VT_LEASE_UNTIL_MS = 10,
+    VT_ACKNOWLEDGED = 12,
+    VT_STARTS = 14,
+    VT_STOPS = 16
+  };
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  int64_t started_at_ms() const {
+    return GetField<int64_t>(VT_STARTED_AT_MS, 0);
+  }
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
+  int64_t lease_until_ms() const {
+    return GetField<int64_t>(VT_LEASE_UNTIL_MS, 0);
+  }
+  uint64_t acknowledged() const {
+    return GetField<uint64_t>(VT_ACKNOWLEDGED, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::start_order>> *starts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::start_order>> *>(VT_STARTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::stop_order>> *stops() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::stop_order>> *>(VT_STOPS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
+           VerifyField<int64_t>(verifier, VT_LEASE_UNTIL_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ACKNOWLEDGED, 8) &&
+           VerifyOffset(verifier, VT_STARTS) &&
+           verifier.VerifyVector(starts()) &&
+           verifier.VerifyVectorOfTables(starts()) &&
+           VerifyOffset(verifier, VT_STOPS) &&
+           verifier.VerifyVector(stops()) &&
+           verifier.VerifyVectorOfTables(stops()) &&
+           verifier.EndTable();
+  }
+  worker_ordersT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(worker_ordersT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<worker_orders> Pack(flatbuffers::FlatBufferBuilder &_fbb, const worker_ordersT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct worker_ordersBuilder {
+  typedef worker_orders Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(worker_orders::VT_WORKER, worker);
+  }
+  void add_started_at_ms(int64_t started_at_ms) {
+    fbb_.AddElement<int64_t>(worker_orders::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(worker_orders::VT_TERM, term, 0);
+  }
+  void add_lease_until_ms(int64_t lease_until_ms) {
+    fbb_.AddElement<int64_t>(worker_orders::VT_LEASE_UNTIL_MS, lease_until_ms, 0);
+  }
+  void add_acknowledged(uint64_t acknowledged) {
+    fbb_.AddElement<uint64_t>(worker_orders::VT_ACKNOWLEDGED, acknowledged, 0);
+  }
+  void add_starts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::start_order>>> starts) {
+    fbb_.AddOffset(worker_orders::VT_STARTS, starts);
+  }
+  void add_stops(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::stop_order>>> stops) {
+    fbb_.AddOffset(worker_orders::VT_STOPS, stops);
+  }
+  explicit worker_ordersBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<worker_orders> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<worker_orders>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<worker_orders> Createworker_orders(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    int64_t started_at_ms = 0,
+    uint64_t term = 0,
+    int64_t lease_until_ms = 0,
+    uint64_t acknowledged = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::start_order>>> starts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::stop_order>>> stops = 0) {
+  worker_ordersBuilder builder_(_fbb);
+  builder_.add_acknowledged(acknowledged);
+  builder_.add_lease_until_ms(lease_until_ms);
+  builder_.add_term(term);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_stops(stops);
+  builder_.add_starts(starts);
+  builder_.add_worker(worker);
+  return builder_.Finish();
+}
+
+struct worker_orders::Traits {
+  using type = worker_orders;
+  static auto constexpr Create = Createworker_orders;
+};
+
+inline flatbuffers::Offset<worker_orders> Createworker_ordersDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *worker = nullptr,
+    int64_t started_at_ms = 0,
+    uint64_t term = 0,
+    int64_t lease_until_ms = 0,
+    uint64_t acknowledged = 0,
+    const std::vector<flatbuffers::Offset<poplardeal::message::start_order>> *starts = nullptr,
+    const std::vector<flatbuffers::Offset<poplardeal::message::stop_order>> *stops = nullptr) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto starts__ = starts ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::start_order>>(*starts) : 0;
+  auto stops__ = stops ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::stop_order>>(*stops) : 0;
+  return poplardeal::message::Createworker_orders(
+      _fbb,
+      worker__,
+      started_at_ms,
+      term,
+      lease_until_ms,
+      acknowledged,
+      starts__,
+      stops__);
+}
+
+flatbuffers::Offset<worker_orders> Createworker_orders(flatbuffers::FlatBufferBuilder &_fbb, const worker_ordersT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+inline helloT *hello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<helloT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void hello::UnPackTo(helloT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = role(); _o->role = _e; }
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
+  { auto _e = replica(); _o->replica = _e; }
+  { auto _e = protocol(); _o->protocol = _e; }
+}
+
+inline flatbuffers::Offset<hello> hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const helloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createhello(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<hello> Createhello(flatbuffers::FlatBufferBuilder &_fbb, const helloT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const helloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _role = _o->role;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
+  auto _replica = _o->replica;
+  auto _protocol = _o->protocol;
+  return poplardeal::message::Createhello(
+      _fbb,
+      _role,
+      _name,
+      _data_centre,
+      _replica,
+      _protocol);
+}
+
+inline worker_taskT *worker_task::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<worker_taskT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void worker_task::UnPackTo(worker_taskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = job(); _o->job = _e; }
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = attempt(); _o->attempt = _e; }
+  { auto _e = lease(); _o->lease = _e; }
+  { auto _e = state(); if (_e) _o->state = _e->str(); }
+}
+
+inline flatbuffers::Offset<worker_task> worker_task::Pack(flatbuffers::FlatBufferBuilder &_fbb, const worker_taskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createworker_task(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<worker_task> Createworker_task(flatbuffers::FlatBufferBuilder &_fbb, const worker_taskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const worker_taskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _job = _o->job;
+  auto _index = _o->index;
+  auto _attempt = _o->attempt;
+  auto _lease = _o->lease;
+  auto _state = _o->state.empty() ? 0 : _fbb.CreateString(_o->state);
+  return poplardeal::message::Createworker_task(
+      _fbb,
+      _job,
+      _index,
+      _attempt,
+      _lease,
+      _state);
+}
+
+inline session_openT::session_openT(const session_openT &o)
+      : worker(o.worker),
+        incarnation(o.incarnation),
+        data_centre(o.data_centre),
+        rack(o.rack),
+        cores(o.cores),
+        memory_mib(o.memory_mib),
+        accelerators(o.accelerators) {
+  tasks.reserve(o.tasks.size());
+  for (const auto &tasks_ : o.tasks) { tasks.emplace_back((tasks_) ? new poplardeal::message::worker_taskT(*tasks_) : nullptr); }
+}
+
+inline session_openT &session_openT::operator=(session_openT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(worker, o.worker);
+  std::swap(incarnation, o.incarnation);
+  std::swap(data_centre, o.data_centre);
+  std::swap(rack, o.rack);
+  std::swap(cores, o.cores);
+  std::swap(memory_mib, o.memory_mib);
+  std::swap(accelerators, o.accelerators);
+  std::swap(tasks, o.tasks);
+  return *this;
+}
+
+inline session_openT *session_open::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<session_openT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void session_open::UnPackTo(session_openT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
+  { auto _e = rack(); if (_e) _o->rack = _e->str(); }
+  { auto _e = cores(); _o->cores = _e; }
+  { auto _e = memory_mib(); _o->memory_mib = _e; }
+  { auto _e = accelerators(); _o->accelerators = _e; }
+  { auto _e = tasks(); if (_e) { _o->tasks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->tasks[_i] = std::unique_ptr<poplardeal::message::worker_taskT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<session_open> session_open::Pack(flatbuffers::FlatBufferBuilder &_fbb, const session_openT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createsession_open(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<session_open> Createsession_open(flatbuffers::FlatBufferBuilder &_fbb, const session_openT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const session_openT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _incarnation = _o->incarnation;
+  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
+  auto _rack = _o->rack.empty() ? 0 : _fbb.CreateString(_o->rack);
+  auto _cores = _o->cores;
+  auto _memory_mib = _o->memory_mib;
+  auto _accelerators = _o->accelerators;
+  auto _tasks = _o->tasks.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::worker_task>> (_o->tasks.size(), [](size_t i, _VectorArgs *__va) { return Createworker_task(*__va->__fbb, __va->__o->tasks[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return poplardeal::message::Createsession_open(
+      _fbb,
+      _worker,
+      _incarnation,
+      _data_centre,
+      _rack,
+      _cores,
+      _memory_mib,
+      _accelerators,
+      _tasks);
+}
+
+inline session_renewT *session_renew::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<session_renewT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void session_renew::UnPackTo(session_renewT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<session_renew> session_renew::Pack(flatbuffers::FlatBufferBuilder &_fbb, const session_renewT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createsession_renew(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<session_renew> Createsession_renew(flatbuffers::FlatBufferBuilder &_fbb, const session_renewT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const session_renewT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   return poplardeal::message::Createsession_renew(
@@ -3787,6 +5379,528 @@
       _reason);
 }
 
+inline control_hintT *control_hint::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<control_hintT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void control_hint::UnPackTo(control_hintT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = leads(); _o->leads = _e; }
+  { auto _e = term(); _o->term = _e; }
+  { auto _e = leader(); if (_e) _o->leader = _e->str(); }
+  { auto _e = controls(); if (_e) { _o->controls.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->controls[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<control_hint> control_hint::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_hintT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcontrol_hint(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<control_hint> Createcontrol_hint(flatbuffers::FlatBufferBuilder &_fbb, const control_hintT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const control_hintT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _leads = _o->leads;
+  auto _term = _o->term;
+  auto _leader = _o->leader.empty() ? 0 : _fbb.CreateString(_o->leader);
+  auto _controls = _o->controls.size() ? _fbb.CreateVectorOfStrings(_o->controls) : 0;
+  return poplardeal::message::Createcontrol_hint(
+      _fbb,
+      _leads,
+      _term,
+      _leader,
+      _controls);
+}
+
+inline control_probeT *control_probe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<control_probeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void control_probe::UnPackTo(control_probeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<control_probe> control_probe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_probeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcontrol_probe(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<control_probe> Createcontrol_probe(flatbuffers::FlatBufferBuilder &_fbb, const control_probeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const control_probeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return poplardeal::message::Createcontrol_probe(
+      _fbb);
+}
+
+inline join_groupT *join_group::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<join_groupT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void join_group::UnPackTo(join_groupT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = replica(); _o->replica = _e; }
+}
+
+inline flatbuffers::Offset<join_group> join_group::Pack(flatbuffers::FlatBufferBuilder &_fbb, const join_groupT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createjoin_group(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<join_group> Createjoin_group(flatbuffers::FlatBufferBuilder &_fbb, const join_groupT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const join_groupT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _replica = _o->replica;
+  return poplardeal::message::Createjoin_group(
+      _fbb,
+      _replica);
+}
+
+inline queue_callT *queue_call::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<queue_callT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void queue_call::UnPackTo(queue_callT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = verb(); _o->verb = _e; }
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = path(); if (_e) _o->path = _e->str(); }
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = job(); if (_e) { _o->job.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->job.begin()); } }
+}
+
+inline flatbuffers::Offset<queue_call> queue_call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const queue_callT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createqueue_call(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<queue_call> Createqueue_call(flatbuffers::FlatBufferBuilder &_fbb, const queue_callT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const queue_callT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _verb = _o->verb;
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _path = _o->path.empty() ? 0 : _fbb.CreateString(_o->path);
+  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _job = _o->job.size() ? _fbb.CreateVector(_o->job) : 0;
+  return poplardeal::message::Createqueue_call(
+      _fbb,
+      _verb,
+      _host,
+      _path,
+      _key,
+      _job);
+}
+
+inline queue_answerT *queue_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<queue_answerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void queue_answer::UnPackTo(queue_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = outcome(); _o->outcome = _e; }
+  { auto _e = phase(); _o->phase = _e; }
+  { auto _e = pending(); _o->pending = _e; }
+  { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
+  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+}
+
+inline flatbuffers::Offset<queue_answer> queue_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const queue_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createqueue_answer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<queue_answer> Createqueue_answer(flatbuffers::FlatBufferBuilder &_fbb, const queue_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const queue_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _outcome = _o->outcome;
+  auto _phase = _o->phase;
+  auto _pending = _o->pending;
+  auto _retry_after_ms = _o->retry_after_ms;
+  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  return poplardeal::message::Createqueue_answer(
+      _fbb,
+      _outcome,
+      _phase,
+      _pending,
+      _retry_after_ms,
+      _reason);
+}
+
+inline listed_taskT *listed_task::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<listed_taskT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void listed_task::UnPackTo(listed_taskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = saved(); if (_e) _o->saved = _e->str(); }
+  { auto _e = percent(); _o->percent = _e; }
+}
+
+inline flatbuffers::Offset<listed_task> listed_task::Pack(flatbuffers::FlatBufferBuilder &_fbb, const listed_taskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createlisted_task(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<listed_task> Createlisted_task(flatbuffers::FlatBufferBuilder &_fbb, const listed_taskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const listed_taskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
+  auto _run = _o->run;
+  auto _saved = _o->saved.empty() ? 0 : _fbb.CreateString(_o->saved);
+  auto _percent = _o->percent;
+  return poplardeal::message::Createlisted_task(
+      _fbb,
+      _task,
+      _run,
+      _saved,
+      _percent);
+}
+
+inline listed_endT *listed_end::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<listed_endT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void listed_end::UnPackTo(listed_endT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = saved(); if (_e) _o->saved = _e->str(); }
+}
+
+inline flatbuffers::Offset<listed_end> listed_end::Pack(flatbuffers::FlatBufferBuilder &_fbb, const listed_endT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createlisted_end(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<listed_end> Createlisted_end(flatbuffers::FlatBufferBuilder &_fbb, const listed_endT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const listed_endT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
+  auto _run = _o->run;
+  auto _kind = _o->kind;
+  auto _saved = _o->saved.empty() ? 0 : _fbb.CreateString(_o->saved);
+  return poplardeal::message::Createlisted_end(
+      _fbb,
+      _number,
+      _task,
+      _run,
+      _kind,
+      _saved);
+}
+
+inline refused_startT *refused_start::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<refused_startT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void refused_start::UnPackTo(refused_startT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = reason(); if (_e) _o->reason = _e->str(); }
+}
+
+inline flatbuffers::Offset<refused_start> refused_start::Pack(flatbuffers::FlatBufferBuilder &_fbb, const refused_startT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrefused_start(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<refused_start> Createrefused_start(flatbuffers::FlatBufferBuilder &_fbb, const refused_startT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const refused_startT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
+  auto _run = _o->run;
+  auto _reason = _o->reason.empty() ? 0 : _fbb.CreateString(_o->reason);
+  return poplardeal::message::Createrefused_start(
+      _fbb,
+      _task,
+      _run,
+      _reason);
+}
+
+inline worker_reportT::worker_reportT(const worker_reportT &o)
+      : worker(o.worker),
+        started_at_ms(o.started_at_ms),
+        address(o.address),
+        service(o.service),
+        data_centre(o.data_centre),
+        rack(o.rack),
+        labels(o.labels),
+        cpu_millicores(o.cpu_millicores),
+        memory_mib(o.memory_mib),
+        accelerators(o.accelerators),
+        draining(o.draining),
+        drain_left_ms(o.drain_left_ms),
+        gone(o.gone),
+        clock_ms(o.clock_ms),
+        has_lists(o.has_lists) {
+  running.reserve(o.running.size());
+  for (const auto &running_ : o.running) { running.emplace_back((running_) ? new poplardeal::message::listed_taskT(*running_) : nullptr); }
+  ended.reserve(o.ended.size());
+  for (const auto &ended_ : o.ended) { ended.emplace_back((ended_) ? new poplardeal::message::listed_endT(*ended_) : nullptr); }
+  refused.reserve(o.refused.size());
+  for (const auto &refused_ : o.refused) { refused.emplace_back((refused_) ? new poplardeal::message::refused_startT(*refused_) : nullptr); }
+}
+
+inline worker_reportT &worker_reportT::operator=(worker_reportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(worker, o.worker);
+  std::swap(started_at_ms, o.started_at_ms);
+  std::swap(address, o.address);
+  std::swap(service, o.service);
+  std::swap(data_centre, o.data_centre);
+  std::swap(rack, o.rack);
+  std::swap(labels, o.labels);
+  std::swap(cpu_millicores, o.cpu_millicores);
+  std::swap(memory_mib, o.memory_mib);
+  std::swap(accelerators, o.accelerators);
+  std::swap(draining, o.draining);
+  std::swap(drain_left_ms, o.drain_left_ms);
+  std::swap(gone, o.gone);
+  std::swap(clock_ms, o.clock_ms);
+  std::swap(has_lists, o.has_lists);
+  std::swap(running, o.running);
+  std::swap(ended, o.ended);
+  std::swap(refused, o.refused);
+  return *this;
+}
+
+inline worker_reportT *worker_report::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<worker_reportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void worker_report::UnPackTo(worker_reportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = started_at_ms(); _o->started_at_ms = _e; }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
+  { auto _e = rack(); if (_e) _o->rack = _e->str(); }
+  { auto _e = labels(); if (_e) { _o->labels.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->labels[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = cpu_millicores(); _o->cpu_millicores = _e; }
+  { auto _e = memory_mib(); _o->memory_mib = _e; }
+  { auto _e = accelerators(); _o->accelerators = _e; }
+  { auto _e = draining(); _o->draining = _e; }
+  { auto _e = drain_left_ms(); _o->drain_left_ms = _e; }
+  { auto _e = gone(); _o->gone = _e; }
+  { auto _e = clock_ms(); _o->clock_ms = _e; }
+  { auto _e = has_lists(); _o->has_lists = _e; }
+  { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = std::unique_ptr<poplardeal::message::listed_taskT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = ended(); if (_e) { _o->ended.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended[_i] = std::unique_ptr<poplardeal::message::listed_endT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = refused(); if (_e) { _o->refused.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->refused[_i] = std::unique_ptr<poplardeal::message::refused_startT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<worker_report> worker_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const worker_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createworker_report(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<worker_report> Createworker_report(flatbuffers::FlatBufferBuilder &_fbb, const worker_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const worker_reportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _started_at_ms = _o->started_at_ms;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
+  auto _rack = _o->rack.empty() ? 0 : _fbb.CreateString(_o->rack);
+  auto _labels = _o->labels.size() ? _fbb.CreateVectorOfStrings(_o->labels) : 0;
+  auto _cpu_millicores = _o->cpu_millicores;
+  auto _memory_mib = _o->memory_mib;
+  auto _accelerators = _o->accelerators;
+  auto _draining = _o->draining;
+  auto _drain_left_ms = _o->drain_left_ms;
+  auto _gone = _o->gone;
+  auto _clock_ms = _o->clock_ms;
+  auto _has_lists = _o->has_lists;
+  auto _running = _o->running.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::listed_task>> (_o->running.size(), [](size_t i, _VectorArgs *__va) { return Createlisted_task(*__va->__fbb, __va->__o->running[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _ended = _o->ended.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::listed_end>> (_o->ended.size(), [](size_t i, _VectorArgs *__va) { return Createlisted_end(*__va->__fbb, __va->__o->ended[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _refused = _o->refused.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::refused_start>> (_o->refused.size(), [](size_t i, _VectorArgs *__va) { return Createrefused_start(*__va->__fbb, __va->__o->refused[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return poplardeal::message::Createworker_report(
+      _fbb,
+      _worker,
+      _started_at_ms,
+      _address,
+      _service,
+      _data_centre,
+      _rack,
+      _labels,
+      _cpu_millicores,
+      _memory_mib,
+      _accelerators,
+      _draining,
+      _drain_left_ms,
+      _gone,
+      _clock_ms,
+      _has_lists,
+      _running,
+      _ended,
+      _refused);
+}
+
+inline start_orderT *start_order::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<start_orderT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void start_order::UnPackTo(start_orderT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = payload(); if (_e) _o->payload = _e->str(); }
+  { auto _e = saved(); if (_e) _o->saved = _e->str(); }
+  { auto _e = until_ms(); _o->until_ms = _e; }
+}
+
+inline flatbuffers::Offset<start_order> start_order::Pack(flatbuffers::FlatBufferBuilder &_fbb, const start_orderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createstart_order(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<start_order> Createstart_order(flatbuffers::FlatBufferBuilder &_fbb, const start_orderT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const start_orderT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
+  auto _run = _o->run;
+  auto _payload = _o->payload.empty() ? 0 : _fbb.CreateString(_o->payload);
+  auto _saved = _o->saved.empty() ? 0 : _fbb.CreateString(_o->saved);
+  auto _until_ms = _o->until_ms;
+  return poplardeal::message::Createstart_order(
+      _fbb,
+      _task,
+      _run,
+      _payload,
+      _saved,
+      _until_ms);
+}
+
+inline stop_orderT *stop_order::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<stop_orderT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void stop_order::UnPackTo(stop_orderT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+}
+
+inline flatbuffers::Offset<stop_order> stop_order::Pack(flatbuffers::FlatBufferBuilder &_fbb, const stop_orderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createstop_order(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<stop_order> Createstop_order(flatbuffers::FlatBufferBuilder &_fbb, const stop_orderT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const stop_orderT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
+  auto _run = _o->run;
+  return poplardeal::message::Createstop_order(
+      _fbb,
+      _task,
+      _run);
+}
+
+inline worker_ordersT::worker_ordersT(const worker_ordersT &o)
+      : worker(o.worker),
+        started_at_ms(o.started_at_ms),
+        term(o.term),
+        lease_until_ms(o.lease_until_ms),
+        acknowledged(o.acknowledged) {
+  starts.reserve(o.starts.size());
+  for (const auto &starts_ : o.starts) { starts.emplace_back((starts_) ? new poplardeal::message::start_orderT(*starts_) : nullptr); }
+  stops.reserve(o.stops.size());
+  for (const auto &stops_ : o.stops) { stops.emplace_back((stops_) ? new poplardeal::message::stop_orderT(*stops_) : nullptr); }
+}
+
+inline worker_ordersT &worker_ordersT::operator=(worker_ordersT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(worker, o.worker);
+  std::swap(started_at_ms, o.started_at_ms);
+  std::swap(term, o.term);
+  std::swap(lease_until_ms, o.lease_until_ms);
+  std::swap(acknowledged, o.acknowledged);
+  std::swap(starts, o.starts);
+  std::swap(stops, o.stops);
+  return *this;
+}
+
+inline worker_ordersT *worker_orders::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<worker_ordersT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void worker_orders::UnPackTo(worker_ordersT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = worker(); if (_e) _o->worker = _e->str(); }
+  { auto _e = started_at_ms(); _o->started_at_ms = _e; }
+  { auto _e = term(); _o->term = _e; }
+  { auto _e = lease_until_ms(); _o->lease_until_ms = _e; }
+  { auto _e = acknowledged(); _o->acknowledged = _e; }
+  { auto _e = starts(); if (_e) { _o->starts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->starts[_i] = std::unique_ptr<poplardeal::message::start_orderT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = stops(); if (_e) { _o->stops.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->stops[_i] = std::unique_ptr<poplardeal::message::stop_orderT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<worker_orders> worker_orders::Pack(flatbuffers::FlatBufferBuilder &_fbb, const worker_ordersT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createworker_orders(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<worker_orders> Createworker_orders(flatbuffers::FlatBufferBuilder &_fbb, const worker_ordersT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const worker_ordersT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _worker = _o->worker.empty() ? 0 : _fbb.CreateString(_o->worker);
+  auto _started_at_ms = _o->started_at_ms;
+  auto _term = _o->term;
+  auto _lease_until_ms = _o->lease_until_ms;
+  auto _acknowledged = _o->acknowledged;
+  auto _starts = _o->starts.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::start_order>> (_o->starts.size(), [](size_t i, _VectorArgs *__va) { return Createstart_order(*__va->__fbb, __va->__o->starts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _stops = _o->stops.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::stop_order>> (_o->stops.size(), [](size_t i, _VectorArgs *__va) { return Createstop_order(*__va->__fbb, __va->__o->stops[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return poplardeal::message::Createworker_orders(
+      _fbb,
+      _worker,
+      _started_at_ms,
+      _term,
+      _lease_until_ms,
+      _acknowledged,
+      _starts,
+      _stops);
+}
+
 }  // namespace message
 }  // namespace poplardeal
 
--- a/packages/wire/src/dialer.cpp
+++ b/packages/wire/src/dialer.cpp
@@ -10,10 +10,10 @@
     /// The state of a dialer. A dial under way shares its ownership.
     class redialer : public std::enable_shared_from_this<redialer> {
     public:
-        redialer(event_loop& loop, address peer, std::uint64_t seed)
+        redialer(event_loop& loop, address peer, std::uint64_t seed, duration longestDelay)
             : m_loop(loop)
             , m_peer(std::move(peer))
-            , m_delay(seed)
+            , m_delay(seed, longestDelay)
         {
         }
 
@@ -151,9 +151,14 @@
 };
 
 dialer::dialer(event_loop& loop, address peer, std::uint64_t seed)
+    : dialer(loop, std::move(peer), seed, detail::reconnect_delay::longest)
+{
+}
+
+dialer::dialer(event_loop& loop, address peer, std::uint64_t seed, duration longestDelay)
     : m_impl(std::make_unique<impl>())
 {
-    m_impl->state = std::make_shared<detail::redialer>(loop, std::move(peer), seed);
+    m_impl->state = std::make_shared<detail::redialer>(loop, std::move(peer), seed, longestDelay);
 }
 
 dialer::~dialer() { m_impl->state->stop(); }
--- a/packages/wire/src/event_loop.cpp
+++ b/packages/wire/src/event_loop.cpp
@@ -1,6 +1,7 @@
 #include "event_loop_access.h"
 #include <algorithm>
 #include <csignal>
+#include <ctime>
 #include <glib-unix.h>
 #include <mutex>
 #include <poplardeal/wire/event_loop.h>
@@ -181,7 +182,20 @@
     }
 }
 
-instant event_loop::now() const { return instantFromMicros(g_get_monotonic_time()); }
+void event_loop::onReload(std::function<void()> function)
+{
+    auto* source = g_unix_signal_source_new(SIGHUP);
+    detail::attach(*this, source, detail::runAgain, std::move(function));
+    m_impl->signals.push_back(source);
+}
+
+instant event_loop::now() const
+{
+    timespec time {};
+    // CLOCK_MONOTONIC stands still while the machine is suspended; a lease must not outlive the suspension.
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return instantFromMicros(static_cast<std::int64_t>(time.tv_sec) * 1000000 + time.tv_nsec / 1000);
+}
 
 instant event_loop::wallClock() const { return instantFromMicros(g_get_real_time()); }
 
