--- a/packages/fleet/include/poplardeal/fleet/dialect.h
+++ b/packages/fleet/include/poplardeal/fleet/dialect.h
@@ -19,7 +19,7 @@
     std::string host;
     std::string path;
     api_key key; ///< Empty: none given.
-    job_spec job; ///< With the verb `submit`.
+    submission_spec job; ///< With the verb `submit`.
 };
 
 struct put_plan {
@@ -44,7 +44,7 @@
 struct worker_lists {
     std::int64_t clockMs { 0 };
     std::optional<std::int64_t> startedAtMs;
-    std::vector<running_task> running;
+    std::vector<live_task> running;
     std::vector<task_end> ended;
 };
 
--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -279,9 +279,9 @@
     }
     switch (call.verb) {
     case message::queue_verb::submit: {
-        submit_job command { submission_id(id), queue->name, workspace ? workspace->name : workspace_name(), {} };
+        accept_submission command { submission_id(id), queue->name, workspace ? workspace->name : workspace_name(), {} };
         try {
-            command.spec = fromCbor<job_spec>({ reinterpret_cast<const char*>(call.job.data()), call.job.size() });
+            command.spec = fromCbor<submission_spec>({ reinterpret_cast<const char*>(call.job.data()), call.job.size() });
         } catch (const nlohmann::json::exception& error) {
             return respond(answer(queue_outcome::malformed, error.what()));
         }
@@ -304,7 +304,7 @@
     return out;
 }
 
-void job_leader::submit(const submit_job& command, const call_responder& respond)
+void job_leader::submit(const accept_submission& command, const call_responder& respond)
 {
     if (const auto fault = findFault(command.spec)) {
         m_rejected.add();
@@ -334,7 +334,7 @@
 
 void job_leader::cancel(const submission_id& id, const call_responder& respond)
 {
-    propose(cancel_job { id }, [this, respond, id](const result<apply_outcome>& outcome) {
+    propose(cancel_submission { id }, [this, respond, id](const result<apply_outcome>& outcome) {
         if (outcome.has_error()) {
             const bool mayHaveRun = outcome.error().code == failure_code::unavailable;
             return respond(
--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -61,7 +61,7 @@
     void recordEnds(const record_ends&);
     void release(const std::vector<released_run>&, const char* cause);
     void instruct(const worker_boot&);
-    void submit(const submit_job&, const call_responder&);
+    void submit(const accept_submission&, const call_responder&);
     void cancel(const submission_id&, const call_responder&);
     message::queue_answerT show(const submission_id&) const;
 
--- a/packages/jobs/include/poplardeal/jobs/command.h
+++ b/packages/jobs/include/poplardeal/jobs/command.h
@@ -19,14 +19,14 @@
     bool inService { true };
 };
 
-struct submit_job {
+struct accept_submission {
     submission_id id;
     queue_name queue;
     workspace_name workspace;
-    job_spec spec;
+    submission_spec spec;
 };
 
-struct cancel_job {
+struct cancel_submission {
     submission_id id;
 };
 
@@ -61,7 +61,7 @@
 };
 
 using job_command_body
-    = std::variant<accept_plan, set_data_centre, submit_job, cancel_job, start_tasks, record_ends, release_runs>;
+    = std::variant<accept_plan, set_data_centre, accept_submission, cancel_submission, start_tasks, record_ends, release_runs>;
 
 /// One entry of the replicated log.
 struct job_command {
--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -53,7 +53,7 @@
 };
 
 /// An accepted job.
-struct job_record {
+struct submission {
     submission_id id;
     queue_name queue;
     service_name service; ///< Of the queue at submission; used after the queue is gone.
@@ -63,20 +63,20 @@
     double stretch { 1 };
     duration allowance { 0 };
     bool needsAdvice { false };
-    job_spec spec;
+    submission_spec spec;
     instant acceptedAt; ///< Wall clock of the leader.
     std::uint64_t sequence { 0 }; ///< Order of acceptance.
     bool hasStarted { false };
-    job_phase phase { job_phase::queued };
+    submission_phase phase { submission_phase::queued };
     instant endedAt; ///< Valid for a terminal phase.
     std::vector<job_occurrence> occurrences;
 
     bool isTerminal() const
     {
-        return phase == job_phase::completed || phase == job_phase::failed || phase == job_phase::cancelled;
+        return phase == submission_phase::completed || phase == submission_phase::failed || phase == submission_phase::cancelled;
     }
     bool hasActiveUnits() const;
-    friend bool operator==(const job_record&, const job_record&) = default;
+    friend bool operator==(const submission&, const submission&) = default;
 };
 
 /// A unit within a job.
@@ -113,7 +113,7 @@
     const std::set<data_centre_name>& outOfService() const { return m_outOfService; }
 
     /// Null if no such job is known.
-    const job_record* find(const submission_id&) const;
+    const submission* find(const submission_id&) const;
     /// Jobs that are not terminal or still have runs that may exist, in order of their ids.
     const std::set<submission_id>& openJobs() const { return m_open; }
     /// Jobs of a queue without occurrences of which no task has started.
@@ -135,8 +135,8 @@
 private:
     apply_outcome applyBody(const accept_plan&, instant at);
     apply_outcome applyBody(const set_data_centre&, instant at);
-    apply_outcome applyBody(const submit_job&, instant at);
-    apply_outcome applyBody(const cancel_job&, instant at);
+    apply_outcome applyBody(const accept_submission&, instant at);
+    apply_outcome applyBody(const cancel_submission&, instant at);
     apply_outcome applyBody(const start_tasks&, instant at);
     apply_outcome applyBody(const record_ends&, instant at);
     apply_outcome applyBody(const release_runs&, instant at);
@@ -144,17 +144,17 @@
     unit* locate(const task_key&);
     bool mayStart(const task_start&) const;
     void endMember(const task_key&, run_number, end_kind, const checkpoint&, instant at);
-    void settle(job_record&, const task_key&, unit&, bool isDone, instant at);
-    void finish(job_record&, job_phase, instant at);
-    void closeIfOver(const job_record&);
+    void settle(submission&, const task_key&, unit&, bool isDone, instant at);
+    void finish(submission&, submission_phase, instant at);
+    void closeIfOver(const submission&);
     void prune(instant at);
     void forgetRun(const worker_boot&, const run_key&);
     void forgetRuns(const task_key&, const step_spec&, const unit&);
-    void indexRuns(const job_record&);
+    void indexRuns(const submission&);
 
     queue_plan m_plan;
     std::set<data_centre_name> m_outOfService;
-    std::map<submission_id, job_record> m_jobs;
+    std::map<submission_id, submission> m_jobs;
     std::set<submission_id> m_open;
     std::map<worker_boot, std::set<run_key>> m_runs; ///< Derived from `m_jobs`.
     std::uint64_t m_sequence { 0 };
@@ -169,6 +169,6 @@
 std::uint32_t membersOf(const step_spec&);
 
 /// Due time of an occurrence on the wall clock; the epoch for jobs without due times.
-instant dueTime(const job_spec&, std::uint32_t occurrence);
+instant dueTime(const submission_spec&, std::uint32_t occurrence);
 
 } // namespace poplardeal
--- a/packages/jobs/include/poplardeal/jobs/model.h
+++ b/packages/jobs/include/poplardeal/jobs/model.h
@@ -78,14 +78,14 @@
 };
 
 /// What a client submits.
-struct job_spec {
+struct submission_spec {
     std::string payload; ///< Handed to the worker as it is.
     std::vector<step_spec> steps;
     std::uint32_t occurrences { 0 }; ///< 0: runs once, at once.
     std::int64_t firstDueMs { 0 }; ///< Wall clock of occurrence 0, Unix milliseconds.
     std::int64_t intervalMs { 0 }; ///< Between due times of occurrences.
 
-    friend bool operator==(const job_spec&, const job_spec&) = default;
+    friend bool operator==(const submission_spec&, const submission_spec&) = default;
 };
 
 /// Where clients hand in jobs, and what is promised for them.
@@ -113,12 +113,12 @@
     friend bool operator==(const pool_spec&, const pool_spec&) = default;
 };
 
-struct quota_spec {
+struct workspace_quota {
     workspace_name name;
     std::vector<api_key> keys;
     accelerators guaranteed;
 
-    friend bool operator==(const quota_spec&, const quota_spec&) = default;
+    friend bool operator==(const workspace_quota&, const workspace_quota&) = default;
 };
 
 /// One version of queues, pools and workspaces, handed in whole by an operator.
@@ -126,13 +126,13 @@
     plan_version version;
     std::vector<queue_spec> queues;
     std::vector<pool_spec> pools;
-    std::vector<quota_spec> workspaces;
+    std::vector<workspace_quota> workspaces;
     std::string document; ///< As handed in, for reading back.
 
     const queue_spec* find(const queue_name&) const;
     /// The queue with the longest prefix of `path` on `host`; null if there is none.
     const queue_spec* match(std::string_view host, std::string_view path) const;
-    const quota_spec* owner(const api_key&) const;
+    const workspace_quota* owner(const api_key&) const;
     friend bool operator==(const queue_plan&, const queue_plan&) = default;
 };
 
@@ -141,7 +141,7 @@
 std::optional<std::string> findFault(const queue_plan&);
 
 /// Why a job cannot be accepted; nothing if it can.
-std::optional<std::string> findFault(const job_spec&);
+std::optional<std::string> findFault(const submission_spec&);
 
 /// Limits on one submission. Sources: the platform's largest steps are under 200 tasks; gangs to 128 at the design size.
 inline constexpr std::size_t maxSteps = 256;
@@ -197,16 +197,16 @@
 };
 
 /// One task that a worker lists as running.
-struct running_task {
+struct live_task {
     task_key task;
     run_number run;
     checkpoint saved;
     double percent { 0 }; ///< Progress; for long-running tasks 100 while at work.
 
-    friend bool operator==(const running_task&, const running_task&) = default;
+    friend bool operator==(const live_task&, const live_task&) = default;
 };
 
-enum class job_phase : std::uint8_t {
+enum class submission_phase : std::uint8_t {
     queued,
     running,
     completed,
@@ -214,6 +214,6 @@
     cancelled,
 };
 
-std::string_view toString(job_phase);
+std::string_view toString(submission_phase);
 
 } // namespace poplardeal
--- a/packages/jobs/include/poplardeal/jobs/worker_registry.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -29,7 +29,7 @@
     bool isGone { false }; ///< The worker has said that it ends; nothing runs there any more.
     std::int64_t clockMs { 0 }; ///< Worker's clock when the lists were made.
     bool hasLists { false };
-    std::vector<running_task> running;
+    std::vector<live_task> running;
     std::vector<task_end> ended;
     std::vector<refused_run> refused;
 };
--- a/packages/jobs/src/command.cpp
+++ b/packages/jobs/src/command.cpp
@@ -5,8 +5,8 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(accept_plan, plan)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(set_data_centre, dataCentre, inService)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(submit_job, id, queue, workspace, spec)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cancel_job, id)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(accept_submission, id, queue, workspace, spec)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cancel_submission, id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(task_start, task, run, worker)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(start_tasks, starts)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(record_ends, worker, ends)
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -8,7 +8,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(unit, phase, lastRun, failures, runFailed, saved, waitingSince, members)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_state, units, doneUnits)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_occurrence, steps)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_record, id, queue, service, workspace, priority, attempts, stretch, allowance,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(submission, id, queue, service, workspace, priority, attempts, stretch, allowance,
     needsAdvice, spec, acceptedAt, sequence, hasStarted, phase, endedAt, occurrences)
 
 std::uint32_t membersOf(const step_spec& step) { return step.gang ? step.count : 1; }
@@ -19,7 +19,7 @@
     return step.gang ? member : unitIndex;
 }
 
-instant dueTime(const job_spec& spec, std::uint32_t occurrence)
+instant dueTime(const submission_spec& spec, std::uint32_t occurrence)
 {
     if (spec.occurrences == 0)
         return {};
@@ -31,7 +31,7 @@
     return std::all_of(steps.begin(), steps.end(), [](const step_state& step) { return step.isDone(); });
 }
 
-bool job_record::hasActiveUnits() const
+bool submission::hasActiveUnits() const
 {
     for (const auto& occurrence : occurrences) {
         for (const auto& step : occurrence.steps) {
@@ -63,7 +63,7 @@
     return changed ? apply_outcome::applied : apply_outcome::unchanged;
 }
 
-static job_occurrence makeOccurrence(const job_spec& spec, instant at)
+static job_occurrence makeOccurrence(const submission_spec& spec, instant at)
 {
     job_occurrence out;
     for (const auto& step : spec.steps) {
@@ -76,14 +76,14 @@
     return out;
 }
 
-apply_outcome job_table::applyBody(const submit_job& command, instant at)
+apply_outcome job_table::applyBody(const accept_submission& command, instant at)
 {
     if (m_jobs.contains(command.id))
         return apply_outcome::unchanged;
     const auto* queue = m_plan.find(command.queue);
     if (queue == nullptr)
         return apply_outcome::refused;
-    job_record job;
+    submission job;
     job.id = command.id;
     job.queue = command.queue;
     job.service = queue->service;
@@ -103,18 +103,18 @@
     return apply_outcome::applied;
 }
 
-apply_outcome job_table::applyBody(const cancel_job& command, instant at)
+apply_outcome job_table::applyBody(const cancel_submission& command, instant at)
 {
     const auto found = m_jobs.find(command.id);
     if (found == m_jobs.end())
         return apply_outcome::not_found;
     if (found->second.isTerminal())
         return apply_outcome::unchanged;
-    finish(found->second, job_phase::cancelled, at);
+    finish(found->second, submission_phase::cancelled, at);
     return apply_outcome::applied;
 }
 
-const job_record* job_table::find(const submission_id& id) const
+const submission* job_table::find(const submission_id& id) const
 {
     const auto found = m_jobs.find(id);
     return found == m_jobs.end() ? nullptr : &found->second;
@@ -163,7 +163,7 @@
         started.members[memberOf(spec, start.task.index)].worker = start.worker;
         m_runs[start.worker].insert({ start.task, start.run });
         job.hasStarted = true;
-        job.phase = job_phase::running;
+        job.phase = submission_phase::running;
     }
     return apply_outcome::applied;
 }
@@ -205,7 +205,7 @@
         settle(job, task, *ended, false, at);
 }
 
-void job_table::settle(job_record& job, const task_key& task, unit& ended, bool isDone, instant at)
+void job_table::settle(submission& job, const task_key& task, unit& ended, bool isDone, instant at)
 {
     forgetRuns(task, job.spec.steps[task.step], ended);
     ended.members.clear();
@@ -216,14 +216,14 @@
         const bool complete = std::all_of(
             job.occurrences.begin(), job.occurrences.end(), [](const job_occurrence& each) { return each.isDone(); });
         if (complete && !job.isTerminal())
-            finish(job, job_phase::completed, at);
+            finish(job, submission_phase::completed, at);
     } else {
         ended.phase = unit_phase::waiting;
         ended.waitingSince = at;
         if (ended.runFailed && !job.spec.steps[task.step].longRunning)
             ++ended.failures;
         if (ended.failures >= job.attempts && !job.isTerminal())
-            finish(job, job_phase::failed, at);
+            finish(job, submission_phase::failed, at);
     }
     closeIfOver(job);
 }
@@ -254,7 +254,7 @@
     }
 }
 
-void job_table::indexRuns(const job_record& job)
+void job_table::indexRuns(const submission& job)
 {
     for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
         for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
@@ -270,14 +270,14 @@
     }
 }
 
-void job_table::finish(job_record& job, job_phase phase, instant at)
+void job_table::finish(submission& job, submission_phase phase, instant at)
 {
     job.phase = phase;
     job.endedAt = at;
     closeIfOver(job);
 }
 
-void job_table::closeIfOver(const job_record& job)
+void job_table::closeIfOver(const submission& job)
 {
     if (job.isTerminal() && !job.hasActiveUnits())
         m_open.erase(job.id);
@@ -325,7 +325,7 @@
         read.m_sequence = in.at("sequence").get<std::uint64_t>();
         read.m_prunedAt = in.at("pruned_at").get<instant>();
         for (const auto& item : in.at("jobs")) {
-            auto job = item.get<job_record>();
+            auto job = item.get<submission>();
             if (!job.isTerminal() || job.hasActiveUnits())
                 read.m_open.insert(job.id);
             read.indexRuns(job);
--- a/packages/jobs/src/model.cpp
+++ b/packages/jobs/src/model.cpp
@@ -27,7 +27,7 @@
     return best;
 }
 
-const quota_spec* queue_plan::owner(const api_key& key) const
+const workspace_quota* queue_plan::owner(const api_key& key) const
 {
     for (const auto& workspace : workspaces) {
         for (const auto& own : workspace.keys) {
@@ -67,7 +67,7 @@
     return findSharedKey(plan);
 }
 
-std::optional<std::string> findFault(const job_spec& job)
+std::optional<std::string> findFault(const submission_spec& job)
 {
     if (job.payload.size() > maxPayloadBytes)
         return "the payload is longer than " + std::to_string(maxPayloadBytes) + " bytes";
@@ -133,7 +133,7 @@
     return names[static_cast<std::size_t>(kind)];
 }
 
-std::string_view toString(job_phase phase)
+std::string_view toString(submission_phase phase)
 {
     constexpr std::array<std::string_view, 5> names { "queued", "running", "completed", "failed", "cancelled" };
     return names[static_cast<std::size_t>(phase)];
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -61,7 +61,7 @@
 }
 
 void placement_round::occupy(
-    const job_record& job, const unit_key& key, const step_spec& step, const unit& active)
+    const submission& job, const unit_key& key, const step_spec& step, const unit& active)
 {
     for (std::uint32_t m = 0; m < active.members.size(); ++m) {
         const auto& member = active.members[m];
@@ -103,7 +103,7 @@
     m_decisions.stops.push_back({ run, worker, reason });
 }
 
-void placement_round::stopUnit(const job_record& job, const unit_key& key, stop_reason reason)
+void placement_round::stopUnit(const submission& job, const unit_key& key, stop_reason reason)
 {
     const auto& step = job.spec.steps[key.step];
     const auto& active = job.occurrences[key.occurrence].steps[key.step].units[key.unit];
@@ -116,7 +116,7 @@
 }
 
 void placement_round::stopMembersOf(
-    const job_record& job, const unit_key& key, const step_spec& step, const unit& active)
+    const submission& job, const unit_key& key, const step_spec& step, const unit& active)
 {
     if (job.isTerminal())
         return stopUnit(job, key, stop_reason::job_ended);
@@ -161,7 +161,7 @@
     }
 }
 
-bool placement_round::isReady(const job_record& job, std::uint32_t occurrence, std::uint32_t step) const
+bool placement_round::isReady(const submission& job, std::uint32_t occurrence, std::uint32_t step) const
 {
     if (dueTime(job.spec, occurrence) > m_input.wallClock + m_options.startLead)
         return false;
@@ -171,7 +171,7 @@
 }
 
 /// Objective of a job: its longest chain of declared work, stretched, plus the queue's allowance.
-static duration objectiveOf(const job_record& job)
+static duration objectiveOf(const submission& job)
 {
     std::vector<duration> finish(job.spec.steps.size());
     duration longest { 0 };
@@ -185,7 +185,7 @@
     return scaled(longest, job.stretch) + job.allowance;
 }
 
-void placement_round::collectJob(const job_record& job, std::vector<candidate>& out) const
+void placement_round::collectJob(const submission& job, std::vector<candidate>& out) const
 {
     const auto objective = objectiveOf(job);
     for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -32,7 +32,7 @@
 /// A unit that may start now.
 struct candidate {
     unit_key key;
-    const job_record* job { nullptr };
+    const submission* job { nullptr };
     const step_spec* step { nullptr };
     const unit* state { nullptr };
     bool isGuaranteed { false };
@@ -56,14 +56,14 @@
 
 private:
     void occupyWorkers();
-    void occupy(const job_record&, const unit_key&, const step_spec&, const unit&);
-    void stopUnit(const job_record&, const unit_key&, stop_reason);
-    void stopMembersOf(const job_record&, const unit_key&, const step_spec&, const unit&);
+    void occupy(const submission&, const unit_key&, const step_spec&, const unit&);
+    void stopUnit(const submission&, const unit_key&, stop_reason);
+    void stopMembersOf(const submission&, const unit_key&, const step_spec&, const unit&);
     void stop(const run_key&, const worker_boot&, stop_reason);
 
     std::vector<candidate> collect() const;
-    void collectJob(const job_record&, std::vector<candidate>&) const;
-    bool isReady(const job_record&, std::uint32_t occurrence, std::uint32_t step) const;
+    void collectJob(const submission&, std::vector<candidate>&) const;
+    bool isReady(const submission&, std::uint32_t occurrence, std::uint32_t step) const;
     duration expectedRunTime(const step_spec&) const;
 
     bool mayUse(const candidate&, const round_worker&) const;
--- a/packages/jobs/src/planner.cpp
+++ b/packages/jobs/src/planner.cpp
@@ -11,7 +11,7 @@
     return names[static_cast<std::size_t>(reason)];
 }
 
-static accelerators widestStep(const job_spec& spec)
+static accelerators widestStep(const submission_spec& spec)
 {
     accelerators widest;
     for (const auto& step : spec.steps)
@@ -21,7 +21,7 @@
 
 std::set<submission_id> guaranteedJobs(const job_table& table)
 {
-    std::vector<const job_record*> urgent;
+    std::vector<const submission*> urgent;
     for (const auto& id : table.openJobs()) {
         const auto* job = table.find(id);
         if (job->priority == 0 && !job->isTerminal())
