--- a/packages/fleet/src/queue_sidecar.cpp
+++ b/packages/fleet/src/queue_sidecar.cpp
@@ -188,7 +188,8 @@
     const bool busy = !worker->running.empty() || !starts.empty();
     look_request request;
     request.leaseUntilMs = leaseUntilMs;
-    request.fence = term;
+    // A restarted sidecar has no orders yet, but its worker refuses terms below the last one that it has seen.
+    request.fence = std::max(term, controls.term());
     request.acknowledged = acknowledged;
     // The first look answers at once, so that a new worker is known without delay.
     request.wait = worker->clockMs == 0 ? std::chrono::milliseconds(0) : busy ? busyWait : idleWait;
