--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -9,6 +9,7 @@
     constexpr duration restartCost = std::chrono::milliseconds(1200); // Stop, restore and up to one checkpoint interval.
     constexpr double lateFactor = 3; // After this many objectives a job earns nothing.
     constexpr duration minimumRunTime = std::chrono::milliseconds(100);
+    constexpr duration endsSoon = std::chrono::milliseconds(700); // A stop and the report of its end take about as long.
 
     double seconds(duration d) { return std::chrono::duration<double>(d).count(); }
 
@@ -82,11 +83,14 @@
         const bool started = seen != running.end() && seen->second.run == active.lastRun;
         const auto elapsed = started ? m_input.now - seen->second.startedAt : duration::zero();
         const auto lost = step.checkpointable ? std::min(elapsed, restartCost) : elapsed;
-        entry.lossIfStopped = weightOf(step.need) * static_cast<double>(active.members.size()) * seconds(lost);
+        // Work that has been stopped before costs more each time, so that the same unit is not stopped again and again.
+        entry.lossIfStopped = weightOf(step.need) * static_cast<double>(active.members.size()) * seconds(lost)
+            * active.lastRun.value();
         auto left = expectedRunTime(step) - elapsed;
         if (started && seen->second.percent > 5)
             left = scaled(elapsed, (100 - seen->second.percent) / seen->second.percent);
         entry.endsAt = m_input.now + std::max(left, minimumRunTime);
+        entry.endsByItself = started && !step.longRunning && entry.endsAt <= m_input.now + endsSoon;
         found->second.free -= entry.need;
         found->second.occupants.push_back(std::move(entry));
     }
@@ -352,6 +356,7 @@
     const auto isVictim = [&item](const occupant& each) {
         return each.priority > item.job->priority || (item.isGuaranteed && !each.isGuaranteed);
     };
+    const auto isLeaving = [](const occupant& each) { return each.isStopping || each.endsByItself; };
     auto need = item.step->need;
     if (item.step->bestEffort)
         need.cpu = {};
@@ -393,19 +398,19 @@
                 std::vector<const occupant*> victims;
                 std::vector<const occupant*> possible;
                 for (const auto& each : m_workers.at(id).occupants) {
-                    if (!taken[id].contains(&each) && (each.isStopping || isVictim(each)))
+                    if (!taken[id].contains(&each) && (isLeaving(each) || isVictim(each)))
                         possible.push_back(&each);
                 }
-                std::sort(possible.begin(), possible.end(), [](const occupant* a, const occupant* b) {
-                    const double lossA = a->isStopping ? -1 : a->lossIfStopped;
-                    const double lossB = b->isStopping ? -1 : b->lossIfStopped;
+                std::sort(possible.begin(), possible.end(), [&isLeaving](const occupant* a, const occupant* b) {
+                    const double lossA = isLeaving(*a) ? -1 : a->lossIfStopped;
+                    const double lossB = isLeaving(*b) ? -1 : b->lossIfStopped;
                     return std::pair(lossA, a->run) < std::pair(lossB, b->run);
                 });
                 for (const auto* each : possible) {
                     if (need.fitsIn(available))
                         break;
                     available += each->need;
-                    loss += each->isStopping ? 0 : each->lossIfStopped;
+                    loss += isLeaving(*each) ? 0 : each->lossIfStopped;
                     victims.push_back(each);
                 }
                 if (need.fitsIn(available) && (chosen == nullptr || loss < chosenLoss)) {
@@ -428,12 +433,14 @@
         if (placed == membersOf(*item.step))
             best = std::move(attempt);
     }
-    if (!best)
+    // Outside a guarantee, urgent work must be worth what is repeated for it.
+    const double ownWork = weightOf(item.step->need) * membersOf(*item.step) * seconds(item.expected);
+    if (!best || (!item.isGuaranteed && best->loss > ownWork))
         return std::nullopt;
     for (const auto& [id, victims] : best->victims) {
         auto& worker = m_workers.at(id);
         for (const auto* victim : victims) {
-            if (!victim->isStopping)
+            if (!isLeaving(*victim))
                 stopUnit(*m_input.table.find(victim->unit.job), victim->unit, stop_reason::preempted);
             worker.free += victim->need;
         }
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -16,6 +16,7 @@
     std::uint32_t priority { 0 };
     bool isGuaranteed { false };
     bool isStopping { false };
+    bool endsByItself { false }; ///< Sooner than a stop would free its room.
     double lossIfStopped { 0 }; ///< Accelerator-weighted seconds of work that would be repeated.
     instant endsAt; ///< Estimate on the leader's clock.
     unit_key unit;
