--- a/packages/jobs/include/poplardeal/jobs/command.h
+++ b/packages/jobs/include/poplardeal/jobs/command.h
@@ -35,6 +35,7 @@
     task_key task;
     run_number run;
     worker_boot worker;
+    std::string address; ///< Where the worker listens.
 };
 
 /// Starts of a gang must stand in one command.
--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -125,6 +125,8 @@
     /// Runs that may exist, by worker boot.
     const std::map<worker_boot, std::set<run_key>>& runsByWorker() const { return m_runs; }
     const std::set<run_key>& runsOn(const worker_boot&) const;
+    /// Where a worker boot with runs listens; empty if it has none.
+    std::string addressOf(const worker_boot&) const;
 
     std::string save() const;
     result<void> restore(std::string_view);
@@ -157,6 +159,7 @@
     std::map<submission_id, submission> m_jobs;
     std::set<submission_id> m_open;
     std::map<worker_boot, std::set<run_key>> m_runs; ///< Derived from `m_jobs`.
+    std::map<worker_boot, std::string> m_addresses; ///< Of the boots in `m_runs`.
     std::uint64_t m_sequence { 0 };
     instant m_prunedAt;
 };
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -20,6 +20,7 @@
 /// A worker as the leader knows it from reports.
 struct worker_view {
     worker_boot boot;
+    std::string address;
     service_name service;
     data_centre_name dataCentre;
     rack_name rack;
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -162,6 +162,7 @@
         }
         started.members[memberOf(spec, start.task.index)].worker = start.worker;
         m_runs[start.worker].insert({ start.task, start.run });
+        m_addresses[start.worker] = start.address;
         job.hasStarted = true;
         job.phase = submission_phase::running;
     }
@@ -241,8 +242,16 @@
     if (found == m_runs.end())
         return;
     found->second.erase(run);
-    if (found->second.empty())
+    if (found->second.empty()) {
+        m_addresses.erase(worker);
         m_runs.erase(found);
+    }
+}
+
+std::string job_table::addressOf(const worker_boot& boot) const
+{
+    const auto found = m_addresses.find(boot);
+    return found == m_addresses.end() ? std::string() : found->second;
 }
 
 void job_table::forgetRuns(const task_key& any, const step_spec& step, const unit& ended)
@@ -309,6 +318,7 @@
     out["out_of_service"] = m_outOfService;
     out["sequence"] = m_sequence;
     out["pruned_at"] = m_prunedAt;
+    out["addresses"] = m_addresses;
     auto& jobs = out["jobs"] = nlohmann::json::array();
     for (const auto& [id, job] : m_jobs)
         jobs.push_back(job);
@@ -324,6 +334,7 @@
         read.m_outOfService = in.at("out_of_service").get<std::set<data_centre_name>>();
         read.m_sequence = in.at("sequence").get<std::uint64_t>();
         read.m_prunedAt = in.at("pruned_at").get<instant>();
+        read.m_addresses = in.at("addresses").get<std::map<worker_boot, std::string>>();
         for (const auto& item : in.at("jobs")) {
             auto job = item.get<submission>();
             if (!job.isTerminal() || job.hasActiveUnits())
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -523,7 +523,7 @@
         worker.free -= need;
         command.starts.push_back(
             { { item.key.job, item.key.occurrence, item.key.step, taskIndexOf(*item.step, item.key.unit, m) },
-                run_number(item.state->lastRun.value() + 1), worker.view->boot });
+                run_number(item.state->lastRun.value() + 1), worker.view->boot, worker.view->address });
     }
     m_decisions.starts.push_back(std::move(command));
     return true;
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -78,6 +78,7 @@
         known = {};
         view.boot = status.boot;
     }
+    view.address = status.address;
     view.service = status.service;
     view.dataCentre = status.dataCentre;
     view.rack = status.rack;
@@ -125,31 +126,42 @@
     }
 }
 
+/// Only one boot can exist under an id, and only one at an address.
+static bool isSuperseded(const worker_boot& boot, const std::string& address, const worker_status& status)
+{
+    if (boot == status.boot || boot.startedAtMs > status.boot.startedAtMs)
+        return false;
+    return boot.worker == status.boot.worker || (!address.empty() && address == status.address);
+}
+
+static std::vector<worker_boot> supersededBy(const worker_status& status, const job_table& table)
+{
+    std::vector<worker_boot> out;
+    for (const auto& [boot, runs] : table.runsByWorker()) {
+        if (isSuperseded(boot, table.addressOf(boot), status))
+            out.push_back(boot);
+    }
+    return out;
+}
+
 report_effects worker_registry::report(const worker_status& status, const job_table& table, instant now)
 {
     report_effects out;
     out.ends.worker = status.boot;
-    // Another boot under this id or at this address is over.
-    for (auto it = m_sessions.begin(); it != m_sessions.end();) {
-        const auto boot = m_views.at(it->first).boot;
-        if (boot == status.boot || (it->first != status.boot.worker && it->second.address != status.address)) {
-            ++it;
-            continue;
-        }
+    const auto release = [&](const worker_boot& boot) {
         const auto released = releaseBoot(boot, table);
         out.released.insert(out.released.end(), released.begin(), released.end());
-        m_views.erase(it->first);
-        it = m_sessions.erase(it);
-    }
-    for (const auto& [boot, runs] : table.runsByWorker()) {
-        if (boot.worker == status.boot.worker && boot.startedAtMs < status.boot.startedAtMs && !m_sessions.contains(boot.worker)) {
-            const auto released = releaseBoot(boot, table);
-            out.released.insert(out.released.end(), released.begin(), released.end());
-        }
-    }
+    };
+    for (const auto& boot : supersededBy(status, table))
+        release(boot);
+    std::erase_if(m_sessions, [&](const auto& item) {
+        const bool isOver = isSuperseded(m_views.at(item.first).boot, item.second.address, status);
+        if (isOver)
+            m_views.erase(item.first);
+        return isOver;
+    });
     if (status.isGone) {
-        const auto released = releaseBoot(status.boot, table);
-        out.released.insert(out.released.end(), released.begin(), released.end());
+        release(status.boot);
         m_views.erase(status.boot.worker);
         m_sessions.erase(status.boot.worker);
         return out;
--- /dev/null
+++ b/packages/jobs/tests/job_table_test.cpp
@@ -0,0 +1,155 @@
+#include "job_fixture.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace poplardeal;
+using namespace poplardeal::test;
+
+// Guards against an older or equal plan version changing what is in force.
+BOOST_AUTO_TEST_CASE(only_higher_plan_versions_take_effect)
+{
+    table_fixture f;
+    auto other = plan(1);
+    other.document = "other";
+    BOOST_TEST((f.apply(accept_plan { other }) == apply_outcome::unchanged));
+    BOOST_TEST(f.table.plan().document == "{}");
+    BOOST_TEST((f.apply(accept_plan { plan(9) }) == apply_outcome::applied));
+    BOOST_TEST((f.apply(accept_plan { plan(3) }) == apply_outcome::unchanged));
+    BOOST_TEST(f.table.plan().version.value() == 9);
+}
+
+// Guards against a resent submission becoming a second job, also after the job has ended.
+BOOST_AUTO_TEST_CASE(resent_submissions_are_one_job)
+{
+    table_fixture f;
+    BOOST_TEST((f.submit("a", "bulk", { step(1, need(1)) }) == apply_outcome::applied));
+    BOOST_TEST((f.submit("a", "bulk", { step(1, need(1)) }) == apply_outcome::unchanged));
+    f.start(task("a"), 1, boot("w"));
+    f.end(boot("w"), task("a"), 1, end_kind::done);
+    BOOST_TEST((f.submit("a", "bulk", { step(1, need(1)) }) == apply_outcome::unchanged));
+    BOOST_TEST((f.phaseOf("a") == submission_phase::completed));
+}
+
+// Guards against a step that starts before the steps that it follows are done.
+BOOST_AUTO_TEST_CASE(steps_wait_for_earlier_steps)
+{
+    table_fixture f;
+    auto second = step(1, need(1));
+    second.after = { 0 };
+    f.submit("a", "bulk", { step(1, need(1)), second });
+    BOOST_TEST((f.start(task("a", 1), 1, boot("w")) == apply_outcome::refused));
+    f.start(task("a", 0), 1, boot("w"));
+    BOOST_TEST((f.start(task("a", 1), 1, boot("w")) == apply_outcome::refused));
+    f.end(boot("w"), task("a", 0), 1, end_kind::done);
+    BOOST_TEST((f.start(task("a", 1), 1, boot("w")) == apply_outcome::applied));
+}
+
+// Guards against two runs of one task, and a run number that is used again.
+BOOST_AUTO_TEST_CASE(a_task_has_one_run_at_a_time)
+{
+    table_fixture f;
+    f.submit("a", "bulk", { step(1, need(1)) });
+    f.start(task("a"), 1, boot("w"));
+    BOOST_TEST((f.start(task("a"), 2, boot("v")) == apply_outcome::refused));
+    f.end(boot("w"), task("a"), 1, end_kind::stopped, "c1");
+    BOOST_TEST((f.start(task("a"), 1, boot("v")) == apply_outcome::refused));
+    BOOST_TEST((f.start(task("a"), 2, boot("v")) == apply_outcome::applied));
+    BOOST_TEST(f.table.findUnit(task("a"))->saved.value() == "c1");
+}
+
+// Guards against attempts being counted for ends that are not the task's fault, and a start after the last attempt.
+BOOST_AUTO_TEST_CASE(only_failures_use_up_attempts)
+{
+    table_fixture f;
+    f.submit("a", "normal", { step(1, need(1)) });
+    std::uint32_t run = 0;
+    for (const auto kind : { end_kind::stopped, end_kind::lapsed, end_kind::broken, end_kind::alone, end_kind::failed }) {
+        f.start(task("a"), ++run, boot("w"));
+        f.end(boot("w"), task("a"), run, kind);
+        BOOST_TEST((f.phaseOf("a") == submission_phase::running));
+    }
+    f.start(task("a"), ++run, boot("w"));
+    f.end(boot("w"), task("a"), run, end_kind::failed);
+    BOOST_TEST((f.phaseOf("a") == submission_phase::failed));
+    BOOST_TEST((f.start(task("a"), ++run, boot("w")) == apply_outcome::refused));
+}
+
+// Guards against a gang that starts again while a member of the earlier run may still exist.
+BOOST_AUTO_TEST_CASE(a_gang_restarts_when_all_members_are_over)
+{
+    table_fixture f;
+    auto gang = step(2, need(8));
+    gang.gang = true;
+    f.submit("a", "normal", { gang });
+    const auto startBoth = [&](std::uint32_t run) {
+        return f.apply(start_tasks { { { task("a", 0, 0), run_number(run), boot("w"), "w:1" },
+            { task("a", 0, 1), run_number(run), boot("v"), "v:1" } } });
+    };
+    BOOST_TEST((startBoth(1) == apply_outcome::applied));
+    f.end(boot("w"), task("a", 0, 0), 1, end_kind::failed);
+    BOOST_TEST((startBoth(2) == apply_outcome::refused));
+    f.end(boot("v"), task("a", 0, 1), 1, end_kind::broken);
+    BOOST_TEST((startBoth(2) == apply_outcome::applied));
+    f.end(boot("v"), task("a", 0, 1), 2, end_kind::done);
+    BOOST_TEST((f.phaseOf("a") == submission_phase::completed));
+    BOOST_TEST(f.table.runsByWorker().empty());
+}
+
+// Guards against a late end of an earlier run being taken for the current one.
+BOOST_AUTO_TEST_CASE(ends_of_earlier_runs_change_nothing)
+{
+    table_fixture f;
+    f.submit("a", "bulk", { step(1, need(1)) });
+    f.start(task("a"), 1, boot("w"));
+    f.apply(release_runs { { { task("a"), run_number(1), checkpoint("c") } } });
+    f.start(task("a"), 2, boot("v"));
+    f.end(boot("w"), task("a"), 1, end_kind::lapsed);
+    BOOST_TEST(f.table.findUnit(task("a"))->isActive());
+}
+
+// Guards against work that begins after its job was cancelled, and a terminal job that loses track of its runs.
+BOOST_AUTO_TEST_CASE(a_cancelled_job_starts_nothing)
+{
+    table_fixture f;
+    f.submit("a", "bulk", { step(2, need(1)) });
+    f.start(task("a", 0, 0), 1, boot("w"));
+    BOOST_TEST((f.apply(cancel_submission { submission_id("a") }) == apply_outcome::applied));
+    BOOST_TEST((f.start(task("a", 0, 1), 1, boot("w")) == apply_outcome::refused));
+    BOOST_TEST(f.table.openJobs().size() == 1U);
+    f.end(boot("w"), task("a", 0, 0), 1, end_kind::stopped);
+    BOOST_TEST(f.table.openJobs().empty());
+    BOOST_TEST((f.apply(cancel_submission { submission_id("none") }) == apply_outcome::not_found));
+}
+
+// Guards against a long-running task that counts as done or failed for good.
+BOOST_AUTO_TEST_CASE(long_running_tasks_are_restarted_however_they_end)
+{
+    table_fixture f;
+    auto lasting = step(1, need(1));
+    lasting.longRunning = true;
+    f.submit("a", "normal", { lasting });
+    std::uint32_t run = 0;
+    for (const auto kind : { end_kind::done, end_kind::failed, end_kind::failed, end_kind::failed, end_kind::stopped }) {
+        BOOST_TEST((f.start(task("a"), ++run, boot("w")) == apply_outcome::applied));
+        f.end(boot("w"), task("a"), run, kind);
+        BOOST_TEST((f.phaseOf("a") == submission_phase::running));
+    }
+}
+
+// Guards against a snapshot that loses runs, checkpoints or addresses.
+BOOST_AUTO_TEST_CASE(snapshots_are_whole)
+{
+    table_fixture f;
+    f.submit("a", "bulk", { step(2, need(1)) });
+    f.submit("b", "bulk", { step(1, need(1)) });
+    f.apply(set_data_centre { data_centre_name("east"), false });
+    f.start(task("a", 0, 1), 1, boot("w"));
+    job_table copy;
+    BOOST_REQUIRE(copy.restore(f.table.save()).has_value());
+    BOOST_TEST(copy.save() == f.table.save());
+    BOOST_TEST((copy.runsByWorker() == f.table.runsByWorker()));
+    BOOST_TEST(copy.addressOf(boot("w")) == "w:1");
+    BOOST_TEST((copy.openJobs() == f.table.openJobs()));
+    BOOST_TEST(!copy.isInService(data_centre_name("east")));
+    BOOST_TEST(copy.pendingCount(queue_name("bulk")) == 1U);
+    BOOST_TEST(copy.restore("damaged").has_error());
+}
--- /dev/null
+++ b/packages/jobs/tests/model_test.cpp
@@ -0,0 +1,89 @@
+#include "job_fixture.h"
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+
+using namespace poplardeal;
+using namespace poplardeal::test;
+
+namespace {
+
+struct plan_row {
+    std::string name;
+    std::function<void(queue_plan&)> change;
+    bool isValid;
+};
+std::ostream& operator<<(std::ostream& out, const plan_row& row) { return out << row.name; }
+
+const std::vector<plan_row> planRows {
+    { "unchanged", [](queue_plan&) {}, true },
+    { "unknown pool", [](queue_plan& p) { p.queues[0].service = service_name("none"); }, false },
+    { "two queues at one place", [](queue_plan& p) { p.queues[1].pathPrefix = p.queues[0].pathPrefix; }, false },
+    { "one prefix on two hosts",
+        [](queue_plan& p) {
+            p.queues[1].pathPrefix = p.queues[0].pathPrefix;
+            p.queues[1].host = "other.example";
+        },
+        true },
+    { "timeout of zero", [](queue_plan& p) { p.queues[2].timeout = {}; }, false },
+    { "key of two workspaces", [](queue_plan& p) { p.workspaces[1].keys.push_back(api_key("k1")); }, false },
+    { "key twice in one workspace", [](queue_plan& p) { p.workspaces[0].keys.push_back(api_key("k1")); }, true },
+};
+
+struct job_row {
+    std::string name;
+    std::function<void(submission_spec&)> change;
+    bool isValid;
+};
+std::ostream& operator<<(std::ostream& out, const job_row& row) { return out << row.name; }
+
+const std::vector<job_row> jobRows {
+    { "unchanged", [](submission_spec&) {}, true },
+    { "no steps", [](submission_spec& s) { s.steps.clear(); }, false },
+    { "no tasks", [](submission_spec& s) { s.steps[0].count = 0; }, false },
+    { "after itself", [](submission_spec& s) { s.steps[0].after = { 0 }; }, false },
+    { "too many tasks", [](submission_spec& s) { s.steps[0].count = maxTasksOfStep + 1; }, false },
+    { "long payload", [](submission_spec& s) { s.payload.assign(maxPayloadBytes + 1, 'x'); }, false },
+    { "too many occurrences", [](submission_spec& s) { s.occurrences = maxOccurrences + 1; }, false },
+};
+
+} // namespace
+
+// Guards against a plan that contradicts itself being put in force.
+BOOST_DATA_TEST_CASE(plans_are_checked, boost::unit_test::data::make(planRows), row)
+{
+    auto checked = plan();
+    row.change(checked);
+    BOOST_TEST(!findFault(checked).has_value() == row.isValid);
+}
+
+// Guards against a submission that can never be planned being accepted.
+BOOST_DATA_TEST_CASE(submissions_are_checked, boost::unit_test::data::make(jobRows), row)
+{
+    submission_spec spec;
+    spec.steps = { step(1, need(1)) };
+    row.change(spec);
+    BOOST_TEST(!findFault(spec).has_value() == row.isValid);
+}
+
+// Guards against a call reaching a queue with a shorter prefix.
+BOOST_AUTO_TEST_CASE(longest_prefix_wins)
+{
+    auto known = plan();
+    auto nested = queue("nested", 1);
+    nested.pathPrefix = "/urgent/deep/";
+    known.queues.push_back(nested);
+    BOOST_TEST(known.match("h.example", "/urgent/deep/1")->name == queue_name("nested"));
+    BOOST_TEST(known.match("h.example", "/urgent/1")->name == queue_name("urgent"));
+    BOOST_TEST(known.match("other", "/urgent/1") == nullptr);
+}
+
+// Guards against tasks being confused by a name that is read loosely.
+BOOST_AUTO_TEST_CASE(task_names_are_read_strictly)
+{
+    const task_key original { submission_id("5c0e7a21d94b36f8"), 2, 1, 17 };
+    BOOST_TEST(toString(original) == "5c0e7a21d94b36f8.2.1.17");
+    BOOST_TEST((parseTaskKey("5c0e7a21d94b36f8.2.1.17") == original));
+    for (const auto* text : { "", "a", "a.1", "a.1.2", "a.1.2.3.4", ".1.2.3", "a.1.2.x", "a.-1.2.3", "a.1.2.3 " })
+        BOOST_TEST(!parseTaskKey(text).has_value());
+}
--- /dev/null
+++ b/packages/jobs/tests/planner_test.cpp
@@ -0,0 +1,251 @@
+#include "job_fixture.h"
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+
+using namespace poplardeal;
+using namespace poplardeal::test;
+
+namespace {
+
+/// A cluster of `racks` racks of three workers each.
+struct cluster_fixture : table_fixture {
+    std::map<worker_id, worker_view> workers;
+    std::set<run_key> stopping;
+    instant now { at(50000) };
+
+    explicit cluster_fixture(int racks = 1)
+    {
+        for (int r = 0; r < racks; ++r) {
+            for (int i = 0; i < 3; ++i) {
+                const auto id = "w" + std::to_string(r) + std::to_string(i);
+                workers[worker_id(id)] = view(id, "r1-" + std::to_string(r));
+            }
+        }
+    }
+
+    job_decisions decide() { return planJobs({}, { table, workers, stopping, now, at(ms) }); }
+
+    /// Applies all starts, as if the workers had taken them up at once.
+    job_decisions carryOut()
+    {
+        auto decisions = decide();
+        for (const auto& command : decisions.starts) {
+            apply(command);
+            for (const auto& start : command.starts)
+                workers.at(start.worker.worker).running[start.task] = { start.run, {}, 0, now, now };
+        }
+        return decisions;
+    }
+
+    void advance(std::int64_t by)
+    {
+        ms += by;
+        now += std::chrono::milliseconds(by);
+        for (auto& [id, worker] : workers) {
+            for (auto& [key, run] : worker.running) {
+                run.percent += 1;
+                run.progressedAt = now;
+            }
+        }
+    }
+};
+
+std::set<worker_id> workersOf(const job_decisions& decisions)
+{
+    std::set<worker_id> out;
+    for (const auto& command : decisions.starts) {
+        for (const auto& start : command.starts)
+            out.insert(start.worker.worker);
+    }
+    return out;
+}
+
+std::size_t startsOf(const job_decisions& decisions)
+{
+    std::size_t out = 0;
+    for (const auto& command : decisions.starts)
+        out += command.starts.size();
+    return out;
+}
+
+step_spec gangOf(std::uint32_t count, std::int64_t accelerator)
+{
+    auto out = step(count, need(accelerator, 15000));
+    out.gang = true;
+    return out;
+}
+
+struct exclusion_row {
+    std::string name;
+    std::function<void(cluster_fixture&)> change;
+    std::size_t starts;
+};
+std::ostream& operator<<(std::ostream& out, const exclusion_row& row) { return out << row.name; }
+
+const std::vector<exclusion_row> exclusionRows {
+    { "all usable", [](cluster_fixture&) {}, 1 },
+    { "draining", [](cluster_fixture& f) { for (auto& [id, w] : f.workers) w.isDraining = true; }, 0 },
+    { "unreachable", [](cluster_fixture& f) { for (auto& [id, w] : f.workers) w.isReachable = false; }, 0 },
+    { "avoided", [](cluster_fixture& f) { for (auto& [id, w] : f.workers) w.avoidUntil = f.now + std::chrono::seconds(1); }, 0 },
+    { "other service", [](cluster_fixture& f) { for (auto& [id, w] : f.workers) w.service = service_name("x"); }, 0 },
+    { "data centre out of service",
+        [](cluster_fixture& f) { f.apply(set_data_centre { data_centre_name("east"), false }); }, 0 },
+};
+
+} // namespace
+
+// Guards against starts on workers that must not be used.
+BOOST_DATA_TEST_CASE(unusable_workers_get_nothing, boost::unit_test::data::make(exclusionRows), row)
+{
+    cluster_fixture f;
+    f.submit("a", "bulk", { step(1, need(1)) });
+    row.change(f);
+    BOOST_TEST(startsOf(f.decide()) == row.starts);
+}
+
+// Guards against small work that is spread over all workers and leaves no whole one for a large task.
+BOOST_AUTO_TEST_CASE(small_work_is_packed)
+{
+    cluster_fixture f;
+    for (const auto* id : { "a", "b", "c", "d" })
+        f.submit(id, "bulk", { step(2, need(1)) });
+    const auto decisions = f.carryOut();
+    BOOST_TEST(startsOf(decisions) == 8U);
+    BOOST_TEST(workersOf(decisions).size() == 1U);
+}
+
+// Guards against a gang of which only a part is placed.
+BOOST_AUTO_TEST_CASE(a_gang_is_placed_whole_or_not_at_all)
+{
+    cluster_fixture f;
+    f.submit("big", "normal", { gangOf(4, 8) });
+    BOOST_TEST(startsOf(f.decide()) == 0U);
+    f.submit("fits", "normal", { gangOf(3, 8) });
+    const auto decisions = f.carryOut();
+    BOOST_REQUIRE(decisions.starts.size() == 1U);
+    BOOST_TEST(decisions.starts[0].starts.size() == 3U);
+}
+
+// Guards against a rack-local gang spread over racks although one rack has room.
+BOOST_AUTO_TEST_CASE(a_rack_local_gang_stays_on_one_rack)
+{
+    cluster_fixture f(2);
+    f.submit("small", "bulk", { step(1, need(1)) });
+    f.carryOut();
+    auto gang = gangOf(3, 8);
+    gang.rackLocal = true;
+    f.submit("a", "normal", { gang });
+    std::set<rack_name> racks;
+    for (const auto& id : workersOf(f.carryOut()))
+        racks.insert(f.workers.at(id).rack);
+    BOOST_TEST(racks.size() == 1U);
+}
+
+// Load: every worker is full of bulk work when a guaranteed urgent job arrives. Guards against a guarantee that is not
+// honoured at once, and against more stops than the job needs.
+BOOST_AUTO_TEST_CASE(a_guaranteed_job_reclaims_its_room)
+{
+    cluster_fixture f;
+    f.submit("bulk1", "bulk", { step(24, need(1)) });
+    f.carryOut();
+    f.advance(2000);
+    f.submit("now", "urgent", { step(1, need(4)) }, "club");
+    const auto first = f.carryOut();
+    BOOST_TEST(startsOf(first) == 0U);
+    BOOST_TEST(first.stops.size() == 4U);
+    std::uint64_t number = 0;
+    for (const auto& stop : first.stops) {
+        BOOST_TEST((stop.reason == stop_reason::preempted));
+        f.stopping.insert(stop.run);
+        BOOST_TEST(f.decide().stops.empty() == (++number == first.stops.size()));
+    }
+    for (const auto& stop : first.stops) {
+        f.apply(record_ends { stop.worker, { { ++number, stop.run.task, stop.run.run, end_kind::stopped, {} } } });
+        f.workers.at(stop.worker.worker).running.erase(stop.run.task);
+    }
+    const auto second = f.carryOut();
+    BOOST_REQUIRE(!second.starts.empty());
+    BOOST_TEST(second.starts[0].starts[0].task.job == submission_id("now"));
+}
+
+// Guards against work that is stopped although it would have ended by itself just as soon.
+BOOST_AUTO_TEST_CASE(work_about_to_end_is_not_stopped)
+{
+    cluster_fixture f;
+    f.submit("bulk1", "bulk", { step(24, need(1)) });
+    f.carryOut();
+    f.advance(4900);
+    for (auto& [id, worker] : f.workers) {
+        for (auto& [key, run] : worker.running)
+            run.percent = 98;
+    }
+    f.submit("now", "urgent", { step(1, need(4)) }, "club");
+    BOOST_TEST(f.decide().stops.empty());
+}
+
+// Load: a stream of small jobs beside a gang that needs whole workers. Guards against a gang that starves because every
+// freed accelerator goes to the next small job.
+BOOST_AUTO_TEST_CASE(a_waiting_gang_keeps_workers_free)
+{
+    cluster_fixture f;
+    f.submit("small0", "normal", { step(18, need(1), 4000) });
+    f.carryOut();
+    f.advance(100);
+    f.submit("gang", "normal", { gangOf(2, 8) });
+    BOOST_TEST(startsOf(f.carryOut()) == 0U);
+    f.submit("small1", "bulk", { step(6, need(1), 20000) });
+    BOOST_TEST(startsOf(f.carryOut()) <= 6U);
+    f.submit("small2", "bulk", { step(6, need(1), 20000) });
+    const auto later = f.carryOut();
+    BOOST_TEST(startsOf(later) == 0U);
+}
+
+// Guards against runs of a cancelled job, and the rest of a broken gang, that work on.
+BOOST_AUTO_TEST_CASE(runs_without_a_purpose_are_stopped)
+{
+    cluster_fixture f;
+    f.submit("a", "bulk", { step(2, need(1)) });
+    f.submit("g", "normal", { gangOf(2, 8) });
+    f.carryOut();
+    f.apply(cancel_submission { submission_id("a") });
+    const auto member = f.table.findUnit(task("g", 0, 0))->members[0].worker;
+    f.end(member, task("g", 0, 0), 1, end_kind::failed);
+    std::map<stop_reason, std::size_t> reasons;
+    for (const auto& stop : f.decide().stops)
+        ++reasons[stop.reason];
+    BOOST_TEST(reasons[stop_reason::job_ended] == 2U);
+    BOOST_TEST(reasons[stop_reason::gang_broken] == 1U);
+}
+
+// Guards against a task that stands still for ever on a worker that looks healthy.
+BOOST_AUTO_TEST_CASE(a_task_without_progress_is_stopped)
+{
+    cluster_fixture f;
+    f.submit("a", "bulk", { step(1, need(1), 20000) });
+    f.carryOut();
+    f.advance(2500);
+    BOOST_TEST(f.decide().stops.empty());
+    f.now += std::chrono::milliseconds(3100);
+    const auto decisions = f.decide();
+    BOOST_REQUIRE(decisions.stops.size() == 1U);
+    BOOST_TEST((decisions.stops[0].reason == stop_reason::no_progress));
+}
+
+// Guards against occurrences that start before they are due.
+BOOST_AUTO_TEST_CASE(occurrences_wait_for_their_due_times)
+{
+    cluster_fixture f;
+    submission_spec spec;
+    spec.payload = "p";
+    spec.steps = { step(1, need(1)) };
+    spec.occurrences = 2;
+    spec.firstDueMs = f.ms + 1000;
+    spec.intervalMs = 1000;
+    f.apply(accept_submission { submission_id("t"), queue_name("bulk"), workspace_name("league"), spec });
+    BOOST_TEST(startsOf(f.carryOut()) == 0U);
+    f.advance(950);
+    BOOST_TEST(startsOf(f.carryOut()) == 1U);
+    f.advance(1000);
+    BOOST_TEST(startsOf(f.carryOut()) == 1U);
+}
--- /dev/null
+++ b/packages/jobs/tests/worker_registry_test.cpp
@@ -0,0 +1,133 @@
+#include "job_fixture.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace poplardeal;
+using namespace poplardeal::test;
+
+namespace {
+
+constexpr std::int64_t leaseMs = 6000;
+
+struct registry_fixture : table_fixture {
+    worker_registry registry;
+    instant now { at(100000) };
+
+    registry_fixture()
+        : registry([] {
+            lease_options options;
+            options.length = std::chrono::milliseconds(leaseMs);
+            return options;
+        }())
+    {
+        registry.takeOver(now);
+        submit("a", "bulk", { step(1, need(1)) });
+    }
+
+    worker_status status(const worker_boot& who, std::int64_t clockMs) const
+    {
+        worker_status out;
+        out.boot = who;
+        out.address = who.worker.value() + ":1";
+        out.service = service_name("desk");
+        out.dataCentre = data_centre_name("east");
+        out.room = { millicores(128000), mebibytes(262144), accelerators(8) };
+        out.clockMs = clockMs;
+        out.hasLists = true;
+        return out;
+    }
+
+    void order(const worker_boot& who)
+    {
+        const task_start started { task("a"), run_number(1), who, who.worker.value() + ":1" };
+        apply(start_tasks { { started } });
+        registry.startOrdered(started, now);
+    }
+};
+
+} // namespace
+
+// Guards against a run that is given up while its worker's lease may still be running, or never.
+BOOST_AUTO_TEST_CASE(a_silent_worker_is_released_when_its_lease_is_certainly_over)
+{
+    registry_fixture f;
+    f.registry.report(f.status(boot("w"), 1000), f.table, f.now);
+    f.order(boot("w"));
+    const auto orders = f.registry.instructionsFor(boot("w"), f.table, f.now);
+    BOOST_REQUIRE(orders.has_value());
+    BOOST_TEST(orders->leaseUntilMs == 1000 + leaseMs);
+    // The worker's clock may be 2% slow.
+    BOOST_TEST(f.registry.expired(f.table, f.now + std::chrono::milliseconds(leaseMs * 100 / 98)).empty());
+    BOOST_TEST(f.registry.expired(f.table, f.now + std::chrono::milliseconds(leaseMs * 100 / 98 + 500)).size() == 1U);
+}
+
+// Guards against a new leader that takes a worker for dead before the leases of its predecessor are over.
+BOOST_AUTO_TEST_CASE(a_new_leader_waits_for_earlier_leases)
+{
+    registry_fixture f;
+    f.order(boot("w"));
+    f.registry.takeOver(f.now);
+    BOOST_TEST(f.registry.expired(f.table, f.now + std::chrono::milliseconds(leaseMs)).empty());
+    BOOST_TEST(f.registry.expired(f.table, f.now + std::chrono::milliseconds(leaseMs + 1000)).size() == 1U);
+}
+
+// After a power loss of everything the workers come back as new boots, and the new leader has no session of the old
+// ones. Guards against their work waiting for the end of leases that nobody holds any more.
+BOOST_AUTO_TEST_CASE(a_new_boot_at_an_address_ends_the_earlier_one)
+{
+    registry_fixture f;
+    f.order(boot("w", 1));
+    f.registry.takeOver(f.now);
+    auto other = f.status(boot("x", 2), 10);
+    other.address = "w:1";
+    BOOST_TEST(f.registry.report(other, f.table, f.now).released.size() == 1U);
+    // An announcement of an earlier boot that arrives late proves nothing.
+    registry_fixture g;
+    g.order(boot("w", 5));
+    auto stale = g.status(boot("x", 2), 10);
+    stale.address = "w:1";
+    BOOST_TEST(g.registry.report(stale, g.table, g.now).released.empty());
+}
+
+// Guards against a start that is lost: it is ordered again until its window is over, then the run is released.
+BOOST_AUTO_TEST_CASE(an_unconfirmed_start_is_repeated_and_then_released)
+{
+    registry_fixture f;
+    f.registry.report(f.status(boot("w"), 1000), f.table, f.now);
+    f.order(boot("w"));
+    BOOST_TEST(f.registry.instructionsFor(boot("w"), f.table, f.now)->starts.size() == 1U);
+    BOOST_TEST(f.registry.report(f.status(boot("w"), 2400), f.table, f.now + std::chrono::milliseconds(1400)).released.empty());
+    BOOST_TEST(f.registry.report(f.status(boot("w"), 2600), f.table, f.now + std::chrono::milliseconds(1600)).released.size() == 1U);
+}
+
+// Guards against an end that is acknowledged to the worker before it is recorded.
+BOOST_AUTO_TEST_CASE(ends_are_acknowledged_after_they_are_recorded)
+{
+    registry_fixture f;
+    f.registry.report(f.status(boot("w"), 1000), f.table, f.now);
+    f.order(boot("w"));
+    auto ended = f.status(boot("w"), 1500);
+    ended.ended = { { 3, task("a"), run_number(1), end_kind::done, {} } };
+    BOOST_TEST(f.registry.report(ended, f.table, f.now).ends.ends.size() == 1U);
+    BOOST_TEST(f.registry.instructionsFor(boot("w"), f.table, f.now)->acknowledged == 0U);
+    BOOST_TEST(f.registry.report(ended, f.table, f.now).ends.ends.empty());
+    f.registry.endsSettled(boot("w"), 3, false);
+    BOOST_TEST(f.registry.report(ended, f.table, f.now).ends.ends.size() == 1U);
+    f.registry.endsSettled(boot("w"), 3, true);
+    BOOST_TEST(f.registry.instructionsFor(boot("w"), f.table, f.now)->acknowledged == 3U);
+}
+
+// Load: one worker fails whatever it starts. Guards against it drawing all waiting tasks and using up their attempts.
+BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_is_avoided_for_longer_each_time)
+{
+    registry_fixture f;
+    std::uint64_t number = 0;
+    duration last {};
+    for (int round = 0; round < 3; ++round) {
+        auto failing = f.status(boot("w"), 1000 + round);
+        failing.ended = { { ++number, task("a"), run_number(1), end_kind::failed, {} } };
+        f.registry.report(failing, f.table, f.now);
+        const auto pause = f.registry.views(f.now).at(worker_id("w")).avoidUntil - f.now;
+        BOOST_TEST(pause.count() > last.count());
+        last = pause;
+    }
+}
