jobs: members that wait for their gang are not stalled; lost starts are voided by a stop

(3) Reports held up by a cut made a worker look reachable. (4) With ends waiting to be recorded, looks answered at once and the sidecar spun. Change: progress counts until 100%, remaining time is that of the slowest member; a start not confirmed in its window is voided by a stop and released when the worker has confirmed it; held-up reports don't count as fresh; paused looks.

--- a/packages/fleet/src/queue_sidecar.cpp
+++ b/packages/fleet/src/queue_sidecar.cpp
@@ -18,6 +18,8 @@
     constexpr duration orderTimeout = std::chrono::milliseconds(600); ///< A start or stop is answered at once or never.
     constexpr unsigned workerConnections = 64;
     constexpr std::size_t maxAnnouncement = std::size_t { 64 } * 1024;
+    constexpr duration recordPause = std::chrono::milliseconds(60); ///< While listed ends wait to be recorded.
+    constexpr duration reportInterval = std::chrono::milliseconds(250); ///< Of reports that bring nothing new.
     constexpr duration goneReports = std::chrono::seconds(3); ///< The word that a worker is gone is repeated this long.
 
     struct order_state {
@@ -28,6 +30,13 @@
         std::string reason;
     };
 
+    struct stop_state {
+        bool isUnderWay { false };
+        bool isAnswered { false };
+        std::uint64_t confirmedBy { 0 }; ///< The first look that began after the answer.
+        bool isConfirmed { false }; ///< The run does not exist and will not.
+    };
+
 } // namespace
 
 struct queue_sidecar::impl {
@@ -38,12 +47,15 @@
     void adopt(const worker_announcement&);
     void tick();
     void look();
-    void takeLists(const http_result&, const worker_boot&);
+    void takeLists(const http_result&, const worker_boot&, std::uint64_t number);
+    void confirmStops(std::uint64_t look);
+    bool isListed(const run_key&) const;
     void report();
     void takeOrders(const frame&);
     void startTask(const start_instruction&);
     void finishStart(const run_key&, const worker_boot&, const http_result&);
     void stopTask(const run_key&);
+    void finishStop(const run_key&, const worker_boot&, const http_result&);
     address workerAddress() const;
 
     event_loop& loop;
@@ -63,7 +75,10 @@
     instant lookAgainAt;
     std::uint32_t failedLooks { 0 };
     std::map<run_key, order_state> starts;
-    std::set<run_key> stops;
+    std::map<run_key, stop_state> stops;
+    std::uint64_t looks { 0 };
+    std::uint64_t lastEnd { 0 }; ///< Highest number of an end seen.
+    instant reportedAt;
     std::unique_ptr<http_server> http;
     std::unique_ptr<http_server> metricsHttp;
     event_loop::timer timer;
@@ -145,6 +160,7 @@
         starts.clear();
         stops.clear();
         failedLooks = 0;
+        lastEnd = 0;
     }
     sequence = announced.sequence;
     announcedAt = loop.now();
@@ -185,6 +201,7 @@
 void queue_sidecar::impl::look()
 {
     looking = true;
+    const auto number = ++looks;
     const bool busy = !worker->running.empty() || !starts.empty();
     look_request request;
     request.leaseUntilMs = leaseUntilMs;
@@ -194,10 +211,26 @@
     // The first look answers at once, so that a new worker is known without delay.
     request.wait = worker->clockMs == 0 ? std::chrono::milliseconds(0) : busy ? busyWait : idleWait;
     client.send(workerAddress(), dialect.lookRequest(worker->boot, request), request.wait + lookSlack,
-        connection_use::kept, [this, boot = worker->boot](const http_result& result) { takeLists(result, boot); });
+        connection_use::kept,
+        [this, number, boot = worker->boot](const http_result& result) { takeLists(result, boot, number); });
+}
+
+bool queue_sidecar::impl::isListed(const run_key& run) const
+{
+    const auto is = [&run](const auto& each) { return each.task == run.task && each.run == run.run; };
+    return std::any_of(worker->running.begin(), worker->running.end(), is)
+        || std::any_of(worker->ended.begin(), worker->ended.end(), is);
 }
 
-void queue_sidecar::impl::takeLists(const http_result& result, const worker_boot& boot)
+/// A run whose stop was answered before a look began, and that the look does not list, was never there: the worker
+/// refuses it from the stop on.
+void queue_sidecar::impl::confirmStops(std::uint64_t look)
+{
+    for (auto& [run, state] : stops)
+        state.isConfirmed = state.isConfirmed || (state.isAnswered && look >= state.confirmedBy && !isListed(run));
+}
+
+void queue_sidecar::impl::takeLists(const http_result& result, const worker_boot& boot, std::uint64_t number)
 {
     looking = false;
     if (!worker || worker->boot != boot || worker->isGone)
@@ -230,8 +263,17 @@
     worker->running = std::move(lists.value().running);
     worker->ended = std::move(lists.value().ended);
     worker->hasLists = true;
-    report();
-    look();
+    confirmStops(number);
+    const auto highest = worker->ended.empty() ? 0 : worker->ended.back().number;
+    const bool isNew = worker->ended.empty() || highest > lastEnd;
+    lastEnd = std::max(lastEnd, highest);
+    if (isNew || loop.now() - reportedAt >= reportInterval)
+        report();
+    // A look answers at once while it has ends to list.
+    if (worker->ended.empty())
+        look();
+    else
+        lookAgainAt = loop.now() + recordPause;
 }
 
 void queue_sidecar::impl::report()
@@ -243,6 +285,11 @@
         if (state.isRefused)
             status.refused.push_back({ run, state.reason });
     }
+    for (const auto& [run, state] : stops) {
+        if (state.isConfirmed)
+            status.refused.push_back({ run, "stopped before its start" });
+    }
+    reportedAt = loop.now();
     controls.send(packMessage(frame_kind::worker_report, 0, detail::toMessage(status)));
 }
 
@@ -258,12 +305,18 @@
         return;
     term = message.value().term;
     leaseUntilMs = std::max(leaseUntilMs, orders.leaseUntilMs);
-    acknowledged = std::max(acknowledged, orders.acknowledged);
+    if (orders.acknowledged > acknowledged) {
+        acknowledged = orders.acknowledged;
+        lookAgainAt = {};
+    }
     std::set<run_key> outstanding;
     for (const auto& start : orders.starts)
         outstanding.insert(start.run);
     std::erase_if(starts,
         [&](const auto& item) { return !item.second.isUnderWay && !outstanding.contains(item.first); });
+    const std::set<run_key> stopping(orders.stops.begin(), orders.stops.end());
+    std::erase_if(
+        stops, [&](const auto& item) { return !item.second.isUnderWay && !stopping.contains(item.first); });
     for (const auto& stop : orders.stops)
         stopTask(stop);
     for (const auto& start : orders.starts)
@@ -315,15 +368,31 @@
 
 void queue_sidecar::impl::stopTask(const run_key& run)
 {
-    if (!stops.insert(run).second)
+    auto& state = stops[run];
+    if (state.isUnderWay || state.isAnswered)
         return;
+    state.isUnderWay = true;
     client.send(workerAddress(), dialect.stopRequest(worker->boot, run, term), orderTimeout, connection_use::kept,
-        [this, run](const http_result& result) {
-            // The order is repeated with every report until the end of the run is listed.
-            stops.erase(run);
-            if (result.has_error())
-                unanswered.add();
-        });
+        [this, run, boot = worker->boot](const http_result& result) { finishStop(run, boot, result); });
+}
+
+/// A stop without an answer is repeated at the next orders.
+void queue_sidecar::impl::finishStop(const run_key& run, const worker_boot& boot, const http_result& result)
+{
+    const auto found = stops.find(run);
+    if (!worker || worker->boot != boot || found == stops.end())
+        return;
+    found->second.isUnderWay = false;
+    if (result.has_error()) {
+        unanswered.add();
+        return;
+    }
+    found->second.isAnswered = result.value().status == 200;
+    found->second.confirmedBy = looks + 1;
+    if (!found->second.isAnswered)
+        logEvent(log_level::warning, "stop_refused_by_worker",
+            { { "job", run.task.job.value() }, { "task", toString(run.task) }, { "run", run.run.value() },
+                { "status", result.value().status } });
 }
 
 result<std::unique_ptr<queue_sidecar>> queue_sidecar::start(
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -15,6 +15,7 @@
     double percent { 0 };
     instant startedAt; ///< First seen running, on the leader's clock.
     instant progressedAt; ///< When `percent` last grew.
+    instant reportedAt; ///< Last report that listed it.
 };
 
 /// A worker as the leader knows it from reports.
--- a/packages/jobs/include/poplardeal/jobs/worker_registry.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -9,7 +9,8 @@
 
 namespace poplardeal {
 
-/// A start that a worker has refused for certain: no earlier attempt for it is unanswered.
+/// A run that does not exist and will not: its start was refused and no earlier attempt is unanswered, or the worker has
+/// confirmed a stop and lists neither the run nor its end.
 struct refused_run {
     run_key run;
     std::string reason;
@@ -95,6 +96,7 @@
         std::string address;
         std::int64_t clockMs { 0 };
         instant clockAt; ///< Leader's clock when `clockMs` arrived.
+        instant freshAt; ///< Last report that was not held up on its way.
         std::int64_t grantedUntilMs { 0 };
         std::uint64_t proposedEnds { 0 };
         std::uint64_t acknowledged { 0 };
@@ -111,7 +113,7 @@
     void addStrike(session&, worker_view&, instant now);
     std::int64_t estimatedClock(const session&, instant now) const;
     instant leaseEnd(const session&) const;
-    void dropStopping(const job_table&);
+    void forgetOverRuns(const job_table&);
 
     lease_options m_options;
     instant m_takenOverAt;
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -9,6 +9,7 @@
     constexpr duration restartCost = std::chrono::milliseconds(1200); // Stop, restore and up to one checkpoint interval.
     constexpr double lateFactor = 3; // After this many objectives a job earns nothing.
     constexpr duration minimumRunTime = std::chrono::milliseconds(100);
+    constexpr double reliablePercent = 5; // Below, whole percents say too little about the speed.
     constexpr duration endsSoon = std::chrono::milliseconds(700); // A stop and the report of its end take about as long.
 
     double seconds(duration d) { return std::chrono::duration<double>(d).count(); }
@@ -61,9 +62,57 @@
     }
 }
 
+const run_view* placement_round::viewOf(
+    const unit_key& key, const step_spec& step, const unit& active, std::uint32_t member) const
+{
+    const auto& worker = active.members[member].worker;
+    const auto found = m_input.workers.find(worker.worker);
+    if (found == m_input.workers.end() || found->second.boot != worker)
+        return nullptr;
+    const auto seen
+        = found->second.running.find({ key.job, key.occurrence, key.step, taskIndexOf(step, key.unit, member) });
+    return seen != found->second.running.end() && seen->second.run == active.lastRun ? &seen->second : nullptr;
+}
+
+/// Time until all members have finished, from their progress; members of a gang end together.
+duration placement_round::remainingTime(const unit_key& key, const step_spec& step, const unit& active) const
+{
+    duration longest { 0 };
+    for (std::uint32_t m = 0; m < active.members.size(); ++m) {
+        const auto* seen = viewOf(key, step, active, m);
+        auto left = expectedRunTime(step);
+        if (seen != nullptr && seen->percent >= reliablePercent)
+            left = scaled(m_input.now - seen->startedAt, (100 - seen->percent) / seen->percent)
+                - (m_input.now - seen->reportedAt);
+        else if (seen != nullptr)
+            left -= m_input.now - seen->startedAt;
+        longest = std::max(longest, left);
+    }
+    return longest;
+}
+
+/// A member that has finished waits at 100% for the others.
+bool placement_round::isStalled(const unit_key& key, const step_spec& step, const unit& active) const
+{
+    bool allFinished = true;
+    bool allSilent = true;
+    for (std::uint32_t m = 0; m < active.members.size(); ++m) {
+        const auto* seen = viewOf(key, step, active, m);
+        if (seen == nullptr)
+            return false;
+        const bool isSilent = seen->reportedAt - seen->progressedAt > m_options.stallLimit;
+        if (seen->percent < 100 && isSilent)
+            return true;
+        allFinished = allFinished && seen->percent >= 100;
+        allSilent = allSilent && isSilent;
+    }
+    return allFinished && allSilent;
+}
+
 void placement_round::occupy(
     const submission& job, const unit_key& key, const step_spec& step, const unit& active)
 {
+    const auto left = remainingTime(key, step, active);
     for (std::uint32_t m = 0; m < active.members.size(); ++m) {
         const auto& member = active.members[m];
         const auto found = m_workers.find(member.worker.worker);
@@ -78,19 +127,14 @@
         entry.isGuaranteed = m_guaranteed.contains(job.id);
         entry.isStopping = m_input.stopping.contains(entry.run);
         entry.unit = key;
-        const auto& running = found->second.view->running;
-        const auto seen = running.find(entry.run.task);
-        const bool started = seen != running.end() && seen->second.run == active.lastRun;
-        const auto elapsed = started ? m_input.now - seen->second.startedAt : duration::zero();
+        const auto* seen = viewOf(key, step, active, m);
+        const auto elapsed = seen != nullptr ? m_input.now - seen->startedAt : duration::zero();
         const auto lost = step.checkpointable ? std::min(elapsed, restartCost) : elapsed;
         // Work that has been stopped before costs more each time, so that the same unit is not stopped again and again.
         entry.lossIfStopped = weightOf(step.need) * static_cast<double>(active.members.size()) * seconds(lost)
             * active.lastRun.value();
-        auto left = expectedRunTime(step) - elapsed;
-        if (started && seen->second.percent > 5)
-            left = scaled(elapsed, (100 - seen->second.percent) / seen->second.percent);
         entry.endsAt = m_input.now + std::max(left, minimumRunTime);
-        entry.endsByItself = started && !step.longRunning && entry.endsAt <= m_input.now + endsSoon;
+        entry.endsByItself = seen != nullptr && !step.longRunning && entry.endsAt <= m_input.now + endsSoon;
         found->second.free -= entry.need;
         found->second.occupants.push_back(std::move(entry));
     }
@@ -124,28 +168,17 @@
 {
     if (job.isTerminal())
         return stopUnit(job, key, stop_reason::job_ended);
+    if (std::any_of(active.members.begin(), active.members.end(), [](const unit_member& each) { return each.isOver; }))
+        return stopUnit(job, key, stop_reason::gang_broken);
+    if (!step.longRunning && isStalled(key, step, active))
+        return stopUnit(job, key, stop_reason::no_progress);
+    const auto left = remainingTime(key, step, active);
     for (std::uint32_t m = 0; m < active.members.size(); ++m) {
-        const auto& member = active.members[m];
-        if (member.isOver) {
-            stopUnit(job, key, stop_reason::gang_broken);
-            continue;
-        }
-        const auto found = m_input.workers.find(member.worker.worker);
-        if (found == m_input.workers.end() || found->second.boot != member.worker || !found->second.isReachable)
-            continue;
-        const auto& view = found->second;
-        const task_key task { key.job, key.occurrence, key.step, taskIndexOf(step, key.unit, m) };
-        const auto seen = view.running.find(task);
-        if (seen == view.running.end() || seen->second.run != active.lastRun)
+        const auto found = m_input.workers.find(active.members[m].worker.worker);
+        if (found == m_input.workers.end() || viewOf(key, step, active, m) == nullptr || !found->second.isDraining)
             continue;
-        const auto elapsed = m_input.now - seen->second.startedAt;
-        auto left = expectedRunTime(step) - elapsed;
-        if (seen->second.percent > 5)
-            left = scaled(elapsed, (100 - seen->second.percent) / seen->second.percent);
-        if (view.isDraining && (step.longRunning || m_input.now + left > view.leavesAt))
-            stopUnit(job, key, stop_reason::worker_leaves);
-        else if (!step.longRunning && m_input.now - seen->second.progressedAt > m_options.stallLimit)
-            stopUnit(job, key, stop_reason::no_progress);
+        if (step.longRunning || m_input.now + left > found->second.leavesAt)
+            return stopUnit(job, key, stop_reason::worker_leaves);
     }
 }
 
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -58,6 +58,9 @@
 private:
     void occupyWorkers();
     void occupy(const submission&, const unit_key&, const step_spec&, const unit&);
+    const run_view* viewOf(const unit_key&, const step_spec&, const unit&, std::uint32_t member) const;
+    duration remainingTime(const unit_key&, const step_spec&, const unit&) const;
+    bool isStalled(const unit_key&, const step_spec&, const unit&) const;
     void stopUnit(const submission&, const unit_key&, stop_reason);
     void stopMembersOf(const submission&, const unit_key&, const step_spec&, const unit&);
     void stop(const run_key&, const worker_boot&, stop_reason);
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -94,7 +94,7 @@
 {
     std::map<task_key, run_view> fresh;
     for (const auto& listed : status.running) {
-        run_view item { listed.run, listed.saved, listed.percent, now, now };
+        run_view item { listed.run, listed.saved, listed.percent, now, now, now };
         const auto before = view.running.find(listed.task);
         if (before != view.running.end() && before->second.run == listed.run) {
             item.startedAt = before->second.startedAt;
@@ -172,10 +172,12 @@
     for (const auto& refused : status.refused) {
         if (table.runsOn(status.boot).contains(refused.run))
             out.released.push_back(releaseOf(refused.run, status.boot, table));
-        known.startUntilMs.erase(refused.run);
     }
     if (!status.hasLists || status.clockMs < known.clockMs)
         return out;
+    // A report that was held up on its way says nothing about the worker's being reachable.
+    if (!known.hasLists || estimatedClock(known, now) - status.clockMs < toMilliseconds(m_options.reachable))
+        known.freshAt = now;
     known.clockMs = status.clockMs;
     known.clockAt = now;
     known.hasLists = true;
@@ -191,20 +193,15 @@
         known.proposedEnds = std::max(known.proposedEnds, end.number);
     judgeEnds(out.ends, table, known, view, now);
     for (const auto& run : table.runsOn(status.boot)) {
-        if (listed.contains(run)) {
-            known.startUntilMs.erase(run);
-            continue;
-        }
-        const auto before = view.running.find(run.task);
-        const bool wasRunning = before != view.running.end() && before->second.run == run.run;
         const auto until = known.startUntilMs.find(run);
-        if (until == known.startUntilMs.end() && !wasRunning) {
+        if (listed.contains(run))
+            known.startUntilMs.erase(run);
+        else if (until == known.startUntilMs.end() && !m_stopping.contains(run))
             // An order of an earlier leader; it is given again and has to be carried out in time.
             known.startUntilMs[run] = status.clockMs + toMilliseconds(m_options.startWindow);
-        } else if (wasRunning || (until != known.startUntilMs.end() && status.clockMs > until->second)) {
-            out.released.push_back(releaseOf(run, status.boot, table));
-            known.startUntilMs.erase(run);
-        }
+        else if (until != known.startUntilMs.end() && status.clockMs > until->second)
+            // The order may still be carried out late. A stop makes the worker refuse it from then on.
+            m_stopping.insert(run);
     }
     updateRunning(status, view, now);
     return out;
@@ -270,7 +267,7 @@
 
 std::vector<released_run> worker_registry::expired(const job_table& table, instant now)
 {
-    dropStopping(table);
+    forgetOverRuns(table);
     std::vector<released_run> out;
     for (const auto& [boot, runs] : table.runsByWorker()) {
         const auto found = m_sessions.find(boot.worker);
@@ -286,19 +283,22 @@
     return out;
 }
 
-void worker_registry::dropStopping(const job_table& table)
+void worker_registry::forgetOverRuns(const job_table& table)
 {
-    std::erase_if(m_stopping, [&table](const run_key& run) {
+    const auto isOver = [&table](const run_key& run) {
         const auto* unit = table.findUnit(run.task);
         return unit == nullptr || !unit->isActive() || unit->lastRun != run.run;
-    });
+    };
+    std::erase_if(m_stopping, isOver);
+    for (auto& [id, known] : m_sessions)
+        std::erase_if(known.startUntilMs, [&isOver](const auto& item) { return isOver(item.first); });
 }
 
 const std::map<worker_id, worker_view>& worker_registry::views(instant now)
 {
     for (auto& [id, view] : m_views) {
         const auto& known = m_sessions.at(id);
-        view.isReachable = known.hasLists && now - known.clockAt < m_options.reachable;
+        view.isReachable = known.hasLists && now - known.freshAt < m_options.reachable;
     }
     return m_views;
 }
--- a/packages/jobs/tests/planner_test.cpp
+++ b/packages/jobs/tests/planner_test.cpp
@@ -33,7 +33,7 @@
         for (const auto& command : decisions.starts) {
             apply(command);
             for (const auto& start : command.starts)
-                workers.at(start.worker.worker).running[start.task] = { start.run, {}, 0, now, now };
+                workers.at(start.worker.worker).running[start.task] = { start.run, {}, 0, now, now, now };
         }
         return decisions;
     }
@@ -46,6 +46,7 @@
             for (auto& [key, run] : worker.running) {
                 run.percent += 1;
                 run.progressedAt = now;
+                run.reportedAt = now;
             }
         }
     }
@@ -227,11 +228,36 @@
     f.advance(2500);
     BOOST_TEST(f.decide().stops.empty());
     f.now += std::chrono::milliseconds(3100);
+    // A worker that is not heard of may be cut off and work on.
+    BOOST_TEST(f.decide().stops.empty());
+    for (auto& [id, worker] : f.workers) {
+        for (auto& [key, run] : worker.running)
+            run.reportedAt = f.now;
+    }
     const auto decisions = f.decide();
     BOOST_REQUIRE(decisions.stops.size() == 1U);
     BOOST_TEST((decisions.stops[0].reason == stop_reason::no_progress));
 }
 
+// Guards against a gang being stopped because its fast members wait at 100% for a slow one.
+BOOST_AUTO_TEST_CASE(finished_members_wait_for_the_others)
+{
+    cluster_fixture f;
+    f.submit("g", "normal", { gangOf(2, 8) });
+    f.carryOut();
+    f.advance(4000);
+    const auto fast = f.table.findUnit(task("g", 0, 0))->members[0].worker.worker;
+    auto& run = f.workers.at(fast).running.at(task("g", 0, 0));
+    run.percent = 100;
+    for (int i = 0; i < 10; ++i) {
+        const auto progressed = run.progressedAt;
+        f.advance(500);
+        run.percent = 100;
+        run.progressedAt = progressed;
+    }
+    BOOST_TEST(f.decide().stops.empty());
+}
+
 // Guards against occurrences that start before they are due.
 BOOST_AUTO_TEST_CASE(occurrences_wait_for_their_due_times)
 {
--- a/packages/jobs/tests/worker_registry_test.cpp
+++ b/packages/jobs/tests/worker_registry_test.cpp
@@ -88,15 +88,44 @@
     BOOST_TEST(g.registry.report(stale, g.table, g.now).released.empty());
 }
 
-// Guards against a start that is lost: it is ordered again until its window is over, then the run is released.
-BOOST_AUTO_TEST_CASE(an_unconfirmed_start_is_repeated_and_then_released)
+// A worker may carry out an order seconds late, while its lease is renewed. Guards against a lost start whose run is given
+// up before a stop has made the worker refuse it, and against the start being ordered again after that.
+BOOST_AUTO_TEST_CASE(an_unconfirmed_start_is_repeated_and_then_voided_by_a_stop)
 {
     registry_fixture f;
     f.registry.report(f.status(boot("w"), 1000), f.table, f.now);
     f.order(boot("w"));
     BOOST_TEST(f.registry.instructionsFor(boot("w"), f.table, f.now)->starts.size() == 1U);
-    BOOST_TEST(f.registry.report(f.status(boot("w"), 2400), f.table, f.now + std::chrono::milliseconds(1400)).released.empty());
-    BOOST_TEST(f.registry.report(f.status(boot("w"), 2600), f.table, f.now + std::chrono::milliseconds(1600)).released.size() == 1U);
+    f.registry.report(f.status(boot("w"), 2400), f.table, f.now + std::chrono::milliseconds(1400));
+    BOOST_TEST(f.registry.instructionsFor(boot("w"), f.table, f.now + std::chrono::milliseconds(1400))->stops.empty());
+    for (const std::int64_t later : { 1600, 1700, 1900 }) {
+        const auto then = f.now + std::chrono::milliseconds(later);
+        BOOST_TEST(f.registry.report(f.status(boot("w"), 1000 + later), f.table, then).released.empty());
+        const auto orders = f.registry.instructionsFor(boot("w"), f.table, then);
+        BOOST_TEST(orders->starts.empty());
+        BOOST_TEST(orders->stops.size() == 1U);
+    }
+    auto confirmed = f.status(boot("w"), 3100);
+    confirmed.refused = { { { task("a"), run_number(1) }, "stopped" } };
+    const auto then = f.now + std::chrono::milliseconds(2100);
+    BOOST_TEST(f.registry.report(confirmed, f.table, then).released.size() == 1U);
+    // The release is not recorded yet; the run must not be ordered again meanwhile.
+    f.registry.report(f.status(boot("w"), 3200), f.table, then);
+    BOOST_TEST(f.registry.instructionsFor(boot("w"), f.table, then)->starts.empty());
+}
+
+// After a cut the reports that were held up arrive first. Guards against starts on a worker that is still cut off.
+BOOST_AUTO_TEST_CASE(a_report_that_was_held_up_does_not_make_a_worker_reachable)
+{
+    registry_fixture f;
+    f.registry.report(f.status(boot("w"), 1000), f.table, f.now);
+    BOOST_TEST(f.registry.views(f.now).at(worker_id("w")).isReachable);
+    const auto later = f.now + std::chrono::seconds(6);
+    f.registry.report(f.status(boot("w"), 1900), f.table, later);
+    BOOST_TEST(!f.registry.views(later).at(worker_id("w")).isReachable);
+    f.registry.report(f.status(boot("w"), 7000), f.table, later);
+    f.registry.report(f.status(boot("w"), 7300), f.table, later + std::chrono::milliseconds(300));
+    BOOST_TEST(f.registry.views(later + std::chrono::milliseconds(300)).at(worker_id("w")).isReachable);
 }
 
 // Guards against an end that is acknowledged to the worker before it is recorded.
