--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -333,8 +333,15 @@
         const int status = parsed.error().code == failure_code::not_found ? 404 : 400;
         return respond({ status, {}, parsed.error().message + "\n" });
     }
-    if (!leader.leads())
-        return respond(redirect(request));
+    if (!leader.leads()) {
+        auto elsewhere = redirect(request);
+        if (request.method != "GET")
+            logEvent(log_level::info, "operator_call_redirected",
+                { { "method", request.method }, { "path", request.path }, { "status", elsewhere.status },
+                    { "location", elsewhere.headers.contains("location") ? elsewhere.headers.at("location") : "" },
+                    { "term", member->term() } });
+        return respond(std::move(elsewhere));
+    }
     if (const auto* plan = std::get_if<put_plan>(&parsed.value()))
         return putPlan(*plan, respond);
     if (const auto* change = std::get_if<change_data_centre>(&parsed.value()))
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -6,7 +6,10 @@
 namespace {
 
     constexpr double coresPerAccelerator = 8; // An accelerator-second is charged as 8 core-seconds by the platform.
-    constexpr duration restartCost = std::chrono::milliseconds(1200); // Stop, restore and up to one checkpoint interval.
+    constexpr duration restartCost = std::chrono::milliseconds(1000); // Stop, report, new start and restore.
+    constexpr duration checkpointGap = std::chrono::milliseconds(500); // Work between checkpoints, by the platform.
+    constexpr double lateValue = 0.3; // Share of a job's worth that is left when it is late, about what the users state.
+    constexpr double hopelessValue = 0.1; // Still owed to its client, though it earns nothing.
     constexpr double lateFactor = 3; // After this many objectives a job earns nothing.
     constexpr duration minimumRunTime = std::chrono::milliseconds(100);
     constexpr double reliablePercent = 5; // Below, whole percents say too little about the speed.
@@ -27,6 +30,14 @@
         + coresPerAccelerator * static_cast<double>(need.accelerator.count());
 }
 
+demand countedNeed(const step_spec& step)
+{
+    auto out = step.need;
+    if (step.bestEffort)
+        out.cpu = {};
+    return out;
+}
+
 placement_round::placement_round(const planner_options& options, const planner_input& input)
     : m_options(options)
     , m_input(input)
@@ -109,6 +120,20 @@
     return allFinished && allSilent;
 }
 
+/// What is left of a running job's worth.
+double placement_round::valueOf(const submission& job, std::uint32_t occurrence, duration left) const
+{
+    switch (outlookOf(job, occurrence, left)) {
+    case outlook::on_time:
+        return 1;
+    case outlook::late:
+        return lateValue;
+    case outlook::hopeless:
+        return hopelessValue;
+    }
+    return 1;
+}
+
 void placement_round::occupy(
     const submission& job, const unit_key& key, const step_spec& step, const unit& active)
 {
@@ -120,19 +145,17 @@
             continue;
         occupant entry;
         entry.run = { { key.job, key.occurrence, key.step, taskIndexOf(step, key.unit, m) }, active.lastRun };
-        entry.need = step.need;
-        if (step.bestEffort)
-            entry.need.cpu = {};
+        entry.need = countedNeed(step);
         entry.priority = job.priority;
         entry.isGuaranteed = m_guaranteed.contains(job.id);
         entry.isStopping = m_input.stopping.contains(entry.run);
         entry.unit = key;
         const auto* seen = viewOf(key, step, active, m);
         const auto elapsed = seen != nullptr ? m_input.now - seen->startedAt : duration::zero();
-        const auto lost = step.checkpointable ? std::min(elapsed, restartCost) : elapsed;
+        const auto lost = step.checkpointable ? std::min(elapsed, checkpointGap) : elapsed;
         // Work that has been stopped before costs more each time, so that the same unit is not stopped again and again.
-        entry.lossIfStopped = weightOf(step.need) * static_cast<double>(active.members.size()) * seconds(lost)
-            * active.lastRun.value();
+        entry.lossIfStopped = weightOf(step.need) * static_cast<double>(active.members.size())
+            * seconds(lost + restartCost) * active.lastRun.value() * valueOf(job, key.occurrence, left);
         entry.endsAt = m_input.now + std::max(left, minimumRunTime);
         entry.endsByItself = seen != nullptr && !step.longRunning && entry.endsAt <= m_input.now + endsSoon;
         found->second.free -= entry.need;
@@ -207,24 +230,36 @@
     return std::all_of(after.begin(), after.end(), [&steps](std::uint32_t earlier) { return steps[earlier].isDone(); });
 }
 
-/// Objective of a job: its longest chain of declared work, stretched, plus the queue's allowance.
-static duration objectiveOf(const submission& job)
+/// Declared work from the begin of each step to the end of the job, along the longest chain.
+static std::vector<duration> workLeft(const submission_spec& spec)
 {
-    std::vector<duration> finish(job.spec.steps.size());
-    duration longest { 0 };
-    for (std::size_t s = 0; s < job.spec.steps.size(); ++s) {
-        duration start { 0 };
-        for (const auto earlier : job.spec.steps[s].after)
-            start = std::max(start, finish[earlier]);
-        finish[s] = start + job.spec.steps[s].estimate;
-        longest = std::max(longest, finish[s]);
+    std::vector<duration> out(spec.steps.size());
+    for (std::size_t s = spec.steps.size(); s-- > 0;) {
+        out[s] += spec.steps[s].estimate;
+        for (const auto earlier : spec.steps[s].after)
+            out[earlier] = std::max(out[earlier], out[s]);
     }
-    return scaled(longest, job.stretch) + job.allowance;
+    return out;
+}
+
+static duration objectiveOf(const submission& job, const std::vector<duration>& left)
+{
+    return scaled(*std::max_element(left.begin(), left.end()), job.stretch) + job.allowance;
+}
+
+outlook placement_round::outlookOf(const submission& job, std::uint32_t occurrence, duration left) const
+{
+    const auto begun = std::max(job.acceptedAt, dueTime(job.spec, occurrence));
+    const auto objective = objectiveOf(job, workLeft(job.spec));
+    if (m_input.wallClock + left <= begun + objective)
+        return outlook::on_time;
+    return m_input.wallClock + left <= begun + scaled(objective, lateFactor) ? outlook::late : outlook::hopeless;
 }
 
 void placement_round::collectJob(const submission& job, std::vector<candidate>& out) const
 {
-    const auto objective = objectiveOf(job);
+    const auto left = workLeft(job.spec);
+    const auto objective = objectiveOf(job, left);
     for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
         const auto begun = std::max(job.acceptedAt, dueTime(job.spec, o));
         for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
@@ -242,8 +277,7 @@
                 item.isGuaranteed = m_guaranteed.contains(job.id);
                 item.expected = expectedRunTime(*item.step);
                 item.deadline = begun + objective;
-                item.isHopeless
-                    = !item.step->longRunning && m_input.wallClock > begun + scaled(objective, lateFactor);
+                item.chance = item.step->longRunning ? outlook::on_time : outlookOf(job, o, left[s]);
                 item.waited = m_input.wallClock - std::max(begun, item.state->waitingSince);
                 out.push_back(item);
             }
@@ -259,10 +293,10 @@
         if (!job.isTerminal())
             collectJob(job, out);
     }
-    const auto rank = [](const candidate& c) { return c.isGuaranteed ? 0 : c.isHopeless ? 2 : 1; };
+    const auto rank = [](const candidate& c) { return c.isGuaranteed ? outlook::on_time : c.chance; };
     std::sort(out.begin(), out.end(), [&rank](const candidate& a, const candidate& b) {
-        return std::tuple(rank(a), a.job->priority, a.deadline, a.job->sequence, a.key)
-            < std::tuple(rank(b), b.job->priority, b.deadline, b.job->sequence, b.key);
+        return std::tuple(rank(a), !a.isGuaranteed, a.job->priority, a.deadline, a.job->sequence, a.key)
+            < std::tuple(rank(b), !b.isGuaranteed, b.job->priority, b.deadline, b.job->sequence, b.key);
     });
     return out;
 }
@@ -335,9 +369,7 @@
 std::optional<member_placement> placement_round::fill(
     const candidate& item, const std::vector<worker_id>& usable, bool respectReservations) const
 {
-    auto need = item.step->need;
-    if (item.step->bestEffort)
-        need.cpu = {};
+    const auto need = countedNeed(*item.step);
     std::map<worker_id, demand> free;
     for (const auto& id : usable) {
         const auto& worker = m_workers.at(id);
@@ -383,174 +415,10 @@
     return fill(item, usableWorkers(item, nullptr), !item.isGuaranteed);
 }
 
-/// Frees room for a unit by stopping runs of lower rank. Returns nothing; the room is reserved until the ends are known.
-std::optional<member_placement> placement_round::makeRoom(const candidate& item)
-{
-    const auto isVictim = [&item](const occupant& each) {
-        return each.priority > item.job->priority || (item.isGuaranteed && !each.isGuaranteed);
-    };
-    const auto isLeaving = [](const occupant& each) { return each.isStopping || each.endsByItself; };
-    auto need = item.step->need;
-    if (item.step->bestEffort)
-        need.cpu = {};
-    struct choice {
-        double loss { 0 };
-        std::vector<std::pair<worker_id, std::vector<const occupant*>>> victims;
-    };
-    std::optional<choice> best;
-    auto racks = racksFor(item);
-    std::vector<const rack_name*> scopes;
-    for (const auto& rack : racks)
-        scopes.push_back(&rack);
-    scopes.push_back(nullptr);
-    for (const auto* rack : scopes) {
-        if (best)
-            break;
-        if (rack == nullptr && !racks.empty()) {
-            // Spread or off the rack: still better than a broken guarantee.
-            if (auto found = fill(item, usableWorkers(item, nullptr), false))
-                return found;
-        }
-        choice attempt;
-        auto counts = item.step->maxPerWorker > 0 ? perWorkerCounts(item) : std::map<worker_id, std::uint32_t>();
-        std::map<worker_id, demand> free;
-        std::map<worker_id, std::set<const occupant*>> taken;
-        const auto usable = usableWorkers(item, rack);
-        for (const auto& id : usable)
-            free[id] = m_workers.at(id).free;
-        std::uint32_t placed = 0;
-        for (; placed < membersOf(*item.step); ++placed) {
-            const worker_id* chosen = nullptr;
-            double chosenLoss = 0;
-            std::vector<const occupant*> chosenVictims;
-            for (const auto& id : usable) {
-                if (item.step->maxPerWorker > 0 && counts[id] >= item.step->maxPerWorker)
-                    continue;
-                auto available = free[id];
-                double loss = 0;
-                std::vector<const occupant*> victims;
-                std::vector<const occupant*> possible;
-                for (const auto& each : m_workers.at(id).occupants) {
-                    if (!taken[id].contains(&each) && (isLeaving(each) || isVictim(each)))
-                        possible.push_back(&each);
-                }
-                std::sort(possible.begin(), possible.end(), [&isLeaving](const occupant* a, const occupant* b) {
-                    const double lossA = isLeaving(*a) ? -1 : a->lossIfStopped;
-                    const double lossB = isLeaving(*b) ? -1 : b->lossIfStopped;
-                    return std::pair(lossA, a->run) < std::pair(lossB, b->run);
-                });
-                for (const auto* each : possible) {
-                    if (need.fitsIn(available))
-                        break;
-                    available += each->need;
-                    loss += isLeaving(*each) ? 0 : each->lossIfStopped;
-                    victims.push_back(each);
-                }
-                if (need.fitsIn(available) && (chosen == nullptr || loss < chosenLoss)) {
-                    chosen = &id;
-                    chosenLoss = loss;
-                    chosenVictims = victims;
-                }
-            }
-            if (chosen == nullptr)
-                break;
-            for (const auto* victim : chosenVictims) {
-                free[*chosen] += victim->need;
-                taken[*chosen].insert(victim);
-            }
-            free[*chosen] -= need;
-            ++counts[*chosen];
-            attempt.loss += chosenLoss;
-            attempt.victims.emplace_back(*chosen, chosenVictims);
-        }
-        if (placed == membersOf(*item.step))
-            best = std::move(attempt);
-    }
-    // Outside a guarantee, urgent work must be worth what is repeated for it.
-    const double ownWork = weightOf(item.step->need) * membersOf(*item.step) * seconds(item.expected);
-    if (!best || (!item.isGuaranteed && best->loss > ownWork))
-        return std::nullopt;
-    for (const auto& [id, victims] : best->victims) {
-        auto& worker = m_workers.at(id);
-        for (const auto* victim : victims) {
-            if (!isLeaving(*victim))
-                stopUnit(*m_input.table.find(victim->unit.job), victim->unit, stop_reason::preempted);
-            worker.free += victim->need;
-        }
-        worker.free -= need;
-        worker.reservedFrom = m_input.now;
-    }
-    // The occupants that were counted must not be counted for another unit.
-    for (const auto& [id, victims] : best->victims) {
-        auto& occupants = m_workers.at(id).occupants;
-        std::set<run_key> gone;
-        for (const auto* victim : victims)
-            gone.insert(victim->run);
-        std::erase_if(occupants, [&gone](const occupant& each) { return gone.contains(each.run); });
-    }
-    return std::nullopt;
-}
-
-/// Keeps workers free for a blocked unit: those on which it can start first, by the estimated ends of what runs there.
-void placement_round::reserve(const candidate& item)
-{
-    if (++m_reservations > m_options.maxReservations)
-        return;
-    auto need = item.step->need;
-    if (item.step->bestEffort)
-        need.cpu = {};
-    const auto racks = racksFor(item);
-    std::vector<std::pair<instant, worker_id>> bestSet;
-    std::vector<const rack_name*> scopes;
-    for (const auto& rack : racks)
-        scopes.push_back(&rack);
-    if (scopes.empty())
-        scopes.push_back(nullptr);
-    for (const auto* rack : scopes) {
-        std::vector<std::pair<instant, worker_id>> slots;
-        for (const auto& id : usableWorkers(item, rack)) {
-            const auto& worker = m_workers.at(id);
-            if (worker.reservedFrom != instant::max())
-                continue;
-            auto occupants = worker.occupants;
-            std::sort(occupants.begin(), occupants.end(),
-                [](const occupant& a, const occupant& b) { return a.endsAt < b.endsAt; });
-            auto available = worker.free;
-            auto at = m_input.now;
-            auto next = occupants.begin();
-            while (true) {
-                while (!need.fitsIn(available) && next != occupants.end()) {
-                    available += next->need;
-                    at = next->endsAt;
-                    ++next;
-                }
-                if (!need.fitsIn(available))
-                    break;
-                available -= need;
-                slots.emplace_back(at, id);
-            }
-        }
-        std::sort(slots.begin(), slots.end());
-        const auto members = membersOf(*item.step);
-        if (slots.size() < members)
-            continue;
-        slots.resize(members);
-        if (bestSet.empty() || slots.back().first < bestSet.back().first)
-            bestSet = std::move(slots);
-    }
-    if (bestSet.empty())
-        return;
-    const auto startsAt = bestSet.back().first;
-    for (const auto& [at, id] : bestSet)
-        m_workers.at(id).reservedFrom = startsAt;
-}
-
 bool placement_round::commit(const candidate& item, const member_placement& placement)
 {
     start_tasks command;
-    auto need = item.step->need;
-    if (item.step->bestEffort)
-        need.cpu = {};
+    const auto need = countedNeed(*item.step);
     for (std::uint32_t m = 0; m < placement.size(); ++m) {
         auto& worker = m_workers.at(placement[m]);
         worker.free -= need;
@@ -562,16 +430,30 @@
     return true;
 }
 
+/// Room that becomes free by itself within an urgent unit's patience costs nothing.
+bool placement_round::isWorthWaiting(const candidate& item, instant freeAt) const
+{
+    return freeAt <= m_input.now + m_options.urgentPatience - item.waited;
+}
+
 void placement_round::placeWaiting()
 {
     for (const auto& item : collect()) {
         auto placement = findFree(item);
-        if (!placement && (item.isGuaranteed || item.job->priority == 0))
+        const bool mayPreempt = item.isGuaranteed || (item.job->priority == 0 && item.chance == outlook::on_time);
+        if (!placement && mayPreempt) {
+            const auto slots = earliestSlots(item);
+            if (!slots.empty() && isWorthWaiting(item, slots.back().first)) {
+                reserve(slots);
+                continue;
+            }
             placement = makeRoom(item);
+        }
         if (placement)
             commit(item, *placement);
-        else if (!item.isGuaranteed)
-            reserve(item);
+        else if (!m_madeRoom && m_reservations++ < m_options.maxReservations)
+            reserve(earliestSlots(item));
+        m_madeRoom = false;
     }
 }
 
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -30,6 +30,13 @@
     instant reservedFrom { instant::max() }; ///< A blocked unit needs this worker from then on.
 };
 
+/// Whether a job can still end within its objective.
+enum class outlook : std::uint8_t {
+    on_time,
+    late,
+    hopeless, ///< Can no longer earn anything.
+};
+
 /// A unit that may start now.
 struct candidate {
     unit_key key;
@@ -39,13 +46,19 @@
     bool isGuaranteed { false };
     duration expected { 0 }; ///< Run time near the data.
     instant deadline; ///< Wall clock: end of the objective.
-    bool isHopeless { false }; ///< Can no longer earn anything.
+    outlook chance { outlook::on_time };
     duration waited { 0 };
 };
 
 /// Where the members of a unit go, by member number.
 using member_placement = std::vector<worker_id>;
 
+/// Runs whose end makes room for a unit: per member the worker and the runs there.
+struct victim_set {
+    double loss { 0 };
+    std::vector<std::pair<worker_id, std::vector<const occupant*>>> members;
+};
+
 /// One pass over the waiting units, most valuable first.
 class placement_round {
 public:
@@ -75,8 +88,16 @@
     std::optional<member_placement> fill(const candidate&, const std::vector<worker_id>&, bool respectReservations) const;
     std::vector<worker_id> usableWorkers(const candidate&, const rack_name* rack) const;
     std::vector<rack_name> racksFor(const candidate&) const;
+    std::vector<std::optional<rack_name>> scopesOf(const candidate&) const;
+    std::optional<victim_set> cheapestVictims(const candidate&, const std::vector<worker_id>&) const;
     std::optional<member_placement> makeRoom(const candidate&);
-    void reserve(const candidate&);
+    void evict(const victim_set&, const demand& need);
+    /// When and where each member of a unit could start if nothing else did; empty if it never fits.
+    std::vector<std::pair<instant, worker_id>> earliestSlots(const candidate&) const;
+    void reserve(const std::vector<std::pair<instant, worker_id>>&);
+    bool isWorthWaiting(const candidate&, instant freeAt) const;
+    outlook outlookOf(const submission&, std::uint32_t occurrence, duration left) const;
+    double valueOf(const submission&, std::uint32_t occurrence, duration left) const;
     bool commit(const candidate&, const member_placement&);
     std::map<worker_id, std::uint32_t> perWorkerCounts(const candidate&) const;
 
@@ -85,9 +106,13 @@
     std::set<submission_id> m_guaranteed;
     std::map<worker_id, round_worker> m_workers;
     std::size_t m_reservations { 0 };
+    bool m_madeRoom { false }; ///< For the unit at hand: room is being freed.
     job_decisions m_decisions;
 };
 
+/// What a task takes from its worker's free room.
+demand countedNeed(const step_spec&);
+
 /// Weight of a demand for comparing losses: accelerators dominate, as a worker has 16 processors for each.
 double weightOf(const demand&);
 
