--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -62,7 +62,7 @@
     duration stallLimit { std::chrono::milliseconds(3000) }; ///< Without progress for this long a task is restarted.
     /// An urgent unit waits this long for room that becomes free by itself. Urgent work has to begin within 2.7 s of its
     /// acceptance, and a stop takes up to 0.4 s.
-    duration urgentPatience { std::chrono::milliseconds(1100) };
+    duration urgentPatience { std::chrono::milliseconds(0) };
     std::size_t maxReservations { 16 }; ///< Blocked units for which workers are kept free; bounds the work of a plan.
 };
 
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -293,7 +293,7 @@
         if (!job.isTerminal())
             collectJob(job, out);
     }
-    const auto rank = [](const candidate& c) { return c.isGuaranteed ? outlook::on_time : c.chance; };
+    const auto rank = [](const candidate& c) { return c.isGuaranteed || c.chance != outlook::hopeless ? outlook::on_time : c.chance; };
     std::sort(out.begin(), out.end(), [&rank](const candidate& a, const candidate& b) {
         return std::tuple(rank(a), !a.isGuaranteed, a.job->priority, a.deadline, a.job->sequence, a.key)
             < std::tuple(rank(b), !b.isGuaranteed, b.job->priority, b.deadline, b.job->sequence, b.key);
@@ -440,7 +440,7 @@
 {
     for (const auto& item : collect()) {
         auto placement = findFree(item);
-        const bool mayPreempt = item.isGuaranteed || (item.job->priority == 0 && item.chance == outlook::on_time);
+        const bool mayPreempt = item.isGuaranteed || item.job->priority == 0;
         if (!placement && mayPreempt) {
             const auto slots = earliestSlots(item);
             if (!slots.empty() && isWorthWaiting(item, slots.back().first)) {
