--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -81,6 +81,7 @@
         ++m_epoch;
         m_startsInFlight = 0;
         m_releasing.clear();
+        m_claims.clear();
         logEvent(log_level::info, leading ? "lead_begins" : "lead_ends",
             { { "term", m_replica->term() }, { "plan_version", m_machine.table().plan().version.value() },
                 { "open_jobs", m_machine.table().openJobs().size() } });
@@ -125,8 +126,9 @@
     m_planWanted = false;
     m_plannedAt = now;
     const auto& views = m_workers.views(now);
-    const auto decisions = planJobs(
-        m_plannerOptions, { m_machine.table(), views, m_workers.stopping(), now, m_loop.wallClock() });
+    auto decisions = planJobs(m_plannerOptions,
+        { m_machine.table(), views, m_workers.stopping(), m_claims, now, m_loop.wallClock() });
+    m_claims = std::move(decisions.claims);
     m_planTime.observe(m_loop.now() - now);
     carryOut(decisions);
 }
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -50,19 +50,26 @@
     stop_reason reason { stop_reason::job_ended };
 };
 
+/// Room that is being made for a waiting unit. It is kept from other units until the unit starts.
+struct room_claim {
+    std::vector<worker_id> workers; ///< By member.
+    instant until; ///< Then the claim is given up; the worker may have been lost.
+};
+
+using room_claims = std::map<unit_key, room_claim>;
+
 /// What should happen now.
 struct job_decisions {
     std::vector<start_tasks> starts; ///< Each command may be applied on its own.
     std::vector<planned_stop> stops;
+    room_claims claims; ///< To be passed to the next plan.
 };
 
 struct planner_options {
     double distanceFactor { 3 }; ///< Run time multiplier off the data's rack or spread over racks; platform figure.
     duration startLead { std::chrono::milliseconds(100) }; ///< How long before its due time an occurrence may start.
     duration stallLimit { std::chrono::milliseconds(3000) }; ///< Without progress for this long a task is restarted.
-    /// An urgent unit waits this long for room that becomes free by itself. Urgent work has to begin within 2.7 s of its
-    /// acceptance, and a stop takes up to 0.4 s.
-    duration urgentPatience { std::chrono::milliseconds(0) };
+    duration claimTime { std::chrono::milliseconds(1500) }; ///< A stop, its report and a new start take up to 0.8 s.
     std::size_t maxReservations { 16 }; ///< Blocked units for which workers are kept free; bounds the work of a plan.
 };
 
@@ -71,11 +78,12 @@
     const job_table& table;
     const std::map<worker_id, worker_view>& workers;
     const std::set<run_key>& stopping; ///< Runs that have been told to stop.
+    const room_claims& claims; ///< Of the last plan.
     instant now; ///< Steady clock of the leader.
     instant wallClock;
 };
 
-/// Chooses starts and stops. Has no state of its own.
+/// Chooses starts and stops. Has no state of its own; what it remembers are the claims.
 job_decisions planJobs(const planner_options&, const planner_input&);
 
 /// Accelerators of jobs of priority 0 that fit in the workspace's guarantee, in order of acceptance.
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -50,6 +50,7 @@
         m_workers.emplace(id, std::move(worker));
     }
     occupyWorkers();
+    holdClaims();
 }
 
 duration placement_round::expectedRunTime(const step_spec& step) const
@@ -415,7 +416,7 @@
     return fill(item, usableWorkers(item, nullptr), !item.isGuaranteed);
 }
 
-bool placement_round::commit(const candidate& item, const member_placement& placement)
+void placement_round::commit(const candidate& item, const member_placement& placement)
 {
     start_tasks command;
     const auto need = countedNeed(*item.step);
@@ -427,34 +428,77 @@
                 run_number(item.state->lastRun.value() + 1), worker.view->boot, worker.view->address });
     }
     m_decisions.starts.push_back(std::move(command));
-    return true;
 }
 
-/// Room that becomes free by itself within an urgent unit's patience costs nothing.
-bool placement_round::isWorthWaiting(const candidate& item, instant freeAt) const
+void placement_round::changeClaimed(const room_claim& claim, const demand& need, bool isHeld)
 {
-    return freeAt <= m_input.now + m_options.urgentPatience - item.waited;
+    for (const auto& id : claim.workers) {
+        const auto found = m_workers.find(id);
+        if (found == m_workers.end())
+            continue;
+        if (isHeld)
+            found->second.free -= need;
+        else
+            found->second.free += need;
+    }
 }
 
-void placement_round::placeWaiting()
+/// Takes the room of claims that still hold from what is free.
+void placement_round::holdClaims()
 {
-    for (const auto& item : collect()) {
-        auto placement = findFree(item);
-        const bool mayPreempt = item.isGuaranteed || item.job->priority == 0;
-        if (!placement && mayPreempt) {
-            const auto slots = earliestSlots(item);
-            if (!slots.empty() && isWorthWaiting(item, slots.back().first)) {
-                reserve(slots);
-                continue;
-            }
-            placement = makeRoom(item);
-        }
-        if (placement)
-            commit(item, *placement);
-        else if (!m_madeRoom && m_reservations++ < m_options.maxReservations)
-            reserve(earliestSlots(item));
-        m_madeRoom = false;
+    for (const auto& [key, claim] : m_input.claims) {
+        const auto* job = m_input.table.find(key.job);
+        if (job == nullptr || job->isTerminal() || claim.until <= m_input.now)
+            continue;
+        if (job->occurrences[key.occurrence].steps[key.step].units[key.unit].phase != unit_phase::waiting)
+            continue;
+        changeClaimed(claim, countedNeed(job->spec.steps[key.step]), true);
+        m_decisions.claims.emplace(key, claim);
     }
 }
 
+/// Starts a unit on the room that was made for it, once that is free.
+std::optional<member_placement> placement_round::useClaim(const candidate& item)
+{
+    const auto& claim = m_decisions.claims.at(item.key);
+    const auto need = countedNeed(*item.step);
+    changeClaimed(claim, need, false);
+    const std::set<worker_id> distinct(claim.workers.begin(), claim.workers.end());
+    const auto isUsable = [&](const worker_id& id) { return m_workers.contains(id) && mayUse(item, m_workers.at(id)); };
+    if (!std::all_of(distinct.begin(), distinct.end(), isUsable)) {
+        m_decisions.claims.erase(item.key);
+        return std::nullopt;
+    }
+    auto placement = fill(item, { distinct.begin(), distinct.end() }, false);
+    if (placement)
+        m_decisions.claims.erase(item.key);
+    else
+        changeClaimed(claim, need, true);
+    return placement;
+}
+
+void placement_round::place(const candidate& item)
+{
+    if (m_decisions.claims.contains(item.key)) {
+        if (const auto claimed = useClaim(item))
+            return commit(item, *claimed);
+        if (m_decisions.claims.contains(item.key))
+            return;
+    }
+    auto placement = findFree(item);
+    const bool mayPreempt = item.isGuaranteed || (item.job->priority == 0 && item.chance == outlook::on_time);
+    if (!placement && mayPreempt)
+        placement = makeRoom(item);
+    if (placement)
+        commit(item, *placement);
+    else if (!m_decisions.claims.contains(item.key) && m_reservations++ < m_options.maxReservations)
+        reserve(earliestSlots(item));
+}
+
+void placement_round::placeWaiting()
+{
+    for (const auto& item : collect())
+        place(item);
+}
+
 } // namespace poplardeal::detail
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -91,14 +91,17 @@
     std::vector<std::optional<rack_name>> scopesOf(const candidate&) const;
     std::optional<victim_set> cheapestVictims(const candidate&, const std::vector<worker_id>&) const;
     std::optional<member_placement> makeRoom(const candidate&);
-    void evict(const victim_set&, const demand& need);
+    void evict(const candidate&, const victim_set&);
     /// When and where each member of a unit could start if nothing else did; empty if it never fits.
     std::vector<std::pair<instant, worker_id>> earliestSlots(const candidate&) const;
     void reserve(const std::vector<std::pair<instant, worker_id>>&);
-    bool isWorthWaiting(const candidate&, instant freeAt) const;
+    void holdClaims();
+    void changeClaimed(const room_claim&, const demand& need, bool isHeld);
+    std::optional<member_placement> useClaim(const candidate&);
+    void place(const candidate&);
     outlook outlookOf(const submission&, std::uint32_t occurrence, duration left) const;
     double valueOf(const submission&, std::uint32_t occurrence, duration left) const;
-    bool commit(const candidate&, const member_placement&);
+    void commit(const candidate&, const member_placement&);
     std::map<worker_id, std::uint32_t> perWorkerCounts(const candidate&) const;
 
     const planner_options& m_options;
@@ -106,7 +109,6 @@
     std::set<submission_id> m_guaranteed;
     std::map<worker_id, round_worker> m_workers;
     std::size_t m_reservations { 0 };
-    bool m_madeRoom { false }; ///< For the unit at hand: room is being freed.
     job_decisions m_decisions;
 };
 
--- a/packages/jobs/src/room_making.cpp
+++ b/packages/jobs/src/room_making.cpp
@@ -154,26 +154,28 @@
     return out;
 }
 
-/// Stops the victims and keeps their room for the unit until their ends are known.
-void placement_round::evict(const victim_set& victims, const demand& need)
+/// Stops the victims and keeps their room for the unit until it can start.
+void placement_round::evict(const candidate& item, const victim_set& victims)
 {
+    room_claim claim;
+    claim.until = m_input.now + m_options.claimTime;
     for (const auto& [id, runs] : victims.members) {
-        auto& worker = m_workers.at(id);
+        claim.workers.push_back(id);
         for (const auto* run : runs) {
             if (!isLeaving(*run))
                 stopUnit(*m_input.table.find(run->unit.job), run->unit, stop_reason::preempted);
-            worker.free += run->need;
         }
-        worker.free -= need;
-        worker.reservedFrom = m_input.now;
     }
-    // Their room must not be counted for another unit.
+    // Runs that leave count as leaving for the units that follow; the claim takes their room.
     for (const auto& [id, runs] : victims.members) {
-        std::set<run_key> gone;
+        std::set<run_key> leaving;
         for (const auto* run : runs)
-            gone.insert(run->run);
-        std::erase_if(m_workers.at(id).occupants, [&gone](const occupant& each) { return gone.contains(each.run); });
+            leaving.insert(run->run);
+        for (auto& each : m_workers.at(id).occupants)
+            each.isStopping = each.isStopping || leaving.contains(each.run);
     }
+    changeClaimed(claim, countedNeed(*item.step), true);
+    m_decisions.claims.emplace(item.key, std::move(claim));
 }
 
 /// Makes room for an urgent unit by stopping work of lower rank. Returns a placement if there is free room after all,
@@ -196,8 +198,7 @@
     const double ownWork = weightOf(item.step->need) * membersOf(*item.step) * seconds(item.expected);
     if (!best || (!item.isGuaranteed && best->loss > ownWork))
         return std::nullopt;
-    m_madeRoom = true;
-    evict(*best, countedNeed(*item.step));
+    evict(item, *best);
     return std::nullopt;
 }
 
