--- a/packages/fleet/include/poplardeal/fleet/dialect.h
+++ b/packages/fleet/include/poplardeal/fleet/dialect.h
@@ -64,18 +64,37 @@
 
 /// Translation between a platform's HTTP messages and the types of this project. Decides nothing.
 template <class T>
-concept fleet_dialect = requires(const T& t, const http_request& request, const message::queue_answerT& answer,
-    const worker_boot& boot, const start_instruction& start, const run_key& run, const look_request& look,
-    const http_response& response) {
-    { t.readQueueRequest(request) } -> std::same_as<result<queue_request>>;
-    { t.writeQueueAnswer(message::queue_verb::submit, answer) } -> std::same_as<http_response>;
-    { t.readOperatorRequest(request) } -> std::same_as<result<operator_request>>;
-    { t.readAnnouncement(request) } -> std::same_as<result<worker_announcement>>;
-    { t.startRequest(boot, start, std::uint64_t()) } -> std::same_as<http_request>;
-    { t.readStartResult(response) } -> std::same_as<std::pair<start_result, std::string>>;
-    { t.stopRequest(boot, run, std::uint64_t()) } -> std::same_as<http_request>;
-    { t.lookRequest(boot, look) } -> std::same_as<http_request>;
-    { t.readLists(response) } -> std::same_as<result<worker_lists>>;
+concept fleet_dialect
+    = requires(const T& t, const http_request& request, const message::queue_answerT& answer, const worker_boot& boot,
+        const start_instruction& start, const run_key& run, const look_request& look, const http_response& response)
+{
+    {
+        t.readQueueRequest(request)
+        } -> std::same_as<result<queue_request>>;
+    {
+        t.writeQueueAnswer(message::queue_verb::submit, answer)
+        } -> std::same_as<http_response>;
+    {
+        t.readOperatorRequest(request)
+        } -> std::same_as<result<operator_request>>;
+    {
+        t.readAnnouncement(request)
+        } -> std::same_as<result<worker_announcement>>;
+    {
+        t.startRequest(boot, start, std::uint64_t())
+        } -> std::same_as<http_request>;
+    {
+        t.readStartResult(response)
+        } -> std::same_as<std::pair<start_result, std::string>>;
+    {
+        t.stopRequest(boot, run, std::uint64_t())
+        } -> std::same_as<http_request>;
+    {
+        t.lookRequest(boot, look)
+        } -> std::same_as<http_request>;
+    {
+        t.readLists(response)
+        } -> std::same_as<result<worker_lists>>;
 };
 
 /// A dialect with its type erased, so that the processes are compiled once.
@@ -96,8 +115,7 @@
     const auto shared = std::make_shared<const T>(std::move(t));
     dialect_functions out;
     out.readQueueRequest = [shared](const auto& request) { return shared->readQueueRequest(request); };
-    out.writeQueueAnswer
-        = [shared](auto verb, const auto& answer) { return shared->writeQueueAnswer(verb, answer); };
+    out.writeQueueAnswer = [shared](auto verb, const auto& answer) { return shared->writeQueueAnswer(verb, answer); };
     out.readOperatorRequest = [shared](const auto& request) { return shared->readOperatorRequest(request); };
     out.readAnnouncement = [shared](const auto& request) { return shared->readAnnouncement(request); };
     out.startRequest = [shared](const auto& boot, const auto& start, std::uint64_t fence) {
--- a/packages/fleet/src/group_keeper.cpp
+++ b/packages/fleet/src/group_keeper.cpp
@@ -30,9 +30,8 @@
 
 std::optional<membership> group_keeper::addJoining(const membership& current, instant now)
 {
-    std::erase_if(m_joining, [&](const auto& item) {
-        return now - item.second > joinValid || current.find(item.first) != nullptr;
-    });
+    std::erase_if(m_joining,
+        [&](const auto& item) { return now - item.second > joinValid || current.find(item.first) != nullptr; });
     if (m_joining.empty() || current.voterCount() >= maxVoters)
         return std::nullopt;
     auto changed = current;
--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -26,7 +26,8 @@
 
     bool isSubmissionId(std::string_view text)
     {
-        return text.size() == submissionIdLength && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+        return text.size() == submissionIdLength
+            && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
     }
 
     lease_options leaseOptions(const fleet_settings& settings)
@@ -42,7 +43,8 @@
 {
     const auto command = decodeCommand(payload);
     if (command.has_error()) {
-        logEvent(log_level::error, "log_entry_unreadable", { { "index", index }, { "reason", command.error().message } });
+        logEvent(
+            log_level::error, "log_entry_unreadable", { { "index", index }, { "reason", command.error().message } });
         return std::string(1, static_cast<char>(apply_outcome::refused));
     }
     return std::string(1, static_cast<char>(m_table.apply(command.value())));
@@ -126,8 +128,8 @@
     m_planWanted = false;
     m_plannedAt = now;
     const auto& views = m_workers.views(now);
-    auto decisions = planJobs(m_plannerOptions,
-        { m_machine.table(), views, m_workers.stopping(), m_claims, now, m_loop.wallClock() });
+    auto decisions = planJobs(
+        m_plannerOptions, { m_machine.table(), views, m_workers.stopping(), m_claims, now, m_loop.wallClock() });
     m_claims = std::move(decisions.claims);
     m_planTime.observe(m_loop.now() - now);
     carryOut(decisions);
@@ -138,8 +140,9 @@
     std::set<worker_boot> touched;
     for (const auto& stop : decisions.stops) {
         logEvent(log_level::info, "stop_ordered",
-            { { "job", stop.run.task.job.value() }, { "task", toString(stop.run.task) }, { "run", stop.run.run.value() },
-                { "worker", stop.worker.worker.value() }, { "reason", toString(stop.reason) } });
+            { { "job", stop.run.task.job.value() }, { "task", toString(stop.run.task) },
+                { "run", stop.run.run.value() }, { "worker", stop.worker.worker.value() },
+                { "reason", toString(stop.reason) } });
         m_stops.add();
         m_workers.stopOrdered(stop, m_loop.now());
         touched.insert(stop.worker);
@@ -281,9 +284,11 @@
     }
     switch (call.verb) {
     case message::queue_verb::submit: {
-        accept_submission command { submission_id(id), queue->name, workspace ? workspace->name : workspace_name(), {} };
+        accept_submission command { submission_id(id), queue->name, workspace ? workspace->name : workspace_name(),
+            {} };
         try {
-            command.spec = fromCbor<submission_spec>({ reinterpret_cast<const char*>(call.job.data()), call.job.size() });
+            command.spec
+                = fromCbor<submission_spec>({ reinterpret_cast<const char*>(call.job.data()), call.job.size() });
         } catch (const nlohmann::json::exception& error) {
             return respond(answer(queue_outcome::malformed, error.what()));
         }
--- a/packages/fleet/src/leader_link.cpp
+++ b/packages/fleet/src/leader_link.cpp
@@ -49,9 +49,11 @@
     }
     if (m_controls.size() >= maxControls) {
         // Makes room by forgetting the control that has been silent for longest and does not lead.
-        const auto oldest = std::min_element(m_controls.begin(), m_controls.end(), [this](const auto& a, const auto& b) {
-            return std::pair(m_leader == a.first, a.second.heardAt) < std::pair(m_leader == b.first, b.second.heardAt);
-        });
+        const auto oldest
+            = std::min_element(m_controls.begin(), m_controls.end(), [this](const auto& a, const auto& b) {
+                  return std::pair(m_leader == a.first, a.second.heardAt)
+                      < std::pair(m_leader == b.first, b.second.heardAt);
+              });
         m_retired.push_back(std::move(oldest->second.link));
         m_controls.erase(oldest);
     }
--- a/packages/fleet/src/peer_mesh.cpp
+++ b/packages/fleet/src/peer_mesh.cpp
@@ -26,8 +26,7 @@
     known.usedAt = now;
     if (!known.link) {
         const std::uint64_t seed = (std::uint64_t { m_self.value() } << 32) | to.value();
-        known.link
-            = std::make_unique<dialer>(m_loop, address { ipOf(to), m_settings.framePort }, seed, longestRedial);
+        known.link = std::make_unique<dialer>(m_loop, address { ipOf(to), m_settings.framePort }, seed, longestRedial);
         auto* link = known.link.get();
         link->onUp([this, link] {
             message::helloT hello;
--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -17,7 +17,8 @@
 
     constexpr duration raftTick = std::chrono::milliseconds(25);
     constexpr duration heartbeatInterval = std::chrono::milliseconds(100);
-    /// Lower bound; links take a few milliseconds, a stalled disk up to 150. Short, since service pauses for about twice it.
+    /// Lower bound; links take a few milliseconds, a stalled disk up to 150. Short, since service pauses for about
+    /// twice it.
     constexpr duration electionTimeout = std::chrono::milliseconds(500);
     constexpr duration joinInterval = std::chrono::milliseconds(400);
     constexpr duration hintInterval = std::chrono::milliseconds(1000);
@@ -311,8 +312,8 @@
     const auto bound = sidecars.find(worker);
     if (bound == sidecars.end())
         return false;
-    return connections.at(bound->second).link->send(
-        packMessage(frame_kind::worker_orders, 0, detail::toMessage(out, term)));
+    return connections.at(bound->second)
+        .link->send(packMessage(frame_kind::worker_orders, 0, detail::toMessage(out, term)));
 }
 
 http_response queue_control::impl::redirect(const http_request& request) const
@@ -352,15 +353,16 @@
 void queue_control::impl::putPlan(const put_plan& request, const http_responder& respond)
 {
     if (const auto fault = findFault(request.plan)) {
-        logEvent(log_level::warning, "plan_refused",
-            { { "version", request.plan.version.value() }, { "reason", *fault } });
+        logEvent(
+            log_level::warning, "plan_refused", { { "version", request.plan.version.value() }, { "reason", *fault } });
         return respond({ 400, {}, *fault + "\n" });
     }
     leader.propose(
         accept_plan { request.plan }, [respond, version = request.plan.version](const result<apply_outcome>& outcome) {
             logEvent(log_level::info, "plan_handed_in",
                 { { "version", version.value() },
-                    { "outcome", outcome.has_error() ? outcome.error().message
+                    { "outcome",
+                        outcome.has_error()                             ? outcome.error().message
                             : outcome.value() == apply_outcome::applied ? "in force"
                                                                         : "not newer" } });
             if (outcome.has_error())
--- a/packages/fleet/src/queue_entry.cpp
+++ b/packages/fleet/src/queue_entry.cpp
@@ -198,10 +198,10 @@
         const auto pending = std::move(oldest->second);
         calls.erase(oldest);
         message::queue_answerT out;
-        const bool changesState = pending.call.verb == message::queue_verb::submit
-            || pending.call.verb == message::queue_verb::cancel;
-        out.outcome = pending.wasSent && changesState ? message::queue_outcome::uncertain
-                                                      : message::queue_outcome::not_ready;
+        const bool changesState
+            = pending.call.verb == message::queue_verb::submit || pending.call.verb == message::queue_verb::cancel;
+        out.outcome
+            = pending.wasSent && changesState ? message::queue_outcome::uncertain : message::queue_outcome::not_ready;
         out.retry_after_ms = 1000;
         out.reason = "no control has answered in time";
         finish(pending, out);
--- a/packages/fleet/src/queue_sidecar.cpp
+++ b/packages/fleet/src/queue_sidecar.cpp
@@ -12,7 +12,9 @@
 namespace {
 
     constexpr std::chrono::milliseconds busyWait { 400 }; ///< Of a look while tasks run: progress is seen this often.
-    constexpr std::chrono::milliseconds idleWait { 900 }; ///< Below the time for which a silent worker counts as reachable.
+    constexpr std::chrono::milliseconds idleWait {
+        900
+    }; ///< Below the time for which a silent worker counts as reachable.
     constexpr duration lookSlack = std::chrono::milliseconds(800); ///< Time for an answer beyond the wait.
     constexpr duration lookPause = std::chrono::milliseconds(150); ///< After a failed look.
     constexpr duration orderTimeout = std::chrono::milliseconds(600); ///< A start or stop is answered at once or never.
@@ -92,7 +94,8 @@
     , dialect(std::move(functions))
     , controls(eventLoop, settings, message::process_role::worker_sidecar)
     , client(eventLoop, workerConnections)
-    , unanswered(metrics.getCounter("poplardeal_worker_calls_unanswered_total", "Calls to the worker without an answer"))
+    , unanswered(
+          metrics.getCounter("poplardeal_worker_calls_unanswered_total", "Calls to the worker without an answer"))
 {
     controls.onFrame([this](const frame& received) {
         if (received.kind == frame_kind::worker_orders)
@@ -144,7 +147,8 @@
         return report();
     }
     // A late announcement of an earlier boot changes nothing.
-    if (sameId && (status.boot.startedAtMs < worker->boot.startedAtMs
+    if (sameId
+        && (status.boot.startedAtMs < worker->boot.startedAtMs
             || (status.boot == worker->boot && announced.sequence <= sequence)))
         return;
     if (worker && !sameId && status.boot.startedAtMs < worker->boot.startedAtMs)
@@ -312,11 +316,10 @@
     std::set<run_key> outstanding;
     for (const auto& start : orders.starts)
         outstanding.insert(start.run);
-    std::erase_if(starts,
-        [&](const auto& item) { return !item.second.isUnderWay && !outstanding.contains(item.first); });
-    const std::set<run_key> stopping(orders.stops.begin(), orders.stops.end());
     std::erase_if(
-        stops, [&](const auto& item) { return !item.second.isUnderWay && !stopping.contains(item.first); });
+        starts, [&](const auto& item) { return !item.second.isUnderWay && !outstanding.contains(item.first); });
+    const std::set<run_key> stopping(orders.stops.begin(), orders.stops.end());
+    std::erase_if(stops, [&](const auto& item) { return !item.second.isUnderWay && !stopping.contains(item.first); });
     for (const auto& stop : orders.stops)
         stopTask(stop);
     for (const auto& start : orders.starts)
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -96,7 +96,8 @@
             return out;
         }
 
-        template <std::size_t Count> std::size_t choice(const char* key, const std::array<std::string_view, Count>& words)
+        template <std::size_t Count>
+        std::size_t choice(const char* key, const std::array<std::string_view, Count>& words)
         {
             const auto value = m_table[key].value_or(std::string());
             for (std::size_t i = 0; i < Count; ++i) {
--- a/packages/fleet/src/status_messages.cpp
+++ b/packages/fleet/src/status_messages.cpp
@@ -121,8 +121,8 @@
     out.acknowledged = in.acknowledged;
     for (const auto& each : in.starts) {
         if (auto task = parseTaskKey(each->task))
-            out.starts.push_back(
-                { { std::move(*task), run_number(each->run) }, each->payload, checkpoint(each->saved), each->until_ms });
+            out.starts.push_back({ { std::move(*task), run_number(each->run) }, each->payload, checkpoint(each->saved),
+                each->until_ms });
         else
             ++malformed;
     }
--- a/packages/jobs/include/poplardeal/jobs/codec.h
+++ b/packages/jobs/include/poplardeal/jobs/codec.h
@@ -8,11 +8,11 @@
 namespace poplardeal {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(demand, cpu, memory, accelerator)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_spec, count, need, estimate, after, checkpointable, gang, rackLocal, speculative,
-    longRunning, bestEffort, requiredLabel, affinity, maxPerWorker, maxUnavailable, image, latencyTarget)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_spec, count, need, estimate, after, checkpointable, gang, rackLocal,
+    speculative, longRunning, bestEffort, requiredLabel, affinity, maxPerWorker, maxUnavailable, image, latencyTarget)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(submission_spec, payload, steps, occurrences, firstDueMs, intervalMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(queue_spec, name, host, pathPrefix, service, priority, attempts, stretch, allowance,
-    timeout, isPublic, needsAdvice)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
+    queue_spec, name, host, pathPrefix, service, priority, attempts, stretch, allowance, timeout, isPublic, needsAdvice)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pool_spec, name, enforcesCapacity, spare)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(workspace_quota, name, keys, guaranteed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(queue_plan, version, queues, pools, workspaces, document)
--- a/packages/jobs/include/poplardeal/jobs/command.h
+++ b/packages/jobs/include/poplardeal/jobs/command.h
@@ -61,8 +61,8 @@
     std::vector<released_run> runs;
 };
 
-using job_command_body
-    = std::variant<accept_plan, set_data_centre, accept_submission, cancel_submission, start_tasks, record_ends, release_runs>;
+using job_command_body = std::variant<accept_plan, set_data_centre, accept_submission, cancel_submission, start_tasks,
+    record_ends, release_runs>;
 
 /// One entry of the replicated log.
 struct job_command {
--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -73,7 +73,8 @@
 
     bool isTerminal() const
     {
-        return phase == submission_phase::completed || phase == submission_phase::failed || phase == submission_phase::cancelled;
+        return phase == submission_phase::completed || phase == submission_phase::failed
+            || phase == submission_phase::cancelled;
     }
     bool hasActiveUnits() const;
     friend bool operator==(const submission&, const submission&) = default;
--- a/packages/jobs/include/poplardeal/jobs/model.h
+++ b/packages/jobs/include/poplardeal/jobs/model.h
@@ -143,7 +143,8 @@
 /// Why a job cannot be accepted; nothing if it can.
 std::optional<std::string> findFault(const submission_spec&);
 
-/// Limits on one submission. Sources: the platform's largest steps are under 200 tasks; gangs to 128 at the design size.
+/// Limits on one submission. Sources: the platform's largest steps are under 200 tasks; gangs to 128 at the design
+/// size.
 inline constexpr std::size_t maxSteps = 256;
 inline constexpr std::uint32_t maxTasksOfStep = 4096;
 inline constexpr std::uint32_t maxOccurrences = 10000;
--- a/packages/jobs/include/poplardeal/jobs/worker_registry.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -9,8 +9,8 @@
 
 namespace poplardeal {
 
-/// A run that does not exist and will not: its start was refused and no earlier attempt is unanswered, or the worker has
-/// confirmed a stop and lists neither the run nor its end.
+/// A run that does not exist and will not: its start was refused and no earlier attempt is unanswered, or the worker
+/// has confirmed a stop and lists neither the run nor its end.
 struct refused_run {
     run_key run;
     std::string reason;
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -8,12 +8,14 @@
     constexpr double coresPerAccelerator = 8; // An accelerator-second is charged as 8 core-seconds by the platform.
     constexpr duration restartCost = std::chrono::milliseconds(1000); // Stop, report, new start and restore.
     constexpr duration checkpointGap = std::chrono::milliseconds(500); // Work between checkpoints, by the platform.
-    constexpr double lateValue = 0.3; // Share of a job's worth that is left when it is late, about what the users state.
+    constexpr double lateValue
+        = 0.3; // Share of a job's worth that is left when it is late, about what the users state.
     constexpr double hopelessValue = 0.1; // Still owed to its client, though it earns nothing.
     constexpr double lateFactor = 3; // After this many objectives a job earns nothing.
     constexpr duration minimumRunTime = std::chrono::milliseconds(100);
     constexpr double reliablePercent = 5; // Below, whole percents say too little about the speed.
-    constexpr duration endsSoon = std::chrono::milliseconds(700); // A stop and the report of its end take about as long.
+    constexpr duration endsSoon
+        = std::chrono::milliseconds(700); // A stop and the report of its end take about as long.
 
     double seconds(duration d) { return std::chrono::duration<double>(d).count(); }
 
@@ -135,8 +137,7 @@
     return 1;
 }
 
-void placement_round::occupy(
-    const submission& job, const unit_key& key, const step_spec& step, const unit& active)
+void placement_round::occupy(const submission& job, const unit_key& key, const step_spec& step, const unit& active)
 {
     const auto left = remainingTime(key, step, active);
     for (std::uint32_t m = 0; m < active.members.size(); ++m) {
@@ -294,7 +295,9 @@
         if (!job.isTerminal())
             collectJob(job, out);
     }
-    const auto rank = [](const candidate& c) { return c.isGuaranteed || c.chance != outlook::hopeless ? outlook::on_time : c.chance; };
+    const auto rank = [](const candidate& c) {
+        return c.isGuaranteed || c.chance != outlook::hopeless ? outlook::on_time : c.chance;
+    };
     std::sort(out.begin(), out.end(), [&rank](const candidate& a, const candidate& b) {
         return std::tuple(rank(a), !a.isGuaranteed, a.job->priority, a.deadline, a.job->sequence, a.key)
             < std::tuple(rank(b), !b.isGuaranteed, b.job->priority, b.deadline, b.job->sequence, b.key);
@@ -312,8 +315,7 @@
     if (!m_input.table.isInService(view.dataCentre))
         return false;
     const auto& label = item.step->requiredLabel;
-    return label.value().empty()
-        || std::find(view.labels.begin(), view.labels.end(), label) != view.labels.end();
+    return label.value().empty() || std::find(view.labels.begin(), view.labels.end(), label) != view.labels.end();
 }
 
 std::vector<worker_id> placement_round::usableWorkers(const candidate& item, const rack_name* rack) const
@@ -482,11 +484,16 @@
     if (m_decisions.claims.contains(item.key)) {
         if (const auto claimed = useClaim(item))
             return commit(item, *claimed);
-        if (m_decisions.claims.contains(item.key))
-            return;
     }
     auto placement = findFree(item);
-    const bool mayPreempt = item.isGuaranteed || (item.job->priority == 0 && item.chance == outlook::on_time);
+    if (const auto claim = m_decisions.claims.find(item.key); claim != m_decisions.claims.end()) {
+        if (!placement)
+            return;
+        // Other room has become free first.
+        changeClaimed(claim->second, countedNeed(*item.step), false);
+        m_decisions.claims.erase(claim);
+    }
+    const bool mayPreempt = item.isGuaranteed || (item.job->priority == 0 && item.chance != outlook::hopeless);
     if (!placement && mayPreempt)
         placement = makeRoom(item);
     if (placement)
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -85,7 +85,8 @@
 
     bool mayUse(const candidate&, const round_worker&) const;
     std::optional<member_placement> findFree(const candidate&) const;
-    std::optional<member_placement> fill(const candidate&, const std::vector<worker_id>&, bool respectReservations) const;
+    std::optional<member_placement> fill(
+        const candidate&, const std::vector<worker_id>&, bool respectReservations) const;
     std::vector<worker_id> usableWorkers(const candidate&, const rack_name* rack) const;
     std::vector<rack_name> racksFor(const candidate&) const;
     std::vector<std::optional<rack_name>> scopesOf(const candidate&) const;
--- a/packages/jobs/src/room_making.cpp
+++ b/packages/jobs/src/room_making.cpp
@@ -22,7 +22,8 @@
         const demand& need, demand free, std::vector<const occupant*> possible)
     {
         std::sort(possible.begin(), possible.end(), [](const occupant* a, const occupant* b) {
-            return std::tuple(!isLeaving(*a), a->lossIfStopped, a->run) < std::tuple(!isLeaving(*b), b->lossIfStopped, b->run);
+            return std::tuple(!isLeaving(*a), a->lossIfStopped, a->run)
+                < std::tuple(!isLeaving(*b), b->lossIfStopped, b->run);
         });
         std::vector<const occupant*> out;
         for (const auto* each : possible) {
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -6,15 +6,12 @@
 
 namespace {
 
-    /// Pauses of a worker after 1, 2 and 3 or more failures in a row. A worker that fails everything at once would use up
-    /// the attempts of every waiting job.
+    /// Pauses of a worker after 1, 2 and 3 or more failures in a row. A worker that fails everything at once would use
+    /// up the attempts of every waiting job.
     constexpr std::array<duration, 3> strikePauses { std::chrono::milliseconds(1500), std::chrono::seconds(5),
         std::chrono::seconds(8) };
 
-    std::int64_t toMilliseconds(duration d)
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
-    }
+    std::int64_t toMilliseconds(duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
 
 } // namespace
 
--- a/packages/jobs/tests/command_test.cpp
+++ b/packages/jobs/tests/command_test.cpp
@@ -13,7 +13,8 @@
     spec.steps = { step(2, need(8)) };
     spec.steps[0].gang = true;
     spec.steps[0].affinity = rack_name("r1");
-    const job_command submit { at(5), accept_submission { submission_id("a"), queue_name("q"), workspace_name("w"), spec } };
+    const job_command submit { at(5),
+        accept_submission { submission_id("a"), queue_name("q"), workspace_name("w"), spec } };
     const auto read = decodeCommand(encodeCommand(submit));
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST((std::get<accept_submission>(read.value().body).spec == spec));
--- a/packages/jobs/tests/job_table_test.cpp
+++ b/packages/jobs/tests/job_table_test.cpp
@@ -62,7 +62,8 @@
     table_fixture f;
     f.submit("a", "normal", { step(1, need(1)) });
     std::uint32_t run = 0;
-    for (const auto kind : { end_kind::stopped, end_kind::lapsed, end_kind::broken, end_kind::alone, end_kind::failed }) {
+    for (const auto kind :
+        { end_kind::stopped, end_kind::lapsed, end_kind::broken, end_kind::alone, end_kind::failed }) {
         f.start(task("a"), ++run, boot("w"));
         f.end(boot("w"), task("a"), run, kind);
         BOOST_TEST((f.phaseOf("a") == submission_phase::running));
@@ -128,7 +129,8 @@
     lasting.longRunning = true;
     f.submit("a", "normal", { lasting });
     std::uint32_t run = 0;
-    for (const auto kind : { end_kind::done, end_kind::failed, end_kind::failed, end_kind::failed, end_kind::stopped }) {
+    for (const auto kind :
+        { end_kind::done, end_kind::failed, end_kind::failed, end_kind::failed, end_kind::stopped }) {
         BOOST_TEST((f.start(task("a"), ++run, boot("w")) == apply_outcome::applied));
         f.end(boot("w"), task("a"), run, kind);
         BOOST_TEST((f.phaseOf("a") == submission_phase::running));
--- a/packages/jobs/tests/planner_test.cpp
+++ b/packages/jobs/tests/planner_test.cpp
@@ -88,12 +88,35 @@
 
 const std::vector<exclusion_row> exclusionRows {
     { "all usable", [](cluster_fixture&) {}, 1 },
-    { "draining", [](cluster_fixture& f) { for (auto& [id, w] : f.workers) w.isDraining = true; }, 0 },
-    { "unreachable", [](cluster_fixture& f) { for (auto& [id, w] : f.workers) w.isReachable = false; }, 0 },
-    { "avoided", [](cluster_fixture& f) { for (auto& [id, w] : f.workers) w.avoidUntil = f.now + std::chrono::seconds(1); }, 0 },
-    { "other service", [](cluster_fixture& f) { for (auto& [id, w] : f.workers) w.service = service_name("x"); }, 0 },
+    { "draining",
+        [](cluster_fixture& f) {
+            for (auto& [id, w] : f.workers)
+                w.isDraining = true;
+        },
+        0 },
+    { "unreachable",
+        [](cluster_fixture& f) {
+            for (auto& [id, w] : f.workers)
+                w.isReachable = false;
+        },
+        0 },
+    { "avoided",
+        [](cluster_fixture& f) {
+            for (auto& [id, w] : f.workers)
+                w.avoidUntil = f.now + std::chrono::seconds(1);
+        },
+        0 },
+    { "other service",
+        [](cluster_fixture& f) {
+            for (auto& [id, w] : f.workers)
+                w.service = service_name("x");
+        },
+        0 },
     { "data centre out of service",
-        [](cluster_fixture& f) { f.apply(set_data_centre { data_centre_name("east"), false }); }, 0 },
+        [](cluster_fixture& f) {
+            f.apply(set_data_centre { data_centre_name("east"), false });
+        },
+        0 },
 };
 
 } // namespace
@@ -172,8 +195,8 @@
     BOOST_TEST(second.starts[0].starts[0].task.job == submission_id("now"));
 }
 
-// Load: a cluster full of bulk tasks, more of them waiting, and an urgent gang. Guards against freed room that goes to the
-// waiting bulk tasks, which are then stopped in turn, before the last victim has ended.
+// Load: a cluster full of bulk tasks, more of them waiting, and an urgent gang. Guards against freed room that goes to
+// the waiting bulk tasks, which are then stopped in turn, before the last victim has ended.
 BOOST_AUTO_TEST_CASE(room_that_is_being_made_is_kept_for_its_unit)
 {
     cluster_fixture f;
--- a/packages/jobs/tests/worker_registry_test.cpp
+++ b/packages/jobs/tests/worker_registry_test.cpp
@@ -88,8 +88,8 @@
     BOOST_TEST(g.registry.report(stale, g.table, g.now).released.empty());
 }
 
-// A worker may carry out an order seconds late, while its lease is renewed. Guards against a lost start whose run is given
-// up before a stop has made the worker refuse it, and against the start being ordered again after that.
+// A worker may carry out an order seconds late, while its lease is renewed. Guards against a lost start whose run is
+// given up before a stop has made the worker refuse it, and against the start being ordered again after that.
 BOOST_AUTO_TEST_CASE(an_unconfirmed_start_is_repeated_and_then_voided_by_a_stop)
 {
     registry_fixture f;
--- a/packages/wire/src/channel.cpp
+++ b/packages/wire/src/channel.cpp
@@ -19,8 +19,8 @@
 
     void configureSocket(GSocket* socket)
     {
-        // Without the user timeout the kernel retries towards a silent peer for 15 minutes, and no new dial is made. Less
-        // than the 3 s within which a caller waits for an answer.
+        // Without the user timeout the kernel retries towards a silent peer for 15 minutes, and no new dial is made.
+        // Less than the 3 s within which a caller waits for an answer.
         constexpr int silentPeerMilliseconds = 2000;
         constexpr int keepAliveIdleSeconds = 5;
         constexpr int keepAliveIntervalSeconds = 2;
--- a/packages/wire/src/reconnect_delay.h
+++ b/packages/wire/src/reconnect_delay.h
@@ -7,8 +7,8 @@
 
 namespace poplardeal::detail {
 
-/// Delays between dials: doubled after each failure from 50 ms to a limit of 2 s unless given, then shortened at random by up to half. The
-/// jitter spreads the dials of many processes that lost the same peer at the same moment.
+/// Delays between dials: doubled after each failure from 50 ms to a limit of 2 s unless given, then shortened at random
+/// by up to half. The jitter spreads the dials of many processes that lost the same peer at the same moment.
 class reconnect_delay {
 public:
     explicit reconnect_delay(std::uint64_t seed, duration limit = longest)
