--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -33,7 +33,7 @@
 public:
     /// Sends instructions to the sidecar of a worker; false if it is not connected.
     using instruction_sender = std::function<bool(const worker_id&, std::uint64_t term, const worker_instructions&)>;
-    using call_responder = std::function<void(message::queue_answerT)>;
+    using call_responder = std::function<void(const message::queue_answerT&)>;
 
     job_leader(event_loop&, const fleet_settings&, job_machine&, metrics_registry&);
 
--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -286,7 +286,7 @@
     if (call.has_error())
         return;
     leader.answerCall(
-        std::move(call).value(), [this, number, correlation = received.correlation](message::queue_answerT out) {
+        std::move(call).value(), [this, number, correlation = received.correlation](const message::queue_answerT& out) {
             const auto found = connections.find(number);
             if (found != connections.end())
                 found->second.link->send(packMessage(frame_kind::queue_answer, correlation, out));
--- a/packages/fleet/src/queue_sidecar.cpp
+++ b/packages/fleet/src/queue_sidecar.cpp
@@ -413,7 +413,8 @@
 
 queue_sidecar::~queue_sidecar() = default;
 
-void queue_sidecar::stop(std::function<void()> done) { done(); }
+// The worker and its lease go on without the sidecar.
+void queue_sidecar::stop(std::function<void()> done) { std::exchange(done, nullptr)(); }
 
 void queue_sidecar::reload(const fleet_settings& settings) { m_impl->controls.addSeeds(settings.seeds); }
 
