--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -276,7 +276,7 @@
     if (id.empty() && call.verb == message::queue_verb::status) {
         auto out = answer(queue_outcome::counted);
         out.pending = table.pendingCount(queue->name);
-        return respond(std::move(out));
+        return respond(out);
     }
     if (!isSubmissionId(id)) {
         const bool isSubmit = call.verb == message::queue_verb::submit;
