fleet: reach the leader through entries; followers answer operators

Cause: a sidecar or entry that is cut off from control did nothing until the cut healed, although entries still reached both. Urgent gangs with a member there waited for the lease to run out.

Change: entries pass frames on to controls (relay_host). leader_link opens such a path when a control names a leader that does not answer, or when none answers; it returns to the direct path as soon as that works. Followers have the leader answer PUT and GET of plans; orders on data centres are still redirected, because one that arrives late would undo a newer one.

--- a/packages/fleet/src/leader_link.h
+++ b/packages/fleet/src/leader_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -14,53 +15,88 @@
 namespace poplardeal::detail {
 
 /// Connections of an entry or a sidecar to all controls that it knows of, and the one among them that leads. Controls
-/// are learnt from the seeds of the settings and from every hint.
+/// are learnt from the seeds of the settings and from every hint. A leader that cannot be reached directly is reached
+/// through an entry that passes frames on.
 class leader_link {
 public:
-    leader_link(event_loop&, const fleet_settings&, message::process_role);
+    /// `relay` is where this process itself passes frames on; empty if it does not.
+    leader_link(event_loop&, const fleet_settings&, message::process_role, std::string relay = {});
 
     void start(instant now);
-    /// Call every `tickInterval`: probes the connections and replaces silent ones.
+    /// Call every `tickInterval`: probes the connections, replaces silent ones and opens relayed ones.
     void tick(instant now);
     void addSeeds(const std::vector<address>& seeds);
 
-    /// Called when another control leads, or none.
+    /// Called when another control leads, or none, or the same one is reached on another path.
     void onLeaderChanged(std::function<void()> handler) { m_onLeaderChanged = std::move(handler); }
     /// Frames from any control, except hints.
     void onFrame(std::function<void(const frame&)> handler) { m_onFrame = std::move(handler); }
 
     /// True if a leader has answered lately.
     bool hasLeader() const { return m_leader.has_value(); }
+    /// True if the leader is reached through an entry.
+    bool isRelayed() const { return m_leader && m_leader->via == path_kind::relayed; }
+    bool isControl(const address& frames) const { return m_controls.contains(frames); }
     std::uint64_t term() const { return m_term; }
     /// False if there is no leader; the frame was not sent.
     bool send(const frame&);
 
-    static constexpr duration tickInterval = std::chrono::milliseconds(250);
+    static constexpr duration tickInterval = std::chrono::milliseconds(100);
 
 private:
-    struct control {
-        std::unique_ptr<dialer> link;
+    enum class path_kind : std::uint8_t { direct, relayed };
+
+    /// One way to a control.
+    struct path {
+        std::unique_ptr<dialer> link; ///< Null: not in use.
+        instant openedAt;
         instant probedAt;
         instant heardAt;
+        bool isAnswering { false }; ///< A hint has arrived on this connection.
         bool leads { false };
         std::uint64_t term { 0 };
+    };
+
+    struct control {
+        std::array<path, 2> paths; ///< By `path_kind`.
+        std::size_t relayTries { 0 };
         bool isSeed { false };
+
+        path& at(path_kind kind) { return paths[static_cast<std::size_t>(kind)]; }
+        const path& at(path_kind kind) const { return paths[static_cast<std::size_t>(kind)]; }
+    };
+
+    struct choice {
+        address control;
+        path_kind via { path_kind::direct };
+
+        friend bool operator==(const choice&, const choice&) = default;
     };
 
     void add(const address& frames, bool isSeed);
-    void dial(const address& frames, control&);
-    void handle(const address& from, const frame&);
-    void takeHint(const address& from, const message::control_hintT&);
+    void makeRoom();
+    void dial(const address& frames, path_kind, const address& peer);
+    void retire(path&);
+    void greet(dialer&, const address& frames, path_kind);
+    void handle(const address& from, path_kind, const frame&);
+    void takeHint(const address& from, path_kind, const message::control_hintT&);
     void chooseLeader();
+    void tend(const address& frames, path_kind, path&, instant now);
+    void openRelays();
+    bool wantsRelay(const address& frames, const control&) const;
 
     event_loop& m_loop;
     std::string m_name;
     data_centre_name m_dataCentre;
     std::uint16_t m_framePort;
     message::process_role m_role;
+    std::string m_relay;
     std::map<address, control> m_controls;
+    std::vector<address> m_relays; ///< Other processes that pass frames on, from the last hint.
+    std::string m_namedLeader; ///< By the last hint of a control that does not lead.
     std::vector<std::unique_ptr<dialer>> m_retired; ///< Destroyed outside their own handlers.
-    std::optional<address> m_leader;
+    std::optional<choice> m_leader;
+    instant m_leaderLostAt;
     std::uint64_t m_term { 0 };
     std::uint64_t m_dials { 0 };
     std::function<void()> m_onLeaderChanged;
--- a/packages/fleet/src/peer_mesh.cpp
+++ b/packages/fleet/src/peer_mesh.cpp
@@ -37,6 +37,10 @@
             hello.protocol = 1;
             link->send(packMessage(frame_kind::hello, 0, hello));
         });
+        link->onFrame([this](const frame& received) {
+            if (m_onFrame)
+                m_onFrame(received);
+        });
         link->start();
     }
     known.link->send(out);
--- a/packages/fleet/src/peer_mesh.h
+++ b/packages/fleet/src/peer_mesh.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <poplardeal/base/ids.h>
@@ -18,6 +19,8 @@
     peer_mesh(event_loop&, const fleet_settings&, replica_id self);
 
     void send(replica_id to, const frame&, instant now);
+    /// Answers that arrive on these connections.
+    void onFrame(std::function<void(const frame&)> handler) { m_onFrame = std::move(handler); }
     /// Drops connections that are no longer used.
     void tick(instant now);
 
@@ -31,6 +34,7 @@
     const fleet_settings& m_settings;
     replica_id m_self;
     std::map<replica_id, peer> m_peers;
+    std::function<void(const frame&)> m_onFrame;
 };
 
 } // namespace poplardeal::detail
--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -8,6 +8,7 @@
 #include <poplardeal/base/log.h>
 #include <poplardeal/fleet/queue_control.h>
 #include <poplardeal/wire/message.h>
+#include <set>
 
 namespace poplardeal {
 
@@ -27,12 +28,22 @@
     constexpr std::uint64_t snapshotInterval = 4000; ///< Entries; a restart replays fewer in well under a second.
     constexpr std::size_t maxOperatorBody = std::size_t { 8 } * 1024 * 1024;
     constexpr std::size_t maxConnections = 4096;
+    constexpr std::size_t maxRelaysNamed = 4; ///< In a hint; an instance tries them in turn.
+    /// Operators turn to another control after a second without an answer.
+    constexpr duration forwardLimit = std::chrono::milliseconds(900);
+    constexpr std::size_t maxForwardedBody = std::size_t { 900 } * 1024; ///< Below the largest frame.
 
     struct incoming {
         std::unique_ptr<channel> link;
         std::optional<message::helloT> hello;
     };
 
+    /// An operator's call that the leader answers.
+    struct forwarded_call {
+        http_responder respond;
+        event_loop::timer limit;
+    };
+
 } // namespace
 
 struct queue_control::impl {
@@ -58,6 +69,11 @@
     void changeDataCentre(const change_data_centre&, const http_responder&);
     void getPlan(const http_responder&);
     http_response redirect(const http_request&) const;
+    void carryOut(const operator_request&, const http_responder&);
+    void forward(const http_request&, const http_responder&);
+    void takeForwarded(connection_number, const frame&);
+    void takeForwardedAnswer(const frame&);
+    std::vector<std::string> relaysToName() const;
     void pollStop(instant deadline);
 
     event_loop& loop;
@@ -72,6 +88,8 @@
     std::unique_ptr<replica> member;
     std::map<connection_number, incoming> connections;
     std::map<worker_id, connection_number> sidecars;
+    std::map<std::uint64_t, forwarded_call> forwarded; ///< By correlation.
+    std::uint64_t lastForwarded { 0 };
     connection_number lastConnection { 0 };
     std::unique_ptr<listener> frames;
     std::unique_ptr<http_server> http;
@@ -99,6 +117,10 @@
     leader.onInstructions([this](const worker_id& worker, std::uint64_t term, const worker_instructions& out) {
         return sendInstructions(worker, term, out);
     });
+    mesh.onFrame([this](const frame& received) {
+        if (received.kind == frame_kind::operator_answer)
+            takeForwardedAnswer(received);
+    });
 }
 
 result<void> queue_control::impl::open()
@@ -198,6 +220,25 @@
         out.leader = toString(address { detail::ipOf(*known), settings.framePort });
     for (const auto& each : member->members().members)
         out.controls.push_back(toString(address { detail::ipOf(each.id), settings.framePort }));
+    out.relays = relaysToName();
+    return out;
+}
+
+/// Entries that pass frames on, from as many data centres as possible.
+std::vector<std::string> queue_control::impl::relaysToName() const
+{
+    std::set<std::string> named;
+    std::vector<std::string> out;
+    std::vector<std::string> rest;
+    for (const auto& [number, each] : connections) {
+        if (!each.hello || each.hello->relay.empty())
+            continue;
+        const bool isNew = named.insert(each.hello->data_centre).second;
+        (isNew ? out : rest).push_back(each.hello->relay);
+    }
+    out.insert(out.end(), rest.begin(), rest.end());
+    if (out.size() > maxRelaysNamed)
+        out.resize(maxRelaysNamed);
     return out;
 }
 
@@ -274,6 +315,8 @@
         return answerCall(number, received);
     case frame_kind::worker_report:
         return takeReport(number, received);
+    case frame_kind::operator_call:
+        return takeForwarded(number, received);
     default:
         logEvent(log_level::warning, "message_refused",
             { { "kind", static_cast<int>(received.kind) }, { "peer", open.hello->name } });
@@ -334,22 +377,97 @@
         const int status = parsed.error().code == failure_code::not_found ? 404 : 400;
         return respond({ status, {}, parsed.error().message + "\n" });
     }
-    if (!leader.leads()) {
-        auto elsewhere = redirect(request);
-        if (request.method != "GET")
-            logEvent(log_level::info, "operator_call_redirected",
-                { { "method", request.method }, { "path", request.path }, { "status", elsewhere.status },
-                    { "location", elsewhere.headers.contains("location") ? elsewhere.headers.at("location") : "" },
-                    { "term", member->term() } });
-        return respond(std::move(elsewhere));
-    }
-    if (const auto* plan = std::get_if<put_plan>(&parsed.value()))
+    if (leader.leads())
+        return carryOut(parsed.value(), respond);
+    // A forwarded call may arrive late. Versions make that harmless for plans, but a late order on a data centre would
+    // undo a newer one, so its sender goes to the leader itself.
+    const bool mayBeLate = !std::holds_alternative<change_data_centre>(parsed.value());
+    if (mayBeLate && member->leader() && !stopping && request.body.size() <= maxForwardedBody)
+        return forward(request, respond);
+    auto elsewhere = redirect(request);
+    logEvent(log_level::info, "operator_call_redirected",
+        { { "method", request.method }, { "path", request.path }, { "status", elsewhere.status },
+            { "location", elsewhere.headers.contains("location") ? elsewhere.headers.at("location") : "" },
+            { "term", member->term() } });
+    respond(std::move(elsewhere));
+}
+
+void queue_control::impl::carryOut(const operator_request& request, const http_responder& respond)
+{
+    if (const auto* plan = std::get_if<put_plan>(&request))
         return putPlan(*plan, respond);
-    if (const auto* change = std::get_if<change_data_centre>(&parsed.value()))
+    if (const auto* change = std::get_if<change_data_centre>(&request))
         return changeDataCentre(*change, respond);
     getPlan(respond);
 }
 
+/// Has the leader answer, so that an operator who cannot reach the leader or has lost its answer gets one from here.
+void queue_control::impl::forward(const http_request& request, const http_responder& respond)
+{
+    message::operator_callT call;
+    call.method = request.method;
+    call.path = request.path;
+    call.body.assign(request.body.begin(), request.body.end());
+    const auto correlation = ++lastForwarded;
+    auto& waiting = forwarded[correlation];
+    waiting.respond = respond;
+    waiting.limit = loop.after(forwardLimit, [this, correlation, method = request.method, path = request.path] {
+        logEvent(log_level::warning, "operator_call_unanswered",
+            { { "method", method }, { "path", path }, { "term", member->term() } });
+        const auto late = std::move(forwarded.at(correlation));
+        forwarded.erase(correlation);
+        late.respond({ 503, { { "retry-after", "1" } }, "the leader has not answered\n" });
+    });
+    mesh.send(*member->leader(), packMessage(frame_kind::operator_call, correlation, call), loop.now());
+}
+
+void queue_control::impl::takeForwarded(connection_number number, const frame& received)
+{
+    const auto call = unpackMessage<message::operator_call>(received.body);
+    if (call.has_error())
+        return;
+    http_request request;
+    request.method = call.value().method;
+    request.path = call.value().path;
+    request.body.assign(call.value().body.begin(), call.value().body.end());
+    const auto respond = [this, number, correlation = received.correlation](const http_response& response) {
+        const auto found = connections.find(number);
+        if (found == connections.end())
+            return;
+        message::operator_answerT out;
+        out.status = static_cast<std::uint32_t>(response.status);
+        for (const auto& [name, value] : response.headers) {
+            auto entry = std::make_unique<message::headerT>();
+            entry->name = name;
+            entry->value = value;
+            out.headers.push_back(std::move(entry));
+        }
+        out.body.assign(response.body.begin(), response.body.end());
+        found->second.link->send(packMessage(frame_kind::operator_answer, correlation, out));
+    };
+    const auto parsed = dialect.readOperatorRequest(request);
+    if (parsed.has_error())
+        return respond({ 400, {}, parsed.error().message + "\n" });
+    if (!leader.leads())
+        return respond({ 503, { { "retry-after", "1" } }, "this control does not lead\n" });
+    carryOut(parsed.value(), respond);
+}
+
+void queue_control::impl::takeForwardedAnswer(const frame& received)
+{
+    const auto found = forwarded.find(received.correlation);
+    const auto answer = unpackMessage<message::operator_answer>(received.body);
+    if (found == forwarded.end() || answer.has_error())
+        return;
+    const auto waiting = std::move(found->second);
+    forwarded.erase(found);
+    http_response out { static_cast<int>(answer.value().status), {}, {} };
+    for (const auto& each : answer.value().headers)
+        out.headers[each->name] = each->value;
+    out.body.assign(answer.value().body.begin(), answer.value().body.end());
+    waiting.respond(std::move(out));
+}
+
 void queue_control::impl::putPlan(const put_plan& request, const http_responder& respond)
 {
     if (const auto fault = findFault(request.plan)) {
--- a/packages/fleet/src/queue_entry.cpp
+++ b/packages/fleet/src/queue_entry.cpp
@@ -1,5 +1,6 @@
 #include "leader_link.h"
 #include "metrics_server.h"
+#include "relay_host.h"
 #include <nlohmann/json.hpp>
 #include <poplardeal/base/log.h>
 #include <poplardeal/fleet/queue_entry.h>
@@ -49,6 +50,7 @@
     dialect_functions dialect;
     metrics_registry metrics;
     detail::leader_link controls;
+    detail::relay_host relays;
     std::map<std::uint64_t, pending_call> calls;
     std::uint64_t lastCall { 0 };
     std::unique_ptr<http_server> http;
@@ -68,7 +70,8 @@
     : loop(eventLoop)
     , settings(std::move(given))
     , dialect(std::move(functions))
-    , controls(eventLoop, settings, message::process_role::entry)
+    , controls(eventLoop, settings, message::process_role::entry, toString(address { settings.ip, settings.framePort }))
+    , relays(eventLoop, [this](const address& target) { return controls.isControl(target); })
     , callTime(metrics.getTiming("poplardeal_call_seconds", "Time from a call's arrival to its answer"))
 {
     controls.onLeaderChanged([this] { resendAll(); });
@@ -90,6 +93,7 @@
     ready = std::move(checked);
     BOOST_OUTCOME_TRY(exposed, detail::serveMetrics(loop, settings, metrics));
     metricsHttp = std::move(exposed);
+    BOOST_OUTCOME_TRYV(relays.open({ settings.ip, settings.framePort }));
     controls.start(loop.now());
     timer = loop.every(pollInterval, [this] { poll(); });
     linkTimer = loop.every(detail::leader_link::tickInterval, [this] { controls.tick(loop.now()); });
--- /dev/null
+++ b/packages/fleet/tests/leader_link_test.cpp
@@ -0,0 +1,119 @@
+#include "leader_link.h"
+#include "loop_until.h"
+
+using namespace poplardeal;
+using namespace poplardeal::detail;
+using namespace poplardeal::test;
+
+namespace {
+
+constexpr std::uint16_t port = 24210;
+const address leader { "127.0.0.12", port };
+const address follower { "127.0.0.13", port };
+const address entry { "127.0.0.14", port };
+
+/// A process that answers probes with a hint. A connection that begins with `relay_open` stands for the leader.
+struct hinting_peer {
+    hinting_peer(event_loop& loop, const address& own, bool isLeader)
+        : leads(isLeader)
+    {
+        server = std::move(listener::open(loop, own, [this](std::unique_ptr<channel> link) {
+            auto* each = link.get();
+            each->onFrame([this, each](const frame& received) { answer(*each, received); });
+            each->onClosed([](const failure&) {});
+            links.push_back(std::move(link));
+        }).value());
+    }
+
+    void answer(channel& link, const frame& received)
+    {
+        if (received.kind == frame_kind::relay_open) {
+            const auto open = unpackMessage<message::relay_open>(received.body);
+            relayedTo.push_back(open.value().target);
+            return;
+        }
+        ++counts[received.kind];
+        if (received.kind != frame_kind::control_probe || isSilent)
+            return;
+        message::control_hintT hint;
+        hint.leads = leads;
+        hint.term = 3;
+        hint.leader = toString(leader);
+        hint.controls = { toString(leader), toString(follower) };
+        hint.relays = { toString(entry) };
+        link.send(packMessage(frame_kind::control_hint, 0, hint));
+    }
+
+    bool leads;
+    bool isSilent { false };
+    std::unique_ptr<listener> server;
+    std::vector<std::unique_ptr<channel>> links;
+    std::vector<std::string> relayedTo;
+    std::map<frame_kind, int> counts;
+};
+
+struct link_fixture {
+    event_loop loop;
+    std::unique_ptr<leader_link> link;
+    event_loop::timer timer;
+
+    void open(const address& seed)
+    {
+        fleet_settings settings;
+        settings.name = "side-1";
+        settings.framePort = port;
+        settings.seeds = { seed };
+        link = std::make_unique<leader_link>(loop, settings, message::process_role::worker_sidecar);
+        link->start(loop.now());
+        timer = loop.every(leader_link::tickInterval, [this] { link->tick(loop.now()); });
+    }
+};
+
+} // namespace
+
+// Guards against an instance that is cut off from the leader only and does nothing until the cut heals.
+BOOST_FIXTURE_TEST_CASE(a_leader_that_another_control_names_is_reached_through_an_entry, link_fixture)
+{
+    hinting_peer other(loop, follower, false);
+    hinting_peer relay(loop, entry, true);
+    open(follower);
+    runUntil(
+        loop, [this] { return link->hasLeader(); }, "the leader is found");
+    BOOST_TEST(link->isRelayed());
+    BOOST_TEST(relay.relayedTo.front() == toString(leader));
+    BOOST_TEST(link->send({ frame_kind::worker_report, 0, "x" }));
+    runUntil(
+        loop, [&] { return relay.counts[frame_kind::worker_report] == 1; }, "frames go to the relay");
+}
+
+// Guards against a path through an entry that is kept although the leader can be reached again.
+BOOST_FIXTURE_TEST_CASE(the_direct_path_is_taken_up_again, link_fixture)
+{
+    hinting_peer other(loop, follower, false);
+    hinting_peer relay(loop, entry, true);
+    open(follower);
+    runUntil(
+        loop, [this] { return link->isRelayed(); }, "the leader is found");
+    hinting_peer direct(loop, leader, true);
+    runUntil(
+        loop, [this] { return link->hasLeader() && !link->isRelayed(); }, "the direct path is used");
+}
+
+// Guards against an instance that is cut off from all controls at once, after it has learnt of entries.
+BOOST_FIXTURE_TEST_CASE(all_controls_fall_silent_and_the_leader_is_reached_through_an_entry, link_fixture)
+{
+    hinting_peer direct(loop, leader, true);
+    hinting_peer other(loop, follower, false);
+    hinting_peer relay(loop, entry, true);
+    open(leader);
+    runUntil(
+        loop, [this] { return link->hasLeader(); }, "the leader is found");
+    BOOST_TEST(!link->isRelayed());
+    for (auto* each : { &direct, &other }) {
+        each->isSilent = true;
+        each->links.clear();
+        each->server.reset();
+    }
+    runUntil(
+        loop, [this] { return link->isRelayed(); }, "the leader is found again");
+}
--- a/packages/wire/include/poplardeal/wire/frame.h
+++ b/packages/wire/include/poplardeal/wire/frame.h
@@ -45,8 +45,13 @@
     queue_answer,
     worker_report,
     worker_orders,
+    relay_open,
+    operator_call,
+    operator_answer,
 };
 
+inline constexpr frame_kind lastFrameKind = frame_kind::operator_answer;
+
 /// One message between two processes of the system.
 struct frame {
     frame_kind kind { frame_kind::hello };
--- a/packages/wire/include/poplardeal/wire/messages_generated.h
+++ b/packages/wire/include/poplardeal/wire/messages_generated.h
@@ -113,6 +113,18 @@
 struct control_probeBuilder;
 struct control_probeT;
 
+struct relay_open;
+struct relay_openBuilder;
+struct relay_openT;
+
+struct operator_call;
+struct operator_callBuilder;
+struct operator_callT;
+
+struct operator_answer;
+struct operator_answerBuilder;
+struct operator_answerT;
+
 struct join_group;
 struct join_groupBuilder;
 struct join_groupT;
@@ -430,6 +442,7 @@
   std::string data_centre{};
   uint32_t replica = 0;
   uint32_t protocol = 0;
+  std::string relay{};
 };
 
 struct hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -441,7 +454,8 @@
     VT_NAME = 6,
     VT_DATA_CENTRE = 8,
     VT_REPLICA = 10,
-    VT_PROTOCOL = 12
+    VT_PROTOCOL = 12,
+    VT_RELAY = 14
   };
   poplardeal::message::process_role role() const {
     return static_cast<poplardeal::message::process_role>(GetField<int8_t>(VT_ROLE, 0));
@@ -458,6 +472,9 @@
   uint32_t protocol() const {
     return GetField<uint32_t>(VT_PROTOCOL, 0);
   }
+  const flatbuffers::String *relay() const {
+    return GetPointer<const flatbuffers::String *>(VT_RELAY);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int8_t>(verifier, VT_ROLE, 1) &&
@@ -467,6 +484,8 @@
            verifier.VerifyString(data_centre()) &&
            VerifyField<uint32_t>(verifier, VT_REPLICA, 4) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL, 4) &&
+           VerifyOffset(verifier, VT_RELAY) &&
+           verifier.VerifyString(relay()) &&
            verifier.EndTable();
   }
   helloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -493,6 +512,9 @@
   void add_protocol(uint32_t protocol) {
     fbb_.AddElement<uint32_t>(hello::VT_PROTOCOL, protocol, 0);
   }
+  void add_relay(flatbuffers::Offset<flatbuffers::String> relay) {
+    fbb_.AddOffset(hello::VT_RELAY, relay);
+  }
   explicit helloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -510,8 +532,10 @@
     flatbuffers::Offset<flatbuffers::String> name = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     uint32_t replica = 0,
-    uint32_t protocol = 0) {
+    uint32_t protocol = 0,
+    flatbuffers::Offset<flatbuffers::String> relay = 0) {
   helloBuilder builder_(_fbb);
+  builder_.add_relay(relay);
   builder_.add_protocol(protocol);
   builder_.add_replica(replica);
   builder_.add_data_centre(data_centre);
@@ -531,16 +555,19 @@
     const char *name = nullptr,
     const char *data_centre = nullptr,
     uint32_t replica = 0,
-    uint32_t protocol = 0) {
+    uint32_t protocol = 0,
+    const char *relay = nullptr) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  auto relay__ = relay ? _fbb.CreateString(relay) : 0;
   return poplardeal::message::Createhello(
       _fbb,
       role,
       name__,
       data_centre__,
       replica,
-      protocol);
+      protocol,
+      relay__);
 }
 
 flatbuffers::Offset<hello> Createhello(flatbuffers::FlatBufferBuilder &_fbb, const helloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3028,6 +3055,7 @@
   uint64_t term = 0;
   std::string leader{};
   std::vector<std::string> controls{};
+  std::vector<std::string> relays{};
 };
 
 struct control_hint FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3038,7 +3066,8 @@
     VT_LEADS = 4,
     VT_TERM = 6,
     VT_LEADER = 8,
-    VT_CONTROLS = 10
+    VT_CONTROLS = 10,
+    VT_RELAYS = 12
   };
   bool leads() const {
     return GetField<uint8_t>(VT_LEADS, 0) != 0;
@@ -3052,6 +3081,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *controls() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_CONTROLS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *relays() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_RELAYS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_LEADS, 1) &&
@@ -3061,6 +3093,9 @@
            VerifyOffset(verifier, VT_CONTROLS) &&
            verifier.VerifyVector(controls()) &&
            verifier.VerifyVectorOfStrings(controls()) &&
+           VerifyOffset(verifier, VT_RELAYS) &&
+           verifier.VerifyVector(relays()) &&
+           verifier.VerifyVectorOfStrings(relays()) &&
            verifier.EndTable();
   }
   control_hintT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3084,6 +3119,9 @@
   void add_controls(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> controls) {
     fbb_.AddOffset(control_hint::VT_CONTROLS, controls);
   }
+  void add_relays(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> relays) {
+    fbb_.AddOffset(control_hint::VT_RELAYS, relays);
+  }
   explicit control_hintBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3100,9 +3138,11 @@
     bool leads = false,
     uint64_t term = 0,
     flatbuffers::Offset<flatbuffers::String> leader = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> controls = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> controls = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> relays = 0) {
   control_hintBuilder builder_(_fbb);
   builder_.add_term(term);
+  builder_.add_relays(relays);
   builder_.add_controls(controls);
   builder_.add_leader(leader);
   builder_.add_leads(leads);
@@ -3119,15 +3159,18 @@
     bool leads = false,
     uint64_t term = 0,
     const char *leader = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *controls = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *controls = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *relays = nullptr) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto controls__ = controls ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*controls) : 0;
+  auto relays__ = relays ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*relays) : 0;
   return poplardeal::message::Createcontrol_hint(
       _fbb,
       leads,
       term,
       leader__,
-      controls__);
+      controls__,
+      relays__);
 }
 
 flatbuffers::Offset<control_hint> Createcontrol_hint(flatbuffers::FlatBufferBuilder &_fbb, const control_hintT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3177,6 +3220,273 @@
 
 flatbuffers::Offset<control_probe> Createcontrol_probe(flatbuffers::FlatBufferBuilder &_fbb, const control_probeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct relay_openT : public flatbuffers::NativeTable {
+  typedef relay_open TableType;
+  std::string target{};
+};
+
+struct relay_open FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef relay_openT NativeTableType;
+  typedef relay_openBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TARGET = 4
+  };
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           verifier.EndTable();
+  }
+  relay_openT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(relay_openT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<relay_open> Pack(flatbuffers::FlatBufferBuilder &_fbb, const relay_openT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct relay_openBuilder {
+  typedef relay_open Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(relay_open::VT_TARGET, target);
+  }
+  explicit relay_openBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<relay_open> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<relay_open>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<relay_open> Createrelay_open(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> target = 0) {
+  relay_openBuilder builder_(_fbb);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+struct relay_open::Traits {
+  using type = relay_open;
+  static auto constexpr Create = Createrelay_open;
+};
+
+inline flatbuffers::Offset<relay_open> Createrelay_openDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *target = nullptr) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  return poplardeal::message::Createrelay_open(
+      _fbb,
+      target__);
+}
+
+flatbuffers::Offset<relay_open> Createrelay_open(flatbuffers::FlatBufferBuilder &_fbb, const relay_openT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct operator_callT : public flatbuffers::NativeTable {
+  typedef operator_call TableType;
+  std::string method{};
+  std::string path{};
+  std::vector<uint8_t> body{};
+};
+
+struct operator_call FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef operator_callT NativeTableType;
+  typedef operator_callBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_METHOD = 4,
+    VT_PATH = 6,
+    VT_BODY = 8
+  };
+  const flatbuffers::String *method() const {
+    return GetPointer<const flatbuffers::String *>(VT_METHOD);
+  }
+  const flatbuffers::String *path() const {
+    return GetPointer<const flatbuffers::String *>(VT_PATH);
+  }
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_METHOD) &&
+           verifier.VerifyString(method()) &&
+           VerifyOffset(verifier, VT_PATH) &&
+           verifier.VerifyString(path()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
+           verifier.EndTable();
+  }
+  operator_callT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(operator_callT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<operator_call> Pack(flatbuffers::FlatBufferBuilder &_fbb, const operator_callT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct operator_callBuilder {
+  typedef operator_call Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_method(flatbuffers::Offset<flatbuffers::String> method) {
+    fbb_.AddOffset(operator_call::VT_METHOD, method);
+  }
+  void add_path(flatbuffers::Offset<flatbuffers::String> path) {
+    fbb_.AddOffset(operator_call::VT_PATH, path);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(operator_call::VT_BODY, body);
+  }
+  explicit operator_callBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<operator_call> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<operator_call>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<operator_call> Createoperator_call(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> method = 0,
+    flatbuffers::Offset<flatbuffers::String> path = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
+  operator_callBuilder builder_(_fbb);
+  builder_.add_body(body);
+  builder_.add_path(path);
+  builder_.add_method(method);
+  return builder_.Finish();
+}
+
+struct operator_call::Traits {
+  using type = operator_call;
+  static auto constexpr Create = Createoperator_call;
+};
+
+inline flatbuffers::Offset<operator_call> Createoperator_callDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *method = nullptr,
+    const char *path = nullptr,
+    const std::vector<uint8_t> *body = nullptr) {
+  auto method__ = method ? _fbb.CreateString(method) : 0;
+  auto path__ = path ? _fbb.CreateString(path) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  return poplardeal::message::Createoperator_call(
+      _fbb,
+      method__,
+      path__,
+      body__);
+}
+
+flatbuffers::Offset<operator_call> Createoperator_call(flatbuffers::FlatBufferBuilder &_fbb, const operator_callT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct operator_answerT : public flatbuffers::NativeTable {
+  typedef operator_answer TableType;
+  uint32_t status = 0;
+  std::vector<std::unique_ptr<poplardeal::message::headerT>> headers{};
+  std::vector<uint8_t> body{};
+  operator_answerT() = default;
+  operator_answerT(const operator_answerT &o);
+  operator_answerT(operator_answerT&&) FLATBUFFERS_NOEXCEPT = default;
+  operator_answerT &operator=(operator_answerT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct operator_answer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef operator_answerT NativeTableType;
+  typedef operator_answerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STATUS = 4,
+    VT_HEADERS = 6,
+    VT_BODY = 8
+  };
+  uint32_t status() const {
+    return GetField<uint32_t>(VT_STATUS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::header>> *headers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::header>> *>(VT_HEADERS);
+  }
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_STATUS, 4) &&
+           VerifyOffset(verifier, VT_HEADERS) &&
+           verifier.VerifyVector(headers()) &&
+           verifier.VerifyVectorOfTables(headers()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
+           verifier.EndTable();
+  }
+  operator_answerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(operator_answerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<operator_answer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const operator_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct operator_answerBuilder {
+  typedef operator_answer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_status(uint32_t status) {
+    fbb_.AddElement<uint32_t>(operator_answer::VT_STATUS, status, 0);
+  }
+  void add_headers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::header>>> headers) {
+    fbb_.AddOffset(operator_answer::VT_HEADERS, headers);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(operator_answer::VT_BODY, body);
+  }
+  explicit operator_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<operator_answer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<operator_answer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<operator_answer> Createoperator_answer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t status = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::header>>> headers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
+  operator_answerBuilder builder_(_fbb);
+  builder_.add_body(body);
+  builder_.add_headers(headers);
+  builder_.add_status(status);
+  return builder_.Finish();
+}
+
+struct operator_answer::Traits {
+  using type = operator_answer;
+  static auto constexpr Create = Createoperator_answer;
+};
+
+inline flatbuffers::Offset<operator_answer> Createoperator_answerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t status = 0,
+    const std::vector<flatbuffers::Offset<poplardeal::message::header>> *headers = nullptr,
+    const std::vector<uint8_t> *body = nullptr) {
+  auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::header>>(*headers) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  return poplardeal::message::Createoperator_answer(
+      _fbb,
+      status,
+      headers__,
+      body__);
+}
+
+flatbuffers::Offset<operator_answer> Createoperator_answer(flatbuffers::FlatBufferBuilder &_fbb, const operator_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct join_groupT : public flatbuffers::NativeTable {
   typedef join_group TableType;
   uint32_t replica = 0;
@@ -4496,6 +4806,7 @@
   { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
   { auto _e = replica(); _o->replica = _e; }
   { auto _e = protocol(); _o->protocol = _e; }
+  { auto _e = relay(); if (_e) _o->relay = _e->str(); }
 }
 
 inline flatbuffers::Offset<hello> hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const helloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4511,13 +4822,15 @@
   auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
   auto _replica = _o->replica;
   auto _protocol = _o->protocol;
+  auto _relay = _o->relay.empty() ? 0 : _fbb.CreateString(_o->relay);
   return poplardeal::message::Createhello(
       _fbb,
       _role,
       _name,
       _data_centre,
       _replica,
-      _protocol);
+      _protocol,
+      _relay);
 }
 
 inline worker_taskT *worker_task::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5392,6 +5705,7 @@
   { auto _e = term(); _o->term = _e; }
   { auto _e = leader(); if (_e) _o->leader = _e->str(); }
   { auto _e = controls(); if (_e) { _o->controls.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->controls[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = relays(); if (_e) { _o->relays.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->relays[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<control_hint> control_hint::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_hintT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5406,12 +5720,14 @@
   auto _term = _o->term;
   auto _leader = _o->leader.empty() ? 0 : _fbb.CreateString(_o->leader);
   auto _controls = _o->controls.size() ? _fbb.CreateVectorOfStrings(_o->controls) : 0;
+  auto _relays = _o->relays.size() ? _fbb.CreateVectorOfStrings(_o->relays) : 0;
   return poplardeal::message::Createcontrol_hint(
       _fbb,
       _leads,
       _term,
       _leader,
-      _controls);
+      _controls,
+      _relays);
 }
 
 inline control_probeT *control_probe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5437,6 +5753,110 @@
       _fbb);
 }
 
+inline relay_openT *relay_open::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<relay_openT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void relay_open::UnPackTo(relay_openT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+}
+
+inline flatbuffers::Offset<relay_open> relay_open::Pack(flatbuffers::FlatBufferBuilder &_fbb, const relay_openT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrelay_open(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<relay_open> Createrelay_open(flatbuffers::FlatBufferBuilder &_fbb, const relay_openT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const relay_openT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  return poplardeal::message::Createrelay_open(
+      _fbb,
+      _target);
+}
+
+inline operator_callT *operator_call::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<operator_callT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void operator_call::UnPackTo(operator_callT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = method(); if (_e) _o->method = _e->str(); }
+  { auto _e = path(); if (_e) _o->path = _e->str(); }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+}
+
+inline flatbuffers::Offset<operator_call> operator_call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const operator_callT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createoperator_call(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<operator_call> Createoperator_call(flatbuffers::FlatBufferBuilder &_fbb, const operator_callT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const operator_callT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _method = _o->method.empty() ? 0 : _fbb.CreateString(_o->method);
+  auto _path = _o->path.empty() ? 0 : _fbb.CreateString(_o->path);
+  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  return poplardeal::message::Createoperator_call(
+      _fbb,
+      _method,
+      _path,
+      _body);
+}
+
+inline operator_answerT::operator_answerT(const operator_answerT &o)
+      : status(o.status),
+        body(o.body) {
+  headers.reserve(o.headers.size());
+  for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new poplardeal::message::headerT(*headers_) : nullptr); }
+}
+
+inline operator_answerT &operator_answerT::operator=(operator_answerT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(status, o.status);
+  std::swap(headers, o.headers);
+  std::swap(body, o.body);
+  return *this;
+}
+
+inline operator_answerT *operator_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<operator_answerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void operator_answer::UnPackTo(operator_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = status(); _o->status = _e; }
+  { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = std::unique_ptr<poplardeal::message::headerT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+}
+
+inline flatbuffers::Offset<operator_answer> operator_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const operator_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createoperator_answer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<operator_answer> Createoperator_answer(flatbuffers::FlatBufferBuilder &_fbb, const operator_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const operator_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _status = _o->status;
+  auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::header>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return Createheader(*__va->__fbb, __va->__o->headers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  return poplardeal::message::Createoperator_answer(
+      _fbb,
+      _status,
+      _headers,
+      _body);
+}
+
 inline join_groupT *join_group::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<join_groupT>();
   UnPackTo(_o.get(), _resolver);
--- a/packages/wire/src/frame.cpp
+++ b/packages/wire/src/frame.cpp
@@ -52,7 +52,7 @@
     static bool isKnownKind(std::uint16_t kind)
     {
         return kind >= static_cast<std::uint16_t>(frame_kind::hello)
-            && kind <= static_cast<std::uint16_t>(frame_kind::worker_orders);
+            && kind <= static_cast<std::uint16_t>(lastFrameKind);
     }
 
     static std::optional<failure> checkHeader(const frame_header& header)
--- a/packages/wire/tests/frame_test.cpp
+++ b/packages/wire/tests/frame_test.cpp
@@ -13,7 +13,7 @@
 
 frame_kind kindFromNumber(unsigned number)
 {
-    const auto count = static_cast<unsigned>(frame_kind::goodbye);
+    const auto count = static_cast<unsigned>(lastFrameKind);
     return static_cast<frame_kind>(1 + number % count);
 }
 
