jobs: learn run times per queue; log jobs with what decides them

Cause: objectives were computed from declared run times, which are off by a factor of up to ten. Remaining times took the progress of a resumed run, or of one first seen late, as made since then.

Change: the replicated table keeps, per queue, measured run times and how far declarations were off, and blends both by how well each has predicted. Running steps use their own measured speed, counted from the progress at first sight. job_accepted names steps and plan, job_finished the outcome.

--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -30,6 +30,17 @@
             && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
     }
 
+    nlohmann::json describe(const submission_spec& job)
+    {
+        auto out = nlohmann::json::array();
+        for (const auto& step : job.steps)
+            out.push_back({ { "tasks", step.count }, { "cpu_millicores", step.need.cpu.count() },
+                { "memory_mib", step.need.memory.count() }, { "accelerators", step.need.accelerator.count() },
+                { "gang", step.gang },
+                { "estimate_ms", std::chrono::duration_cast<std::chrono::milliseconds>(step.estimate).count() } });
+        return out;
+    }
+
     lease_options leaseOptions(const fleet_settings& settings)
     {
         lease_options out;
@@ -223,15 +234,34 @@
             { { "job", end.task.job.value() }, { "task", toString(end.task) }, { "run", end.run.value() },
                 { "worker", command.worker.worker.value() }, { "kind", toString(end.kind) } });
     }
-    propose(command, [this, boot = command.worker, upTo, epoch = m_epoch](const result<apply_outcome>& outcome) {
+    propose(command, [this, command, upTo, epoch = m_epoch, before = m_loop.wallClock()](const auto& outcome) {
         if (epoch != m_epoch)
             return;
+        const auto& boot = command.worker;
         m_workers.endsSettled(boot, upTo, outcome.has_value());
+        logFinished(command, before);
         instruct(boot);
         planSoon();
     });
 }
 
+/// Logs the jobs that these ends have finished. Each is finished once, after the ends were proposed.
+void job_leader::logFinished(const record_ends& command, instant proposedAt) const
+{
+    std::set<submission_id> jobs;
+    for (const auto& end : command.ends)
+        jobs.insert(end.task.job);
+    for (const auto& id : jobs) {
+        const auto* job = m_machine.table().find(id);
+        if (job == nullptr || !job->isTerminal() || job->endedAt < proposedAt)
+            continue;
+        logEvent(log_level::info, "job_finished",
+            { { "job", id.value() }, { "queue", job->queue.value() }, { "phase", toString(job->phase) },
+                { "took_ms",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(job->endedAt - job->acceptedAt).count() } });
+    }
+}
+
 void job_leader::takeReport(const worker_status& status)
 {
     if (!leads() || !m_wasLeading)
@@ -319,7 +349,7 @@
     }
     if (m_machine.table().find(command.id) != nullptr)
         return respond(answer(queue_outcome::accepted));
-    propose(command, [this, respond, id = command.id, queue = command.queue](const result<apply_outcome>& outcome) {
+    propose(command, [this, respond, id = command.id](const result<apply_outcome>& outcome) {
         if (outcome.has_error()) {
             const bool mayHaveRun = outcome.error().code == failure_code::unavailable;
             logEvent(log_level::warning, "job_not_accepted",
@@ -333,7 +363,11 @@
             return respond(answer(queue_outcome::unknown_queue, "the queue has been removed"));
         }
         m_accepted.add();
-        logEvent(log_level::info, "job_accepted", { { "job", id.value() }, { "queue", queue.value() } });
+        const auto& job = *m_machine.table().find(id);
+        logEvent(log_level::info, "job_accepted",
+            { { "job", id.value() }, { "queue", job.queue.value() }, { "workspace", job.workspace.value() },
+                { "priority", job.priority }, { "steps", describe(job.spec) },
+                { "plan", m_machine.table().plan().version.value() } });
         planSoon();
         respond(answer(queue_outcome::accepted));
     });
--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -59,6 +59,7 @@
     void carryOut(const job_decisions&);
     void order(const start_tasks&);
     void recordEnds(const record_ends&);
+    void logFinished(const record_ends&, instant proposedAt) const;
     void release(const std::vector<released_run>&, const char* cause);
     void instruct(const worker_boot&);
     void submit(const accept_submission&, const call_responder&);
--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -4,6 +4,7 @@
 #include <poplardeal/base/failure.h>
 #include <poplardeal/jobs/command.h>
 #include <poplardeal/jobs/model.h>
+#include <poplardeal/jobs/run_time_model.h>
 #include <set>
 #include <string>
 #include <vector>
@@ -32,6 +33,8 @@
     bool runFailed { false }; ///< A member of the current run has failed.
     checkpoint saved; ///< Newest checkpoint of ended runs.
     instant waitingSince; ///< Wall clock of the leader.
+    instant startedAt; ///< Wall clock of the leader at the last start.
+    bool isResumed { false }; ///< The last start carried a checkpoint.
     std::vector<unit_member> members; ///< Of the current run, by task index within the unit; empty unless active.
 
     bool isActive() const { return phase == unit_phase::active; }
@@ -121,6 +124,13 @@
     std::size_t pendingCount(const queue_name&) const;
     std::size_t jobCount() const { return m_jobs.size(); }
 
+    /// How long a task of this step is expected to run, near its data and from its begin.
+    duration expectedRunTime(const submission& job, const step_spec& step) const
+    {
+        return m_runTimes.expected(job.queue, step.estimate);
+    }
+    const run_time_model& runTimes() const { return m_runTimes; }
+
     /// The unit of a task; null if there is no such task.
     const unit* findUnit(const task_key&) const;
     /// Runs that may exist, by worker boot.
@@ -147,6 +157,7 @@
     unit* locate(const task_key&);
     bool mayStart(const task_start&) const;
     void endMember(const task_key&, run_number, end_kind, const checkpoint&, instant at);
+    void learnRunTime(const submission&, const task_key&, const unit&, instant at);
     void settle(submission&, const task_key&, unit&, bool isDone, instant at);
     void finish(submission&, submission_phase, instant at);
     void closeIfOver(const submission&);
@@ -157,6 +168,7 @@
 
     queue_plan m_plan;
     std::set<data_centre_name> m_outOfService;
+    run_time_model m_runTimes;
     std::map<submission_id, submission> m_jobs;
     std::set<submission_id> m_open;
     std::map<worker_boot, std::set<run_key>> m_runs; ///< Derived from `m_jobs`.
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -13,6 +13,7 @@
     run_number run;
     checkpoint saved;
     double percent { 0 };
+    double startPercent { 0 }; ///< When first seen: above 0 after a restore, or if an earlier leader saw it begin.
     instant startedAt; ///< First seen running, on the leader's clock.
     instant progressedAt; ///< When `percent` last grew.
     instant reportedAt; ///< Last report that listed it.
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -5,7 +5,9 @@
 namespace poplardeal {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(unit_member, worker, isOver)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(unit, phase, lastRun, failures, runFailed, saved, waitingSince, members)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
+    unit, phase, lastRun, failures, runFailed, saved, waitingSince, startedAt, isResumed, members)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(run_time_record, count, meanLog, spreadLog, meanBias, spreadBias)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_state, units, doneUnits)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_occurrence, steps)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(submission, id, queue, service, workspace, priority, attempts, stretch, allowance,
@@ -146,7 +148,7 @@
 }
 
 /// All or nothing: the proposer only orders starts of a command that was applied whole.
-apply_outcome job_table::applyBody(const start_tasks& command, instant)
+apply_outcome job_table::applyBody(const start_tasks& command, instant at)
 {
     if (!std::all_of(command.starts.begin(), command.starts.end(), [this](const auto& s) { return mayStart(s); }))
         return apply_outcome::refused;
@@ -158,6 +160,8 @@
             started.phase = unit_phase::active;
             started.lastRun = start.run;
             started.runFailed = false;
+            started.startedAt = at;
+            started.isResumed = !started.saved.value().empty();
             started.members.assign(membersOf(spec), {});
         }
         started.members[memberOf(spec, start.task.index)].worker = start.worker;
@@ -206,14 +210,24 @@
         settle(job, task, *ended, false, at);
 }
 
+/// One measurement a step, when half of its units are done: the first to finish are the short ones.
+void job_table::learnRunTime(const submission& job, const task_key& task, const unit& done, instant at)
+{
+    const auto& spec = job.spec.steps[task.step];
+    const auto& step = job.occurrences[task.occurrence].steps[task.step];
+    if (step.doneUnits == (step.units.size() + 1) / 2 && done.isActive() && !done.isResumed)
+        m_runTimes.observe(job.queue, spec.estimate, at - done.startedAt);
+}
+
 void job_table::settle(submission& job, const task_key& task, unit& ended, bool isDone, instant at)
 {
     forgetRuns(task, job.spec.steps[task.step], ended);
     ended.members.clear();
     auto& step = job.occurrences[task.occurrence].steps[task.step];
     if (isDone) {
-        ended.phase = unit_phase::done;
         ++step.doneUnits;
+        learnRunTime(job, task, ended, at);
+        ended.phase = unit_phase::done;
         const bool complete = std::all_of(
             job.occurrences.begin(), job.occurrences.end(), [](const job_occurrence& each) { return each.isDone(); });
         if (complete && !job.isTerminal())
@@ -316,6 +330,7 @@
     nlohmann::json out;
     out["plan"] = m_plan;
     out["out_of_service"] = m_outOfService;
+    out["run_times"] = m_runTimes.records();
     out["sequence"] = m_sequence;
     out["pruned_at"] = m_prunedAt;
     out["addresses"] = m_addresses;
@@ -332,6 +347,7 @@
         job_table read;
         read.m_plan = in.at("plan").get<queue_plan>();
         read.m_outOfService = in.at("out_of_service").get<std::set<data_centre_name>>();
+        read.m_runTimes.restore(in.at("run_times").get<std::map<queue_name, run_time_record>>());
         read.m_sequence = in.at("sequence").get<std::uint64_t>();
         read.m_prunedAt = in.at("pruned_at").get<instant>();
         read.m_addresses = in.at("addresses").get<std::map<worker_boot, std::string>>();
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -55,9 +55,29 @@
     holdClaims();
 }
 
-duration placement_round::expectedRunTime(const step_spec& step) const
+/// How long a run takes in all, from its progress; nothing if that says too little yet.
+static std::optional<duration> measuredRunTime(const run_view& seen)
 {
-    return std::max(step.estimate, minimumRunTime);
+    const double gained = seen.percent - seen.startPercent;
+    if (gained < reliablePercent)
+        return std::nullopt;
+    return scaled(seen.reportedAt - seen.startedAt, 100 / gained);
+}
+
+/// Run time of a step's tasks: from the progress of one that runs, otherwise what is expected of the queue.
+duration placement_round::runTimeOf(const submission& job, std::uint32_t occurrence, std::uint32_t step) const
+{
+    const auto& spec = job.spec.steps[step];
+    const auto& units = job.occurrences[occurrence].steps[step].units;
+    for (std::uint32_t u = 0; u < units.size(); ++u) {
+        for (std::uint32_t m = 0; m < units[u].members.size(); ++m) {
+            const auto* seen = viewOf({ job.id, occurrence, step, u }, spec, units[u], m);
+            const auto measured = seen != nullptr ? measuredRunTime(*seen) : std::nullopt;
+            if (measured)
+                return *measured;
+        }
+    }
+    return m_input.table.expectedRunTime(job, spec);
 }
 
 void placement_round::occupyWorkers()
@@ -91,13 +111,14 @@
 /// Time until all members have finished, from their progress; members of a gang end together.
 duration placement_round::remainingTime(const unit_key& key, const step_spec& step, const unit& active) const
 {
+    const auto expected = m_input.table.expectedRunTime(*m_input.table.find(key.job), step);
     duration longest { 0 };
     for (std::uint32_t m = 0; m < active.members.size(); ++m) {
         const auto* seen = viewOf(key, step, active, m);
-        auto left = expectedRunTime(step);
-        if (seen != nullptr && seen->percent >= reliablePercent)
-            left = scaled(m_input.now - seen->startedAt, (100 - seen->percent) / seen->percent)
-                - (m_input.now - seen->reportedAt);
+        auto left = expected;
+        const auto measured = seen != nullptr ? measuredRunTime(*seen) : std::nullopt;
+        if (measured)
+            left = scaled(*measured, (100 - seen->percent) / 100) - (m_input.now - seen->reportedAt);
         else if (seen != nullptr)
             left -= m_input.now - seen->startedAt;
         longest = std::max(longest, left);
@@ -232,12 +253,13 @@
     return std::all_of(after.begin(), after.end(), [&steps](std::uint32_t earlier) { return steps[earlier].isDone(); });
 }
 
-/// Declared work from the begin of each step to the end of the job, along the longest chain.
-static std::vector<duration> workLeft(const submission_spec& spec)
+/// Work from the begin of each step to the end of the job, along the longest chain.
+std::vector<duration> placement_round::workLeft(const submission& job, std::uint32_t occurrence) const
 {
+    const auto& spec = job.spec;
     std::vector<duration> out(spec.steps.size());
-    for (std::size_t s = spec.steps.size(); s-- > 0;) {
-        out[s] += spec.steps[s].estimate;
+    for (std::uint32_t s = static_cast<std::uint32_t>(spec.steps.size()); s-- > 0;) {
+        out[s] += runTimeOf(job, occurrence, s);
         for (const auto earlier : spec.steps[s].after)
             out[earlier] = std::max(out[earlier], out[s]);
     }
@@ -252,7 +274,7 @@
 outlook placement_round::outlookOf(const submission& job, std::uint32_t occurrence, duration left) const
 {
     const auto begun = std::max(job.acceptedAt, dueTime(job.spec, occurrence));
-    const auto objective = objectiveOf(job, workLeft(job.spec));
+    const auto objective = objectiveOf(job, workLeft(job, occurrence));
     if (m_input.wallClock + left <= begun + objective)
         return outlook::on_time;
     return m_input.wallClock + left <= begun + scaled(objective, lateFactor) ? outlook::late : outlook::hopeless;
@@ -260,9 +282,9 @@
 
 void placement_round::collectJob(const submission& job, std::vector<candidate>& out) const
 {
-    const auto left = workLeft(job.spec);
-    const auto objective = objectiveOf(job, left);
     for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
+        const auto left = workLeft(job, o);
+        const auto objective = objectiveOf(job, left);
         const auto begun = std::max(job.acceptedAt, dueTime(job.spec, o));
         for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
             const auto& state = job.occurrences[o].steps[s];
@@ -277,7 +299,7 @@
                 item.step = &job.spec.steps[s];
                 item.state = &state.units[u];
                 item.isGuaranteed = m_guaranteed.contains(job.id);
-                item.expected = expectedRunTime(*item.step);
+                item.expected = m_input.table.expectedRunTime(job, *item.step);
                 item.deadline = begun + objective;
                 item.chance = item.step->longRunning ? outlook::on_time : outlookOf(job, o, left[s]);
                 item.waited = m_input.wallClock - std::max(begun, item.state->waitingSince);
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -81,7 +81,8 @@
     std::vector<candidate> collect() const;
     void collectJob(const submission&, std::vector<candidate>&) const;
     bool isReady(const submission&, std::uint32_t occurrence, std::uint32_t step) const;
-    duration expectedRunTime(const step_spec&) const;
+    duration runTimeOf(const submission&, std::uint32_t occurrence, std::uint32_t step) const;
+    std::vector<duration> workLeft(const submission&, std::uint32_t occurrence) const;
 
     bool mayUse(const candidate&, const round_worker&) const;
     std::optional<member_placement> findFree(const candidate&) const;
--- a/packages/jobs/tests/job_table_test.cpp
+++ b/packages/jobs/tests/job_table_test.cpp
@@ -155,3 +155,29 @@
     BOOST_TEST(copy.pendingCount(queue_name("bulk")) == 1U);
     BOOST_TEST(copy.restore("damaged").has_error());
 }
+
+// Guards against a new leader that knows nothing of the run times that the last one has measured, and against samples
+// of runs that only finished what an earlier one had begun.
+BOOST_FIXTURE_TEST_CASE(run_times_are_learnt_and_survive_a_snapshot, table_fixture)
+{
+    const auto w = boot("w1");
+    submit("a", "normal", { step(2, need(1), 500) });
+    start(task("a"), 1, w);
+    start(task("a", 0, 1), 1, w);
+    ms += 4000;
+    end(w, task("a"), 1, end_kind::done);
+    end(w, task("a", 0, 1), 1, end_kind::done);
+    BOOST_TEST(table.runTimes().records().at(queue_name("normal")).count == 1U);
+    submit("b", "normal", { step(1, need(1), 500) });
+    start(task("b"), 1, w);
+    end(w, task("b"), 1, end_kind::stopped, "saved");
+    start(task("b"), 2, w);
+    ms += 1000;
+    end(w, task("b"), 2, end_kind::done);
+    BOOST_TEST(table.runTimes().records().at(queue_name("normal")).count == 1U);
+    job_table copy;
+    BOOST_REQUIRE(copy.restore(table.save()).has_value());
+    BOOST_TEST((copy.runTimes().records() == table.runTimes().records()));
+    const auto& job = *table.find(submission_id("a"));
+    BOOST_TEST((table.expectedRunTime(job, job.spec.steps[0]) > std::chrono::milliseconds(700)));
+}
--- a/packages/jobs/tests/planner_test.cpp
+++ b/packages/jobs/tests/planner_test.cpp
@@ -35,7 +35,7 @@
         for (const auto& command : decisions.starts) {
             apply(command);
             for (const auto& start : command.starts)
-                workers.at(start.worker.worker).running[start.task] = { start.run, {}, 0, now, now, now };
+                workers.at(start.worker.worker).running[start.task] = { start.run, {}, 0, 0, now, now, now };
         }
         return decisions;
     }
@@ -326,3 +326,53 @@
     f.advance(1000);
     BOOST_TEST(startsOf(f.carryOut()) == 1U);
 }
+
+// An urgent gang of 9 s that is declared at 0.8 s and comes while the cluster is full, after ten of its kind. Guards
+// against a job that is given up as hopeless, and may stop nothing, while it could still be on time.
+BOOST_FIXTURE_TEST_CASE(an_underdeclared_urgent_job_is_not_given_up, cluster_fixture)
+{
+    for (int i = 0; i < 10; ++i) {
+        const auto id = "h" + std::to_string(i);
+        submit(id, "urgent", { step(1, need(1), i % 2 == 0 ? 800 : 30000) });
+        start(task(id), 1, boot("w00"));
+        ms += 9000;
+        end(boot("w00"), task(id), 1, end_kind::done);
+    }
+    submit("bulk", "bulk", { step(3, need(8), 60000) });
+    BOOST_REQUIRE(startsOf(carryOut()) == 3);
+    advance(1000);
+    submit("late", "urgent", { gangOf(2, 8) });
+    auto spec = table.find(submission_id("late"))->spec;
+    spec.steps[0].estimate = std::chrono::milliseconds(800);
+    apply(accept_submission { submission_id("under"), queue_name("urgent"), workspace_name("league"), spec });
+    apply(cancel_submission { submission_id("late") });
+    for (auto& [id, worker] : workers)
+        worker.isReachable = false;
+    ms += 8000; // Over three times the objective that the declaration gives.
+    for (auto& [id, worker] : workers)
+        worker.isReachable = true;
+    const auto decisions = decide();
+    BOOST_TEST(decisions.stops.size() == 2U);
+}
+
+// A new leader first sees a run when it is nearly done, or a run begins from a checkpoint. Guards against a remaining
+// time that is computed as if all of the progress had been made since then: the run would be stopped just before it
+// ends or taken for one that is about to end.
+BOOST_FIXTURE_TEST_CASE(progress_counts_from_when_a_run_was_first_seen, cluster_fixture)
+{
+    submit("a", "bulk", { step(3, need(8), 100000) });
+    BOOST_REQUIRE(startsOf(carryOut()) == 3);
+    now += std::chrono::seconds(10);
+    for (auto& [id, worker] : workers) {
+        for (auto& [key, run] : worker.running) {
+            run.startPercent = 50;
+            run.percent = id == worker_id("w01") ? 60 : 95;
+            run.reportedAt = run.progressedAt = now;
+        }
+    }
+    submit("b", "bulk", { step(1, need(8), 1000) });
+    submit("u", "urgent", { step(1, need(8), 1000) }, "club");
+    const auto decisions = decide();
+    BOOST_REQUIRE(decisions.stops.size() == 1U);
+    BOOST_TEST(decisions.claims.size() == 1U);
+}
