soak: a randomized fault soak of the real processes

Cause: the processes were only tested on one loop or by a script with a fixed order of faults.

A seeded schedule kills, stops, terminates, reloads and restarts processes, empties a disk, kills all controls, crashes and drains workers, and loses orders that are carried out late; plans, data centre orders and cancellations go on meanwhile. Workers, callers and the operator are stand-ins that check what they are promised. Frames can be taken at another address than the advertised one (listen_ip).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BUILD ?= build
 
-.PHONY: all deps configure build test demo faults bench capacity style format clean
+.PHONY: all deps configure build test demo soak faults bench capacity style format clean
 
 all: build
 
@@ -20,6 +20,9 @@
 demo: build
 	@scripts/demo $(BUILD)
 
+soak: build
+	@scripts/soak $(BUILD)
+
 faults: build
 	@scripts/faults $(BUILD)
 
--- a/packages/fleet/include/poplardeal/fleet/settings.h
+++ b/packages/fleet/include/poplardeal/fleet/settings.h
@@ -21,7 +21,8 @@
     fleet_role role { fleet_role::queue_control };
     std::string name;
     data_centre_name dataCentre;
-    std::string ip; ///< Of this machine.
+    std::string ip; ///< Of this machine, as others reach it.
+    std::string listenIp; ///< Where frames are taken; the same as `ip` unless an address translation lies between.
     std::uint16_t framePort { 0 }; ///< Of control, the same on all machines.
     std::uint16_t metricsPort { 0 }; ///< 0: no metrics are served.
     address http; ///< Clients for an entry, operators for control, the worker's announcements for a sidecar.
--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -147,7 +147,7 @@
     member = std::move(opened);
     leader.attach(*member);
     BOOST_OUTCOME_TRY(accepting,
-        listener::open(loop, { settings.ip, settings.framePort },
+        listener::open(loop, { settings.listenIp, settings.framePort },
             [this](std::unique_ptr<channel> link) { accept(std::move(link)); }));
     frames = std::move(accepting);
     BOOST_OUTCOME_TRY(serving,
--- a/packages/fleet/src/queue_entry.cpp
+++ b/packages/fleet/src/queue_entry.cpp
@@ -93,7 +93,7 @@
     ready = std::move(checked);
     BOOST_OUTCOME_TRY(exposed, detail::serveMetrics(loop, settings, metrics));
     metricsHttp = std::move(exposed);
-    BOOST_OUTCOME_TRYV(relays.open({ settings.ip, settings.framePort }));
+    BOOST_OUTCOME_TRYV(relays.open({ settings.listenIp, settings.framePort }));
     controls.start(loop.now());
     timer = loop.every(pollInterval, [this] { poll(); });
     linkTimer = loop.every(detail::leader_link::tickInterval, [this] { controls.tick(loop.now()); });
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -155,6 +155,9 @@
     out.name = reader.text("name", true);
     out.dataCentre = data_centre_name(reader.text("data_centre", true));
     out.ip = reader.text("ip", true);
+    out.listenIp = reader.text("listen_ip", false);
+    if (out.listenIp.empty())
+        out.listenIp = out.ip;
     constexpr double highestPort = 65535;
     out.framePort = static_cast<std::uint16_t>(reader.number("frame_port", 0, 1, highestPort));
     out.metricsPort = static_cast<std::uint16_t>(reader.number("metrics_port", 0, 1, highestPort));
--- /dev/null
+++ b/packages/soak/src/child_process.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace poplardeal::soak {
+
+/// A process that this one has started. Signals go to its id only.
+class child_process {
+public:
+    /// Output of all lives is appended to `logFile`.
+    child_process(std::vector<std::string> command, std::string logFile);
+    ~child_process();
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+
+    /// Throws `std::system_error` if no process can be made.
+    void start();
+    /// Does nothing if the process has ended.
+    void signal(int number);
+    /// SIGKILL, and waits for the end.
+    void kill();
+    /// Collects the exit status if the process has ended since.
+    bool isRunning();
+    /// Ends of lives that no signal of this class asked for.
+    int ownEnds() const { return m_ownEnds; }
+
+private:
+    void collected(int status);
+
+    std::vector<std::string> m_command;
+    std::string m_logFile;
+    pid_t m_id { 0 };
+    bool m_isEndAsked { false };
+    int m_ownEnds { 0 };
+};
+
+} // namespace poplardeal::soak
--- /dev/null
+++ b/packages/soak/src/soak.cpp
@@ -0,0 +1,383 @@
+#include "soak.h"
+#include <csignal>
+#include <iomanip>
+#include <sstream>
+
+namespace poplardeal::soak {
+
+namespace {
+
+    constexpr duration callTimeout = std::chrono::milliseconds(3000);
+    constexpr duration operatorTimeout = std::chrono::milliseconds(1000); ///< As on the platform.
+    constexpr duration retryPause = std::chrono::milliseconds(150);
+    constexpr duration pollInterval = std::chrono::milliseconds(300);
+    constexpr duration submitInterval = std::chrono::milliseconds(120);
+    constexpr duration planInterval = std::chrono::milliseconds(700);
+    constexpr duration readInterval = std::chrono::milliseconds(400);
+    constexpr duration orderInterval = std::chrono::milliseconds(4000);
+    constexpr duration wipeGap = std::chrono::seconds(10); ///< A lost disk counts until its control has caught up.
+    /// Far beyond the time that any job needs; only ends a soak in which one is stuck.
+    constexpr duration finishLimit = std::chrono::seconds(120);
+    constexpr int orderAttempts = 30;
+
+} // namespace
+
+/// One job and its client.
+struct soak::caller {
+    std::string id;
+    std::string body;
+    bool isAccepted { false };
+    bool willCancel { false };
+    bool isOver { false };
+};
+
+soak::soak(event_loop& loop, const soak_options& options)
+    : m_loop(loop)
+    , m_options(options)
+    , m_random(options.seed)
+    , m_cluster(options.size, options.daemon, options.folder)
+    , m_client(loop, 64)
+    , m_begun(loop.now())
+{
+    for (std::size_t i = 0; i < m_cluster.sidecars().size(); ++i) {
+        worker_place place { "w" + std::to_string(i), i % 2 == 0 ? "east" : "west", "r" + std::to_string(i % 2),
+            m_cluster.workerAddress(i), m_cluster.sidecarAddress(i) };
+        m_workers.push_back(std::make_unique<soak_worker>(loop, place, m_promises, options.seed * 100 + i));
+    }
+}
+
+void soak::note(const std::string& what)
+{
+    std::ostringstream line;
+    line << std::fixed << std::setprecision(3) << std::chrono::duration<double>(m_loop.now() - m_begun).count() << " s "
+         << what;
+    m_faults.push_back(line.str());
+}
+
+void soak::later(duration wait, std::function<void()> action)
+{
+    m_timers.push_back(m_loop.after(wait, std::move(action)));
+}
+
+void soak::submitOne()
+{
+    if (m_isHealing || m_plansAcknowledged == 0)
+        return;
+    auto job = std::make_shared<caller>();
+    std::ostringstream id;
+    id << std::hex << std::setw(16) << std::setfill('0') << (m_options.seed << 32 | ++m_jobs);
+    job->id = id.str();
+    const auto tasks = static_cast<std::uint32_t>(between(1, 4));
+    const auto payload = "payload of " + job->id;
+    nlohmann::json step { { "count", tasks }, { "cpu", 500 }, { "mem_mb", 100 }, { "gpu", 1 }, { "est_ms", 700 } };
+    job->body = nlohmann::json({ { "spec", payload }, { "steps", { step } } }).dump();
+    job->willCancel = chance(0.1);
+    m_promises.sent(job->id, payload, tasks);
+    attempt(job);
+}
+
+void soak::attempt(const std::shared_ptr<caller>& job)
+{
+    const auto entry = static_cast<std::size_t>(between(0, static_cast<int>(m_cluster.entries().size()) - 1));
+    http_request request { "POST", "/q/" + job->id, "",
+        { { "authorization", "Bearer k" }, { "content-type", "application/json" } }, job->body };
+    m_client.send(
+        m_cluster.frontAddress(entry), request, callTimeout, connection_use::kept, [this, job](const http_result& out) {
+            const int status = out.has_value() ? out.value().status : 0;
+            if (status == 200) {
+                job->isAccepted = true;
+                m_promises.accepted(job->id, m_loop.now());
+                if (job->willCancel)
+                    later(someTime(0, 1500), [this, job] { cancel(job); });
+                return poll(job);
+            }
+            const bool isRejected = status == 503 || status == 429;
+            if (!isRejected)
+                m_promises.unclear(job->id);
+            // A client that was always rejected may give up; one without a clear answer sends the same again.
+            if (isRejected && chance(0.2))
+                return m_promises.gaveUp(job->id);
+            later(retryPause, [this, job] { attempt(job); });
+        });
+}
+
+void soak::poll(const std::shared_ptr<caller>& job)
+{
+    if (job->isOver)
+        return;
+    const auto entry = static_cast<std::size_t>(between(0, static_cast<int>(m_cluster.entries().size()) - 1));
+    http_request request { "GET", "/q/" + job->id, "", { { "authorization", "Bearer k" } }, "" };
+    m_client.send(
+        m_cluster.frontAddress(entry), request, callTimeout, connection_use::kept, [this, job](const http_result& out) {
+            if (out.has_value()) {
+                const auto body = nlohmann::json::parse(out.value().body, nullptr, false);
+                const auto state = body.is_object() ? body.value("state", std::string()) : std::string();
+                m_promises.shown(job->id, out.value().status, state, m_loop.now());
+                job->isOver = state == "completed" || state == "cancelled" || state == "failed";
+            }
+            later(pollInterval, [this, job] { poll(job); });
+        });
+}
+
+void soak::cancel(const std::shared_ptr<caller>& job)
+{
+    if (job->isOver)
+        return;
+    m_promises.cancelAsked(job->id);
+    http_request request { "DELETE", "/q/" + job->id, "", { { "authorization", "Bearer k" } }, "" };
+    m_client.send(
+        m_cluster.frontAddress(0), request, callTimeout, connection_use::kept, [this, job](const http_result& out) {
+            const int status = out.has_value() ? out.value().status : 0;
+            if (status == 200 || status == 410)
+                return m_promises.cancelled(job->id, m_loop.now());
+            later(retryPause, [this, job] { cancel(job); });
+        });
+}
+
+void soak::putPlan()
+{
+    if (!m_isHealing)
+        sendPlan(m_plan += static_cast<std::uint64_t>(between(1, 3)), orderAttempts);
+}
+
+void soak::sendPlan(std::uint64_t version, int attemptsLeft)
+{
+    nlohmann::json body { { "version", version },
+        { "services", { { { "name", "desk" }, { "enforces_capacity", true } } } },
+        { "tenants", { { { "name", "t" }, { "api_keys", { "k" } } } } } };
+    for (const auto& entry : m_cluster.entries())
+        body["routes"].push_back({ { "name", entry.name }, { "host", entry.advertisedIp }, { "path_prefix", "/q/" },
+            { "timeout_ms", 3000 }, { "priority", 1 }, { "service", "desk" }, { "attempts", 50 }, { "stretch", 3 } });
+    http_request request { "PUT", "/config", "", { { "content-type", "application/json" } }, body.dump() };
+    const auto control = static_cast<std::size_t>(between(0, static_cast<int>(m_cluster.controls().size()) - 1));
+    m_client.send(m_cluster.operatorAddress(control), request, operatorTimeout,
+        [this, version, attemptsLeft](const http_result& out) {
+            const int status = out.has_value() ? out.value().status : 0;
+            if (status == 200) {
+                ++m_plansAcknowledged;
+                return m_promises.planAcknowledged(version, m_loop.now());
+            }
+            if (attemptsLeft > 0)
+                later(retryPause, [this, version, attemptsLeft] { sendPlan(version, attemptsLeft - 1); });
+        });
+}
+
+void soak::readPlan()
+{
+    const auto control = static_cast<std::size_t>(between(0, static_cast<int>(m_cluster.controls().size()) - 1));
+    m_client.send(m_cluster.operatorAddress(control), { "GET", "/config", "", {}, "" }, operatorTimeout,
+        [this, asked = m_loop.now()](const http_result& out) {
+            if (out.has_value() && out.value().status == 200)
+                m_promises.planRead(nlohmann::json::parse(out.value().body).value("version", std::uint64_t(0)), asked);
+        });
+}
+
+/// One order at a time, as one operator gives them: out, and back in some seconds later.
+void soak::orderDataCentre()
+{
+    if (m_isHealing || std::exchange(m_isOrderUnderWay, true))
+        return;
+    note("data centre west is taken out");
+    sendOrder("POST", orderAttempts);
+}
+
+void soak::sendOrder(const std::string& method, int attemptsLeft)
+{
+    const auto control = static_cast<std::size_t>(between(0, static_cast<int>(m_cluster.controls().size()) - 1));
+    if (method == "DELETE")
+        m_promises.dataCentreIn("west");
+    m_client.send(m_cluster.operatorAddress(control), { method, "/evacuate/west", "", {}, "" }, operatorTimeout,
+        [this, method, attemptsLeft](const http_result& out) {
+            const int status = out.has_value() ? out.value().status : 0;
+            const bool isTaken = status == 200;
+            if (isTaken && method == "DELETE") {
+                m_isOrderUnderWay = false;
+                return;
+            }
+            if (isTaken) {
+                m_promises.dataCentreOut("west", m_loop.now());
+                return later(someTime(500, 9000), [this] { sendOrder("DELETE", orderAttempts); });
+            }
+            if (method == "POST" && attemptsLeft == 0)
+                return later(retryPause, [this] { sendOrder("DELETE", orderAttempts); });
+            later(retryPause, [this, method, attemptsLeft] { sendOrder(method, std::max(attemptsLeft - 1, 0)); });
+        });
+}
+
+void soak::failProcess()
+{
+    auto& each = *oneOf(*std::make_unique<std::vector<member*>>(m_cluster.all()));
+    auto* process = each.process.get();
+    switch (between(0, 3)) {
+    case 0: {
+        note("kill " + each.name);
+        process->kill();
+        later(someTime(50, 2500), [process] { process->start(); });
+        return;
+    }
+    case 1: {
+        note("stop and continue " + each.name);
+        process->signal(SIGSTOP);
+        later(someTime(100, 3500), [process] { process->signal(SIGCONT); });
+        return;
+    }
+    case 2: {
+        note("terminate " + each.name);
+        process->signal(SIGTERM);
+        later(someTime(4500, 6500), [process] {
+            process->kill();
+            process->start();
+        });
+        return;
+    }
+    default:
+        note("reload " + each.name);
+        process->signal(SIGHUP);
+    }
+}
+
+void soak::failControl()
+{
+    auto& each = oneOf(m_cluster.controls());
+    auto* process = each.process.get();
+    const bool mayWipe = m_loop.now() - m_wipedAt > wipeGap && m_options.size.controls >= 3 && m_plansAcknowledged > 0;
+    if (mayWipe && chance(0.3)) {
+        note("kill " + each.name + " and empty its disk");
+        m_wipedAt = m_loop.now();
+        process->kill();
+        soak_cluster::wipe(each);
+        later(someTime(50, 1500), [process] { process->start(); });
+        return;
+    }
+    if (chance(0.15)) {
+        note("kill all controls");
+        for (auto& other : m_cluster.controls()) {
+            other.process->kill();
+            later(someTime(50, 1500), [restarted = other.process.get()] { restarted->start(); });
+        }
+        return;
+    }
+    note("kill " + each.name + " twice");
+    process->kill();
+    later(someTime(50, 400), [process] { process->start(); });
+    later(someTime(450, 900), [process] {
+        process->kill();
+        process->start();
+    });
+}
+
+void soak::failLink()
+{
+    std::vector<member*> reached;
+    for (auto* each : m_cluster.all()) {
+        if (!each->proxies.empty())
+            reached.push_back(each);
+    }
+    auto* each = oneOf(reached);
+    constexpr std::array modes { link_mode::delay, link_mode::hold, link_mode::hold_requests, link_mode::hold_answers };
+    const auto kind = between(0, 5);
+    if (kind < 4) {
+        note("links to " + each->name + ": mode " + std::to_string(kind + 1));
+        each->setMode(modes[static_cast<std::size_t>(kind)]);
+        return later(someTime(200, 4000), [each] { each->setMode(link_mode::pass); });
+    }
+    note(std::string(kind == 4 ? "reset" : "silence") + " connections to " + each->name);
+    for (const auto& proxy : each->proxies)
+        kind == 4 ? proxy->reset() : proxy->silence();
+}
+
+void soak::failWorker()
+{
+    const auto index = static_cast<std::size_t>(between(0, static_cast<int>(m_workers.size()) - 1));
+    auto* worker = m_workers[index].get();
+    switch (between(0, 2)) {
+    case 0:
+        note("worker " + std::to_string(index) + " crashes");
+        return worker->crash(chance(0.5));
+    case 1:
+        note("worker " + std::to_string(index) + " loses orders");
+        worker->loseOrders(0.5);
+        return later(someTime(500, 4000), [worker] { worker->loseOrders(0); });
+    default:
+        note("worker " + std::to_string(index) + " drains and leaves");
+        worker->setDraining(true);
+        later(std::chrono::milliseconds(1500), [worker] { worker->crash(false); });
+    }
+}
+
+void soak::injectOne()
+{
+    if (m_isHealing)
+        return;
+    switch (between(0, 3)) {
+    case 0:
+        failProcess();
+        break;
+    case 1:
+        failControl();
+        break;
+    case 2:
+        failLink();
+        break;
+    default:
+        failWorker();
+    }
+    later(someTime(100, 1200), [this] { injectOne(); });
+}
+
+void soak::heal()
+{
+    note("heal");
+    m_isHealing = true;
+    for (auto* each : m_cluster.all()) {
+        each->setMode(link_mode::pass);
+        each->process->signal(SIGCONT);
+    }
+    for (const auto& worker : m_workers)
+        worker->loseOrders(0);
+}
+
+void soak::wait(duration limit, const std::function<bool()>& until)
+{
+    const auto begun = m_loop.now();
+    const auto check = m_loop.every(std::chrono::milliseconds(20), [&] {
+        if (until() || m_loop.now() - begun > limit)
+            m_loop.quit();
+    });
+    m_loop.run();
+}
+
+soak_report soak::run()
+{
+    m_cluster.start();
+    m_begun = m_loop.now();
+    putPlan();
+    wait(finishLimit, [this] { return m_plansAcknowledged > 0; });
+    const auto submits = m_loop.every(submitInterval, [this] { submitOne(); });
+    const auto plans = m_loop.every(planInterval, [this] { putPlan(); });
+    const auto reads = m_loop.every(readInterval, [this] { readPlan(); });
+    const auto orders = m_loop.every(orderInterval, [this] { orderDataCentre(); });
+    later(std::chrono::milliseconds(500), [this] { injectOne(); });
+    wait(m_options.faults, [] { return false; });
+    heal();
+    // Processes that were told to end restart by their own timers within this time.
+    wait(std::chrono::seconds(7), [] { return false; });
+    for (auto* each : m_cluster.all())
+        each->process->start();
+    wait(finishLimit, [this] { return m_promises.openJobs().empty() && !m_isOrderUnderWay; });
+    soak_report out;
+    out.broken = m_promises.broken();
+    for (const auto& job : m_promises.openJobs())
+        out.broken.push_back("job " + job + " was accepted and is not completed after healing");
+    for (auto* each : m_cluster.all()) {
+        if (each->process->ownEnds() > 0)
+            out.broken.push_back(each->name + " ended by itself");
+    }
+    out.faults = m_faults;
+    out.accepted = m_promises.acceptedCount();
+    out.starts = m_promises.startCount();
+    out.plans = m_plansAcknowledged;
+    return out;
+}
+
+} // namespace poplardeal::soak
--- /dev/null
+++ b/packages/soak/src/soak.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "promises.h"
+#include "soak_cluster.h"
+#include "soak_worker.h"
+#include <deque>
+#include <functional>
+#include <random>
+
+namespace poplardeal::soak {
+
+struct soak_options {
+    std::uint64_t seed { 1 };
+    duration faults { std::chrono::seconds(12) }; ///< Time in which faults are injected.
+    cluster_size size;
+    std::string daemon;
+    std::filesystem::path folder; ///< Settings, data and logs.
+};
+
+struct soak_report {
+    std::vector<std::string> broken; ///< Promises, and processes that ended by themselves.
+    std::vector<std::string> faults; ///< What was injected, in order.
+    std::size_t accepted { 0 };
+    std::size_t starts { 0 };
+    std::size_t plans { 0 }; ///< Acknowledged.
+};
+
+/// Callers, an operator and workers around a cluster whose processes, links and disks fail by a seeded schedule. Checks
+/// the promises while it runs, then heals everything and waits until all accepted jobs are completed.
+class soak {
+public:
+    soak(event_loop&, const soak_options&);
+    soak_report run();
+
+private:
+    struct caller;
+
+    // Load.
+    void submitOne();
+    void attempt(const std::shared_ptr<caller>&);
+    void poll(const std::shared_ptr<caller>&);
+    void cancel(const std::shared_ptr<caller>&);
+    void putPlan();
+    void sendPlan(std::uint64_t version, int attemptsLeft);
+    void readPlan();
+    void orderDataCentre();
+    void sendOrder(const std::string& method, int attemptsLeft);
+
+    // Faults.
+    void injectOne();
+    void failProcess();
+    void failControl();
+    void failLink();
+    void failWorker();
+    void heal();
+    void later(duration, std::function<void()>);
+    void note(const std::string& what);
+
+    bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
+    int between(int least, int most) { return std::uniform_int_distribution<int>(least, most)(m_random); }
+    duration someTime(int leastMs, int mostMs) { return std::chrono::milliseconds(between(leastMs, mostMs)); }
+    template <class T> T& oneOf(std::vector<T>& all)
+    {
+        return all[static_cast<std::size_t>(between(0, static_cast<int>(all.size()) - 1))];
+    }
+    void wait(duration, const std::function<bool()>& until);
+
+    event_loop& m_loop;
+    soak_options m_options;
+    std::mt19937_64 m_random;
+    promises m_promises;
+    soak_cluster m_cluster;
+    std::vector<std::unique_ptr<soak_worker>> m_workers;
+    http_client m_client;
+    instant m_begun;
+    instant m_wipedAt;
+    bool m_isHealing { false };
+    bool m_isOrderUnderWay { false };
+    std::uint64_t m_jobs { 0 };
+    std::uint64_t m_plan { 0 };
+    std::size_t m_plansAcknowledged { 0 };
+    std::vector<std::string> m_faults;
+    std::vector<std::function<void()>> m_repairs; ///< Undo what is still broken when healing begins.
+    std::deque<event_loop::timer> m_timers;
+};
+
+} // namespace poplardeal::soak
--- /dev/null
+++ b/packages/soak/src/soak_cluster.cpp
@@ -0,0 +1,101 @@
+#include "soak_cluster.h"
+#include <fstream>
+#include <unistd.h>
+
+namespace poplardeal::soak {
+
+void member::setMode(link_mode mode)
+{
+    for (const auto& each : proxies)
+        each->setMode(mode);
+}
+
+soak_cluster::soak_cluster(const cluster_size& size, const std::string& daemon, std::filesystem::path folder)
+    : m_size(size)
+    , m_daemon(daemon)
+    , m_folder(std::move(folder))
+{
+    std::uint32_t host = 0;
+    for (std::uint32_t i = 0; i < size.controls; ++i)
+        m_controls.push_back(make("queue-control", i, ++host));
+    for (std::uint32_t i = 0; i < size.entries; ++i)
+        m_entries.push_back(make("queue-entry", i, ++host));
+    for (std::uint32_t i = 0; i < size.sidecars; ++i)
+        m_sidecars.push_back(make("queue-sidecar", i, ++host));
+}
+
+member soak_cluster::make(const std::string& role, std::uint32_t number, std::uint32_t host)
+{
+    member out;
+    out.name = role + "-" + std::to_string(number + 1);
+    const auto network = "127." + std::to_string(m_size.network) + ".";
+    out.advertisedIp = network + "1." + std::to_string(host);
+    out.ownIp = network + "2." + std::to_string(host);
+    if (role == "queue-control")
+        out.data = m_folder / out.name;
+    std::vector<std::uint16_t> ports;
+    if (role != "queue-sidecar")
+        ports = { framePort, role == "queue-control" ? operatorPort : frontPort };
+    for (const auto port : ports)
+        out.proxies.push_back(
+            std::make_unique<loopback_proxy>(address { out.advertisedIp, port }, address { out.ownIp, port }));
+    const auto settings = (m_folder / (out.name + ".toml")).string();
+    out.process = std::make_unique<child_process>(
+        std::vector<std::string> { m_daemon, "--settings", settings }, (m_folder / (out.name + ".log")).string());
+    return out;
+}
+
+void soak_cluster::writeSettings(const member& each, const std::string& role, bool bootstrap) const
+{
+    std::ofstream out(m_folder / (each.name + ".toml"));
+    const auto port = role == "queue-entry" ? frontPort : operatorPort;
+    out << "role = \"" << role << "\"\nname = \"" << each.name << "\"\ndata_centre = \"east\"\nip = \""
+        << each.advertisedIp << "\"\nlisten_ip = \"" << each.ownIp << "\"\nframe_port = " << framePort << "\nhttp = \""
+        << toString(address { each.ownIp, port }) << "\"\nready = \"" << toString(address { each.ownIp, readyPort })
+        << "\"\nlease_ms = 3000\nstop_grace_s = 4\n";
+    if (!each.data.empty())
+        out << "data_folder = \"" << each.data.string() << "\"\nbootstrap = " << (bootstrap ? "true" : "false") << "\n";
+    out << "seeds = [";
+    for (std::size_t i = 0; i < m_controls.size(); ++i)
+        out << (i > 0 ? ", " : "") << '"' << toString(operatorAddress(i)) << '"';
+    out << "]\n";
+}
+
+void soak_cluster::start()
+{
+    for (const bool bootstrap : { true, false }) {
+        for (const auto& each : m_controls)
+            writeSettings(each, "queue-control", bootstrap);
+        if (!bootstrap)
+            return;
+        for (const auto& each : m_entries)
+            writeSettings(each, "queue-entry", false);
+        for (const auto& each : m_sidecars)
+            writeSettings(each, "queue-sidecar", false);
+        for (auto* each : all()) {
+            if (!each->data.empty())
+                std::filesystem::create_directories(each->data);
+            each->process->start();
+        }
+        // The settings are read at the start; those for later starts must not form a second group.
+        ::usleep(300000);
+    }
+}
+
+void soak_cluster::wipe(const member& each)
+{
+    std::filesystem::remove_all(each.data);
+    std::filesystem::create_directories(each.data);
+}
+
+std::vector<member*> soak_cluster::all()
+{
+    std::vector<member*> out;
+    for (auto* group : { &m_controls, &m_entries, &m_sidecars }) {
+        for (auto& each : *group)
+            out.push_back(&each);
+    }
+    return out;
+}
+
+} // namespace poplardeal::soak
--- /dev/null
+++ b/packages/soak/src/soak_cluster.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "child_process.h"
+#include "loopback_proxy.h"
+#include <filesystem>
+#include <memory>
+#include <poplardeal/wire/address.h>
+#include <string>
+#include <vector>
+
+namespace poplardeal::soak {
+
+/// How many processes a soak runs, and where.
+struct cluster_size {
+    std::uint32_t controls { 3 };
+    std::uint32_t entries { 2 };
+    std::uint32_t sidecars { 4 };
+    std::uint32_t network { 30 }; ///< All addresses are in 127.NETWORK.0.0/16, so that soaks can run side by side.
+};
+
+/// One process of the system, with the proxies before its sockets. Others only know its advertised address.
+struct member {
+    std::string name;
+    std::string advertisedIp;
+    std::string ownIp;
+    std::filesystem::path data; ///< Of a control.
+    std::unique_ptr<child_process> process;
+    std::vector<std::unique_ptr<loopback_proxy>> proxies;
+
+    void setMode(link_mode);
+};
+
+/// The real daemons as separate processes on loopback addresses.
+class soak_cluster {
+public:
+    soak_cluster(const cluster_size&, const std::string& daemon, std::filesystem::path folder);
+
+    /// Starts every process. Only the first start may form the group.
+    void start();
+    /// Empties the data folder of a control that is not running.
+    static void wipe(const member&);
+
+    std::vector<member>& controls() { return m_controls; }
+    std::vector<member>& entries() { return m_entries; }
+    std::vector<member>& sidecars() { return m_sidecars; }
+    std::vector<member*> all();
+    address operatorAddress(std::size_t control) const { return { m_controls[control].advertisedIp, operatorPort }; }
+    address frontAddress(std::size_t entry) const { return { m_entries[entry].advertisedIp, frontPort }; }
+    address workerAddress(std::size_t sidecar) const { return { m_sidecars[sidecar].ownIp, workerPort }; }
+    address sidecarAddress(std::size_t sidecar) const { return { m_sidecars[sidecar].ownIp, operatorPort }; }
+
+    static constexpr std::uint16_t framePort = 7000;
+    static constexpr std::uint16_t operatorPort = 7001;
+    static constexpr std::uint16_t frontPort = 7002;
+    static constexpr std::uint16_t readyPort = 7003;
+    static constexpr std::uint16_t workerPort = 7004;
+
+private:
+    member make(const std::string& role, std::uint32_t number, std::uint32_t host);
+    void writeSettings(const member&, const std::string& role, bool bootstrap) const;
+
+    cluster_size m_size;
+    std::string m_daemon;
+    std::filesystem::path m_folder;
+    std::vector<member> m_controls;
+    std::vector<member> m_entries;
+    std::vector<member> m_sidecars;
+};
+
+} // namespace poplardeal::soak
