jobs: void starts that may have reached the next boot; learn slow workers

A worker that refused a start was chosen again every 5 ms.

Change: runs that the earlier boot never listed are stopped at the new boot of the id and released when it confirms. A late report of an earlier boot is ignored. A refused start keeps its worker free for 300 ms. worker_speeds compares run times of equal tasks; gangs and urgent work take fast workers first, single tasks of lower rank slow ones.

--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <poplardeal/base/time.h>
 #include <poplardeal/jobs/job_table.h>
 #include <set>
@@ -17,8 +18,15 @@
     instant startedAt; ///< First seen running, on the leader's clock.
     instant progressedAt; ///< When `percent` last grew.
     instant reportedAt; ///< Last report that listed it.
+    bool isSampled { false }; ///< Its speed has been taken into account.
 };
 
+/// Progress below this many percent says too little about the speed of a run.
+inline constexpr double reliablePercent = 5;
+
+/// How long a run takes in all, from the progress since it was first seen; nothing if that says too little yet.
+std::optional<duration> measuredRunTime(const run_view&);
+
 /// A worker as the leader knows it from reports.
 struct worker_view {
     worker_boot boot;
@@ -28,6 +36,7 @@
     rack_name rack;
     std::vector<worker_label> labels;
     demand room;
+    double slowness { 1 }; ///< Run times here over those on a usual worker.
     bool isReachable { false }; ///< Its sidecar has reported lately.
     bool isDraining { false };
     instant leavesAt; ///< Valid while draining.
--- a/packages/jobs/include/poplardeal/jobs/worker_registry.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <poplardeal/jobs/job_table.h>
 #include <poplardeal/jobs/planner.h>
+#include <poplardeal/jobs/worker_speeds.h>
 #include <set>
 #include <string>
 #include <vector>
@@ -57,6 +58,7 @@
     duration margin { std::chrono::milliseconds(400) }; ///< Scheduling delay of worker and leader on top of the bound.
     duration startWindow { std::chrono::milliseconds(1500) }; ///< Time in which an ordered start may be carried out.
     duration reachable { std::chrono::milliseconds(2500) }; ///< Workers silent for longer get no new starts.
+    duration refusalPause { std::chrono::milliseconds(300) }; ///< After a refused start; two reports take as long.
 };
 
 /// What a report asks the leader to record.
@@ -103,12 +105,19 @@
         bool hasLists { false };
         std::map<run_key, std::int64_t> startUntilMs;
         std::uint32_t strikes { 0 }; ///< Failures since the last success.
+        /// Runs ordered from an earlier boot of this id that never listed them. A worker cannot tell for which boot of
+        /// its id an order was meant, so this boot has to refuse them by a stop before they are over.
+        std::set<run_key> inherited;
     };
 
     void adopt(const worker_status&, instant now);
     std::vector<released_run> releaseBoot(const worker_boot&, const job_table&) const;
+    std::vector<released_run> supersede(
+        const worker_boot& earlier, const worker_status&, const job_table&, std::set<run_key>& inherited) const;
+    bool hasListed(const worker_boot&, const run_key&) const;
     released_run releaseOf(const run_key&, const worker_boot&, const job_table&) const;
-    void updateRunning(const worker_status&, worker_view&, instant now) const;
+    void updateRunning(const worker_status&, worker_view&, const job_table&, instant now);
+    void sampleSpeed(const worker_boot&, const task_key&, run_view&, const job_table&);
     void judgeEnds(const record_ends&, const job_table&, session&, worker_view&, instant now);
     void addStrike(session&, worker_view&, instant now);
     std::int64_t estimatedClock(const session&, instant now) const;
@@ -120,6 +129,7 @@
     std::map<worker_id, worker_view> m_views;
     std::map<worker_id, session> m_sessions;
     std::set<run_key> m_stopping;
+    worker_speeds m_speeds;
 };
 
 } // namespace poplardeal
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -13,7 +13,9 @@
     constexpr double hopelessValue = 0.1; // Still owed to its client, though it earns nothing.
     constexpr double lateFactor = 3; // After this many objectives a job earns nothing.
     constexpr duration minimumRunTime = std::chrono::milliseconds(100);
-    constexpr double reliablePercent = 5; // Below, whole percents say too little about the speed.
+    /// Learnt run times of a usual worker differ by less than this; a slow one takes 1.2 to 1.4 times as long.
+    constexpr double slowFrom = 1.09;
+    constexpr double slowBonus = 0.5; // In units of `leftover`, in which a free accelerator of eight counts 0.25.
     constexpr duration endsSoon
         = std::chrono::milliseconds(700); // A stop and the report of its end take about as long.
 
@@ -55,15 +57,6 @@
     holdClaims();
 }
 
-/// How long a run takes in all, from its progress; nothing if that says too little yet.
-static std::optional<duration> measuredRunTime(const run_view& seen)
-{
-    const double gained = seen.percent - seen.startPercent;
-    if (gained < reliablePercent)
-        return std::nullopt;
-    return scaled(seen.reportedAt - seen.startedAt, 100 / gained);
-}
-
 /// Run time of a step's tasks: from the progress of one that runs, otherwise what is expected of the queue.
 duration placement_round::runTimeOf(const submission& job, std::uint32_t occurrence, std::uint32_t step) const
 {
@@ -340,16 +333,21 @@
     return label.value().empty() || std::find(view.labels.begin(), view.labels.end(), label) != view.labels.end();
 }
 
-std::vector<worker_id> placement_round::usableWorkers(const candidate& item, const rack_name* rack) const
+std::vector<worker_id> placement_round::usableWorkers(
+    const candidate& item, const rack_name* rack, worker_choice choice) const
 {
     std::vector<worker_id> out;
     for (const auto& [id, worker] : m_workers) {
-        if ((rack == nullptr || worker.view->rack == *rack) && mayUse(item, worker))
+        const bool isChosen = choice == worker_choice::all || worker.view->slowness < slowFrom;
+        if (isChosen && (rack == nullptr || worker.view->rack == *rack) && mayUse(item, worker))
             out.push_back(id);
     }
     return out;
 }
 
+/// A gang is as slow as its slowest member, and urgent work has little time to spare.
+static bool prefersFast(const candidate& item) { return item.step->gang || item.job->priority == 0; }
+
 /// Racks on which the unit runs at full speed, best first; empty if every worker will do.
 std::vector<rack_name> placement_round::racksFor(const candidate& item) const
 {
@@ -412,7 +410,10 @@
                 continue;
             auto rest = available;
             rest -= need;
-            const double score = leftover(rest, m_workers.at(id).view->room);
+            const auto& view = *m_workers.at(id).view;
+            // Slow workers are kept busy with work that has time, so that fast ones are free for the rest.
+            const bool suits = view.slowness >= slowFrom && !prefersFast(item);
+            const double score = leftover(rest, view.room) - (suits ? slowBonus : 0);
             if (best == nullptr || score < bestScore) {
                 best = &id;
                 bestScore = score;
@@ -430,14 +431,23 @@
 std::optional<member_placement> placement_round::findFree(const candidate& item) const
 {
     const auto racks = racksFor(item);
-    for (const auto& rack : racks) {
-        if (auto found = fill(item, usableWorkers(item, &rack), !item.isGuaranteed))
+    const auto fillOn = [&](const rack_name* rack, worker_choice choice) {
+        return fill(item, usableWorkers(item, rack, choice), !item.isGuaranteed);
+    };
+    for (const auto choice : { worker_choice::fast, worker_choice::all }) {
+        if (choice == worker_choice::fast && !prefersFast(item))
+            continue;
+        for (const auto& rack : racks) {
+            if (auto found = fillOn(&rack, choice))
+                return found;
+        }
+        if (auto found = racks.empty() ? fillOn(nullptr, choice) : std::nullopt)
             return found;
     }
     // Off the rack the work takes `distanceFactor` times as long, so waiting as long as the work itself is cheaper.
-    if (!racks.empty() && (item.isGuaranteed || item.waited < item.expected))
+    if (racks.empty() || item.isGuaranteed || item.waited < item.expected)
         return std::nullopt;
-    return fill(item, usableWorkers(item, nullptr), !item.isGuaranteed);
+    return fillOn(nullptr, worker_choice::all);
 }
 
 void placement_round::commit(const candidate& item, const member_placement& placement)
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -50,6 +50,11 @@
     duration waited { 0 };
 };
 
+enum class worker_choice : std::uint8_t {
+    all,
+    fast, ///< Without those that are known to be slow.
+};
+
 /// Where the members of a unit go, by member number.
 using member_placement = std::vector<worker_id>;
 
@@ -88,7 +93,8 @@
     std::optional<member_placement> findFree(const candidate&) const;
     std::optional<member_placement> fill(
         const candidate&, const std::vector<worker_id>&, bool respectReservations) const;
-    std::vector<worker_id> usableWorkers(const candidate&, const rack_name* rack) const;
+    std::vector<worker_id> usableWorkers(
+        const candidate&, const rack_name* rack, worker_choice = worker_choice::all) const;
     std::vector<rack_name> racksFor(const candidate&) const;
     std::vector<std::optional<rack_name>> scopesOf(const candidate&) const;
     std::optional<victim_set> cheapestVictims(const candidate&, const std::vector<worker_id>&) const;
--- a/packages/jobs/src/planner.cpp
+++ b/packages/jobs/src/planner.cpp
@@ -11,6 +11,15 @@
     return names[static_cast<std::size_t>(reason)];
 }
 
+std::optional<duration> measuredRunTime(const run_view& seen)
+{
+    const double gained = seen.percent - seen.startPercent;
+    if (gained < reliablePercent)
+        return std::nullopt;
+    const auto elapsed = static_cast<double>((seen.reportedAt - seen.startedAt).count());
+    return duration(static_cast<duration::rep>(elapsed * 100 / gained));
+}
+
 static accelerators widestStep(const submission_spec& spec)
 {
     accelerators widest;
--- a/packages/jobs/src/room_making.cpp
+++ b/packages/jobs/src/room_making.cpp
@@ -6,6 +6,8 @@
 
     using slot = std::pair<instant, worker_id>;
 
+    constexpr double slowPremium = 0.3; ///< Share of a unit's work by which it takes longer on a slow worker.
+
     double seconds(duration d) { return std::chrono::duration<double>(d).count(); }
 
     bool isLeaving(const occupant& each) { return each.isStopping || each.endsByItself; }
@@ -184,10 +186,16 @@
 std::optional<member_placement> placement_round::makeRoom(const candidate& item)
 {
     std::optional<victim_set> best;
-    for (const auto& rack : scopesOf(item)) {
-        auto found = cheapestVictims(item, usableWorkers(item, rack ? &*rack : nullptr));
-        if (found && (!best || found->loss < best->loss))
-            best = std::move(found);
+    const double ownWork = weightOf(item.step->need) * membersOf(*item.step) * seconds(item.expected);
+    for (const auto choice : { worker_choice::fast, worker_choice::all }) {
+        const double premium = choice == worker_choice::all ? slowPremium * ownWork : 0;
+        for (const auto& rack : scopesOf(item)) {
+            auto found = cheapestVictims(item, usableWorkers(item, rack ? &*rack : nullptr, choice));
+            if (found)
+                found->loss += premium;
+            if (found && (!best || found->loss < best->loss))
+                best = std::move(found);
+        }
     }
     const auto everywhere = usableWorkers(item, nullptr);
     if (!best && item.isGuaranteed) {
@@ -196,7 +204,6 @@
         best = cheapestVictims(item, everywhere);
     }
     // Outside a guarantee, urgent work must be worth what is repeated for it.
-    const double ownWork = weightOf(item.step->need) * membersOf(*item.step) * seconds(item.expected);
     if (!best || (!item.isGuaranteed && best->loss > ownWork))
         return std::nullopt;
     evict(item, *best);
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -11,6 +11,10 @@
     constexpr std::array<duration, 3> strikePauses { std::chrono::milliseconds(1500), std::chrono::seconds(5),
         std::chrono::seconds(8) };
 
+    /// Of progress for a sample of a worker's speed. Reports come every quarter of a second, which is under a tenth of
+    /// that part of a run of 10 s.
+    constexpr double sampledPercent = 30;
+
     std::int64_t toMilliseconds(duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
 
 } // namespace
@@ -87,18 +91,33 @@
     known.address = status.address;
 }
 
-void worker_registry::updateRunning(const worker_status& status, worker_view& view, instant now) const
+/// Once in a run, when its progress is known to a few percent.
+void worker_registry::sampleSpeed(
+    const worker_boot& worker, const task_key& task, run_view& seen, const job_table& table)
+{
+    const auto* job = table.find(task.job);
+    if (seen.isSampled || seen.percent - seen.startPercent < sampledPercent || job == nullptr)
+        return;
+    seen.isSampled = true;
+    const auto& step = job->spec.steps[task.step];
+    if (const auto runTime = measuredRunTime(seen); runTime && !step.gang && !step.longRunning)
+        m_speeds.observe(worker, task, *runTime);
+}
+
+void worker_registry::updateRunning(const worker_status& status, worker_view& view, const job_table& table, instant now)
 {
     std::map<task_key, run_view> fresh;
     for (const auto& listed : status.running) {
-        run_view item { listed.run, listed.saved, listed.percent, listed.percent, now, now, now };
+        run_view item { listed.run, listed.saved, listed.percent, listed.percent, now, now, now, false };
         const auto before = view.running.find(listed.task);
         if (before != view.running.end() && before->second.run == listed.run) {
             item.startedAt = before->second.startedAt;
             item.startPercent = before->second.startPercent;
+            item.isSampled = before->second.isSampled;
             if (listed.percent <= before->second.percent && listed.saved == before->second.saved)
                 item.progressedAt = before->second.progressedAt;
         }
+        sampleSpeed(status.boot, listed.task, item, table);
         fresh[listed.task] = item;
     }
     view.running = std::move(fresh);
@@ -142,16 +161,43 @@
     return out;
 }
 
+bool worker_registry::hasListed(const worker_boot& boot, const run_key& run) const
+{
+    const auto view = m_views.find(boot.worker);
+    if (view == m_views.end() || view->second.boot != boot)
+        return false;
+    const auto seen = view->second.running.find(run.task);
+    return seen != view->second.running.end() && seen->second.run == run.run;
+}
+
+/// Runs of a boot that is gone. Those that may have reached the new boot of the same id are not over yet.
+std::vector<released_run> worker_registry::supersede(
+    const worker_boot& earlier, const worker_status& status, const job_table& table, std::set<run_key>& inherited) const
+{
+    std::vector<released_run> out;
+    for (const auto& run : table.runsOn(earlier)) {
+        const bool mayHaveMoved = earlier.worker == status.boot.worker && !status.isGone && !hasListed(earlier, run);
+        if (mayHaveMoved)
+            inherited.insert(run);
+        else
+            out.push_back(releaseOf(run, earlier, table));
+    }
+    return out;
+}
+
 report_effects worker_registry::report(const worker_status& status, const job_table& table, instant now)
 {
     report_effects out;
     out.ends.worker = status.boot;
-    const auto release = [&](const worker_boot& boot) {
-        const auto released = releaseBoot(boot, table);
+    const auto current = m_views.find(status.boot.worker);
+    if (current != m_views.end() && status.boot.startedAtMs < current->second.boot.startedAtMs)
+        return out; // Held up on its way; that boot is gone.
+    const auto add = [&out](const std::vector<released_run>& released) {
         out.released.insert(out.released.end(), released.begin(), released.end());
     };
+    std::set<run_key> inherited;
     for (const auto& boot : supersededBy(status, table))
-        release(boot);
+        add(supersede(boot, status, table, inherited));
     std::erase_if(m_sessions, [&](const auto& item) {
         const bool isOver = isSuperseded(m_views.at(item.first).boot, item.second.address, status);
         if (isOver)
@@ -159,7 +205,7 @@
         return isOver;
     });
     if (status.isGone) {
-        release(status.boot);
+        add(releaseBoot(status.boot, table));
         m_views.erase(status.boot.worker);
         m_sessions.erase(status.boot.worker);
         return out;
@@ -167,9 +213,15 @@
     adopt(status, now);
     auto& view = m_views.at(status.boot.worker);
     auto& known = m_sessions.at(status.boot.worker);
+    known.inherited.merge(inherited);
     for (const auto& refused : status.refused) {
-        if (table.runsOn(status.boot).contains(refused.run))
-            out.released.push_back(releaseOf(refused.run, status.boot, table));
+        const bool isOwn = table.runsOn(status.boot).contains(refused.run);
+        if (!isOwn && !known.inherited.contains(refused.run))
+            continue;
+        out.released.push_back(releaseOf(refused.run, status.boot, table));
+        // Without a pause the next plan chooses the same worker again, and again.
+        if (isOwn && !m_stopping.contains(refused.run))
+            view.avoidUntil = std::max(view.avoidUntil, now + m_options.refusalPause);
     }
     if (!status.hasLists || status.clockMs < known.clockMs)
         return out;
@@ -201,7 +253,7 @@
             // The order may still be carried out late. A stop makes the worker refuse it from then on.
             m_stopping.insert(run);
     }
-    updateRunning(status, view, now);
+    updateRunning(status, view, table, now);
     return out;
 }
 
@@ -245,6 +297,7 @@
     known.grantedUntilMs = std::max(known.grantedUntilMs, known.clockMs + toMilliseconds(m_options.length));
     out.leaseUntilMs = known.grantedUntilMs;
     out.acknowledged = known.acknowledged;
+    out.stops.assign(known.inherited.begin(), known.inherited.end());
     const auto& running = m_views.at(boot.worker).running;
     for (const auto& run : table.runsOn(boot)) {
         if (m_stopping.contains(run)) {
@@ -275,7 +328,11 @@
                                                              : m_takenOverAt + firstLease + m_options.margin;
         if (now <= end)
             continue;
-        const auto released = releaseBoot(boot, table);
+        auto released = releaseBoot(boot, table);
+        if (found != m_sessions.end())
+            std::erase_if(released, [&](const released_run& each) {
+                return found->second.inherited.contains({ each.task, each.run });
+            });
         out.insert(out.end(), released.begin(), released.end());
     }
     return out;
@@ -288,14 +345,18 @@
         return unit == nullptr || !unit->isActive() || unit->lastRun != run.run;
     };
     std::erase_if(m_stopping, isOver);
-    for (auto& [id, known] : m_sessions)
+    for (auto& [id, known] : m_sessions) {
         std::erase_if(known.startUntilMs, [&isOver](const auto& item) { return isOver(item.first); });
+        std::erase_if(known.inherited, isOver);
+    }
 }
 
 const std::map<worker_id, worker_view>& worker_registry::views(instant now)
 {
+    m_speeds.update();
     for (auto& [id, view] : m_views) {
         const auto& known = m_sessions.at(id);
+        view.slowness = m_speeds.slowness(view.boot);
         view.isReachable = known.hasLists && now - known.freshAt < m_options.reachable;
     }
     return m_views;
--- a/packages/jobs/tests/planner_test.cpp
+++ b/packages/jobs/tests/planner_test.cpp
@@ -35,7 +35,7 @@
         for (const auto& command : decisions.starts) {
             apply(command);
             for (const auto& start : command.starts)
-                workers.at(start.worker.worker).running[start.task] = { start.run, {}, 0, 0, now, now, now };
+                workers.at(start.worker.worker).running[start.task] = { start.run, {}, 0, 0, now, now, now, false };
         }
         return decisions;
     }
@@ -376,3 +376,27 @@
     BOOST_REQUIRE(decisions.stops.size() == 1U);
     BOOST_TEST(decisions.claims.size() == 1U);
 }
+
+// Load: a pool in which a third of the workers is slow, with gangs and single tasks. Guards against gangs that run at
+// the pace of one slow member while fast workers are free or hold single tasks.
+BOOST_FIXTURE_TEST_CASE(gangs_go_to_fast_workers_and_single_tasks_to_slow_ones, cluster_fixture)
+{
+    workers.at(worker_id("w01")).slowness = 1.25;
+    submit("g", "normal", { gangOf(2, 8) });
+    BOOST_TEST((workersOf(carryOut()) == std::set<worker_id> { worker_id("w00"), worker_id("w02") }));
+    submit("s", "bulk", { step(1, need(1)) });
+    BOOST_TEST((workersOf(carryOut()) == std::set<worker_id> { worker_id("w01") }));
+}
+
+// Guards against urgent work that waits, or stops other work, while a slow worker is free.
+BOOST_FIXTURE_TEST_CASE(a_free_slow_worker_is_better_than_none, cluster_fixture)
+{
+    workers.at(worker_id("w01")).slowness = 1.25;
+    submit("b", "bulk", { step(2, need(8)) });
+    for (const std::uint32_t i : { 0U, 1U })
+        start(task("b", 0, i), 1, boot(i == 0 ? "w00" : "w02"));
+    submit("u", "urgent", { gangOf(1, 8) });
+    const auto decisions = carryOut();
+    BOOST_TEST((workersOf(decisions) == std::set<worker_id> { worker_id("w01") }));
+    BOOST_TEST(decisions.stops.empty());
+}
--- a/packages/jobs/tests/worker_registry_test.cpp
+++ b/packages/jobs/tests/worker_registry_test.cpp
@@ -88,6 +88,59 @@
     BOOST_TEST(g.registry.report(stale, g.table, g.now).released.empty());
 }
 
+// Soak seed 33001: a worker crashes and comes back under its id before its sidecar knows, and takes a start that was
+// meant for the earlier boot. Guards against that run being given up while it runs, and a second one beside it.
+BOOST_AUTO_TEST_CASE(a_start_that_may_have_reached_the_next_boot_of_the_id_is_voided_there)
+{
+    registry_fixture f;
+    f.registry.report(f.status(boot("w", 1), 5000), f.table, f.now);
+    f.order(boot("w", 1));
+    auto next = f.status(boot("w", 2), 200);
+    BOOST_TEST(f.registry.report(next, f.table, f.now).released.empty());
+    const auto orders = f.registry.instructionsFor(boot("w", 2), f.table, f.now);
+    BOOST_TEST(orders->starts.empty());
+    BOOST_REQUIRE(orders->stops.size() == 1U);
+    BOOST_TEST(f.registry.expired(f.table, f.now + std::chrono::seconds(1)).empty());
+    next.clockMs = 500;
+    next.refused = { { { task("a"), run_number(1) }, "stopped before its start" } };
+    BOOST_TEST(f.registry.report(next, f.table, f.now).released.size() == 1U);
+}
+
+// Guards against waiting for a stop of work that died with its boot.
+BOOST_AUTO_TEST_CASE(a_run_that_the_earlier_boot_listed_is_over_at_once)
+{
+    registry_fixture f;
+    f.registry.report(f.status(boot("w", 1), 5000), f.table, f.now);
+    f.order(boot("w", 1));
+    auto listing = f.status(boot("w", 1), 5300);
+    listing.running = { { task("a"), run_number(1), {}, 10 } };
+    f.registry.report(listing, f.table, f.now);
+    BOOST_TEST(f.registry.report(f.status(boot("w", 2), 200), f.table, f.now).released.size() == 1U);
+}
+
+// Guards against a report that was held up and brings back a boot that is gone.
+BOOST_AUTO_TEST_CASE(a_late_report_of_an_earlier_boot_changes_nothing)
+{
+    registry_fixture f;
+    f.registry.report(f.status(boot("w", 2), 200), f.table, f.now);
+    f.order(boot("w", 2));
+    f.registry.report(f.status(boot("w", 1), 90000), f.table, f.now);
+    BOOST_TEST(f.registry.instructionsFor(boot("w", 2), f.table, f.now).has_value());
+    BOOST_TEST(!f.registry.instructionsFor(boot("w", 1), f.table, f.now).has_value());
+}
+
+// Guards against a worker that refuses a start and is chosen again at once, dozens of times a second.
+BOOST_AUTO_TEST_CASE(a_worker_that_refuses_a_start_gets_no_other_for_a_moment)
+{
+    registry_fixture f;
+    f.registry.report(f.status(boot("w"), 1000), f.table, f.now);
+    f.order(boot("w"));
+    auto refusing = f.status(boot("w"), 1010);
+    refusing.refused = { { { task("a"), run_number(1) }, "room" } };
+    BOOST_TEST(f.registry.report(refusing, f.table, f.now).released.size() == 1U);
+    BOOST_TEST((f.registry.views(f.now).at(worker_id("w")).avoidUntil > f.now));
+}
+
 // A worker may carry out an order seconds late, while its lease is renewed. Guards against a lost start whose run is
 // given up before a stop has made the worker refuse it, and against the start being ordered again after that.
 BOOST_AUTO_TEST_CASE(an_unconfirmed_start_is_repeated_and_then_voided_by_a_stop)
--- /dev/null
+++ b/packages/jobs/tests/worker_speeds_test.cpp
@@ -0,0 +1,58 @@
+#include "job_fixture.h"
+#include <boost/test/unit_test.hpp>
+#include <poplardeal/jobs/worker_speeds.h>
+#include <random>
+
+using namespace poplardeal;
+using namespace poplardeal::test;
+
+namespace {
+
+duration ms(double count) { return std::chrono::microseconds(static_cast<std::int64_t>(count * 1000)); }
+
+} // namespace
+
+// A pool in which a quarter of the workers take 1.3 times as long, and steps of 30 uneven tasks. Guards against
+// differences between steps, or between tasks of one step, that are taken for differences between workers.
+BOOST_AUTO_TEST_CASE(slow_workers_are_told_from_slow_steps)
+{
+    constexpr int workerCount = 20;
+    worker_speeds speeds;
+    std::mt19937_64 random(20261204);
+    std::normal_distribution<double> uneven(0, 0.15);
+    for (std::uint32_t s = 0; s < 8; ++s) {
+        for (std::uint32_t i = 0; i < 30; ++i) {
+            const auto w = static_cast<int>((s * 7 + i) % workerCount);
+            const double factor = w % 4 == 0 ? 1.3 : 1.0;
+            speeds.observe(boot("w" + std::to_string(w)), task("j" + std::to_string(s), s, i),
+                ms((2000 + 3000.0 * s) * factor * std::exp(uneven(random))));
+        }
+    }
+    speeds.update();
+    for (int w = 0; w < workerCount; ++w) {
+        const double slowness = speeds.slowness(boot("w" + std::to_string(w)));
+        BOOST_TEST((slowness > 1.09) == (w % 4 == 0));
+    }
+    BOOST_TEST(speeds.slowness(boot("unknown")) == 1.0);
+}
+
+// Guards against one odd task that marks its worker as slow.
+BOOST_AUTO_TEST_CASE(a_single_sample_counts_for_little)
+{
+    worker_speeds speeds;
+    for (std::uint32_t i = 0; i < 9; ++i)
+        speeds.observe(boot("w" + std::to_string(i)), task("j", 0, i), ms(1000));
+    speeds.observe(boot("odd"), task("j", 0, 9), ms(1150));
+    speeds.update();
+    BOOST_TEST(speeds.slowness(boot("odd")) < 1.09);
+}
+
+// Guards against memory that grows with the length of a shift.
+BOOST_AUTO_TEST_CASE(samples_are_bounded)
+{
+    worker_speeds speeds;
+    for (std::uint32_t i = 0; i < 3 * worker_speeds::maxSamples; ++i)
+        speeds.observe(boot("w" + std::to_string(i % 5)), task("j", i / 50, i), ms(1000));
+    speeds.update();
+    BOOST_TEST(std::abs(speeds.slowness(boot("w1")) - 1) < 0.001);
+}
