fleet: repeat unanswered orders to a worker after 200 ms

Cause: a start without an answer was given up after 0.6 s and repeated with the next orders; the other members of its gang waited and their work was charged as thrown away.

Change: the sidecar repeats an unanswered start or stop itself, after 200 ms and up to five times between orders. Both are idempotent. A look without an answer is repeated after 0.4 s instead of 0.8 s.

--- a/packages/fleet/src/queue_sidecar.cpp
+++ b/packages/fleet/src/queue_sidecar.cpp
@@ -15,9 +15,12 @@
     constexpr std::chrono::milliseconds idleWait {
         900
     }; ///< Below the time for which a silent worker counts as reachable.
-    constexpr duration lookSlack = std::chrono::milliseconds(800); ///< Time for an answer beyond the wait.
+    constexpr duration lookSlack = std::chrono::milliseconds(400); ///< Time for an answer beyond the wait.
     constexpr duration lookPause = std::chrono::milliseconds(150); ///< After a failed look.
-    constexpr duration orderTimeout = std::chrono::milliseconds(600); ///< A start or stop is answered at once or never.
+    /// A worker on the same machine answers a start or stop within milliseconds or never. Members of a gang wait for
+    /// the one whose start is repeated.
+    constexpr duration orderTimeout = std::chrono::milliseconds(200);
+    constexpr unsigned maxRepeats = 5; ///< Without new orders; these come at least four times a second.
     constexpr unsigned workerConnections = 64;
     constexpr std::size_t maxAnnouncement = std::size_t { 64 } * 1024;
     constexpr duration recordPause = std::chrono::milliseconds(60); ///< While listed ends wait to be recorded.
@@ -30,11 +33,14 @@
         bool isAccepted { false };
         bool isRefused { false };
         std::string reason;
+        unsigned repeats { 0 }; ///< Since the last orders.
+        start_instruction start;
     };
 
     struct stop_state {
         bool isUnderWay { false };
         bool isAnswered { false };
+        unsigned repeats { 0 }; ///< Since the last orders.
         std::uint64_t confirmedBy { 0 }; ///< The first look that began after the answer.
         bool isConfirmed { false }; ///< The run does not exist and will not.
     };
@@ -55,8 +61,10 @@
     void report();
     void takeOrders(const frame&);
     void startTask(const start_instruction&);
+    void sendStart(order_state&);
     void finishStart(const run_key&, const worker_boot&, const http_result&);
     void stopTask(const run_key&);
+    void sendStop(const run_key&, stop_state&);
     void finishStop(const run_key&, const worker_boot&, const http_result&);
     address workerAddress() const;
 
@@ -336,9 +344,18 @@
         state.reason = "draining";
         return report();
     }
+    state.start = start;
+    state.repeats = 0;
+    sendStart(state);
+}
+
+void queue_sidecar::impl::sendStart(order_state& state)
+{
     state.isUnderWay = true;
-    client.send(workerAddress(), dialect.startRequest(worker->boot, start, term), orderTimeout, connection_use::kept,
-        [this, run = start.run, boot = worker->boot](const http_result& result) { finishStart(run, boot, result); });
+    client.send(workerAddress(), dialect.startRequest(worker->boot, state.start, term), orderTimeout,
+        connection_use::kept, [this, run = state.start.run, boot = worker->boot](const http_result& result) {
+            finishStart(run, boot, result);
+        });
 }
 
 void queue_sidecar::impl::finishStart(const run_key& run, const worker_boot& boot, const http_result& result)
@@ -354,6 +371,9 @@
         logEvent(log_level::warning, "start_unanswered",
             { { "job", run.task.job.value() }, { "task", toString(run.task) }, { "run", run.run.value() },
                 { "reason", result.error().cause.message } });
+        // The same run may be ordered any number of times; the worker takes it once.
+        if (state.repeats++ < maxRepeats && !stops.contains(run))
+            sendStart(state);
         return;
     }
     const auto [outcome, reason] = dialect.readStartResult(result.value());
@@ -374,12 +394,17 @@
     auto& state = stops[run];
     if (state.isUnderWay || state.isAnswered)
         return;
+    state.repeats = 0;
+    sendStop(run, state);
+}
+
+void queue_sidecar::impl::sendStop(const run_key& run, stop_state& state)
+{
     state.isUnderWay = true;
     client.send(workerAddress(), dialect.stopRequest(worker->boot, run, term), orderTimeout, connection_use::kept,
         [this, run, boot = worker->boot](const http_result& result) { finishStop(run, boot, result); });
 }
 
-/// A stop without an answer is repeated at the next orders.
 void queue_sidecar::impl::finishStop(const run_key& run, const worker_boot& boot, const http_result& result)
 {
     const auto found = stops.find(run);
@@ -388,6 +413,8 @@
     found->second.isUnderWay = false;
     if (result.has_error()) {
         unanswered.add();
+        if (found->second.repeats++ < maxRepeats)
+            sendStop(run, found->second);
         return;
     }
     found->second.isAnswered = result.value().status == 200;
--- a/packages/soak/src/soak_main.cpp
+++ b/packages/soak/src/soak_main.cpp
@@ -66,7 +66,12 @@
     const auto beside = std::filesystem::canonical("/proc/self/exe").parent_path() / "poplardeald";
     const auto daemon = FLAGS_daemon.empty() ? beside.string() : FLAGS_daemon;
     bool held = true;
-    for (std::uint32_t i = 0; i < FLAGS_count; ++i)
-        held = poplardeal::soak::runOne(FLAGS_seed + i, daemon) && held;
+    try {
+        for (std::uint32_t i = 0; i < FLAGS_count; ++i)
+            held = poplardeal::soak::runOne(FLAGS_seed + i, daemon) && held;
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "poplardeal-soak: %s\n", error.what());
+        return 1;
+    }
     return held ? 0 : 1;
 }
