jobs: replicate samples of workers' speeds; base: logs never wait

Cause 2: a daemon whose standard output is not read would have stood still once the pipe was full.

Change: the job table takes a sample from each task that is done, the leader adds tasks that have come 30% far, and fits both twice a second.

--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -1,6 +1,7 @@
+#include "line_writer.h"
 #include <ctime>
 #include <iomanip>
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -11,6 +12,7 @@
 #include <poplardeal/base/log.h>
 #include <poplardeal/base/logical_clock.h>
 #include <sstream>
+#include <unistd.h>
 
 namespace poplardeal {
 namespace detail {
@@ -24,6 +26,25 @@
         }
     };
 
+    static std::string droppedLine(std::uint64_t count);
+
+    /// Writes to standard output or error without waiting for the reader.
+    class console_appender final : public log4cplus::Appender {
+    public:
+        explicit console_appender(int descriptor)
+            : m_writer(descriptor, droppedLine)
+        {
+        }
+        ~console_appender() override { destructorImpl(); }
+        void close() override { closed = true; }
+
+    private:
+        // log4cplus calls this under its lock.
+        void append(const log4cplus::spi::InternalLoggingEvent& event) override { m_writer.write(event.getMessage()); }
+
+        line_writer m_writer;
+    };
+
     struct log_state {
         log4cplus::Initializer initializer;
         log_options options;
@@ -78,6 +99,27 @@
         return out.str();
     }
 
+    static std::string lineOf(const log_options& options, std::uint64_t clock, log_level level, std::string_view event,
+        const nlohmann::json& fields)
+    {
+        nlohmann::ordered_json line;
+        line["time"] = wallClockText();
+        line["clock"] = clock;
+        line["level"] = levelName(level);
+        line["process"] = options.process;
+        line["data_centre"] = options.dataCentre;
+        line["event"] = event;
+        for (const auto& [key, value] : fields.items())
+            line[key] = value;
+        return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+
+    static std::string droppedLine(std::uint64_t count)
+    {
+        return lineOf(logState()->options, advanceLogicalClock(), log_level::warning, "log_lines_dropped",
+            { { "count", count }, { "reason", "the reader of the log does not keep up" } });
+    }
+
 } // namespace detail
 
 void initLogging(const log_options& options)
@@ -88,7 +130,7 @@
     state->logger.setLogLevel(detail::toLog4cplus(options.level));
     log4cplus::SharedAppenderPtr appender;
     if (options.file.empty())
-        appender = new log4cplus::ConsoleAppender(!options.toStandardOutput, true);
+        appender = new detail::console_appender(options.toStandardOutput ? STDOUT_FILENO : STDERR_FILENO);
     else
         appender = new log4cplus::FileAppender(options.file, std::ios_base::app, true);
     appender->setLayout(std::make_unique<detail::message_layout>());
@@ -99,21 +141,12 @@
 
 void logEvent(log_level level, std::string_view event, const nlohmann::json& fields)
 {
-    const auto clock = advanceLogicalClock();
     auto& state = detail::logState();
+    // Advanced for lines below the level too, so that the order of events does not depend on it.
+    const auto clock = advanceLogicalClock();
     if (!state || !state->logger.isEnabledFor(detail::toLog4cplus(level)))
         return;
-    nlohmann::ordered_json line;
-    line["time"] = detail::wallClockText();
-    line["clock"] = clock;
-    line["level"] = detail::levelName(level);
-    line["process"] = state->options.process;
-    line["data_centre"] = state->options.dataCentre;
-    line["event"] = event;
-    for (const auto& [key, value] : fields.items())
-        line[key] = value;
-    const auto text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    state->logger.log(detail::toLog4cplus(level), text);
+    state->logger.log(detail::toLog4cplus(level), detail::lineOf(state->options, clock, level, event, fields));
 }
 
 void logEvent(log_level level, std::string_view event) { logEvent(level, event, nlohmann::json::object()); }
--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 #include <poplardeal/base/log.h>
 #include <poplardeal/jobs/codec.h>
+#include <span>
 
 namespace poplardeal::detail {
 
@@ -13,6 +14,7 @@
     constexpr duration planDelay = std::chrono::milliseconds(2); // Events of one moment share a plan.
     constexpr std::uint32_t retryAfterMs = 1000; // About the time of an election; the unit of Retry-After is a second.
     constexpr std::size_t submissionIdLength = 16;
+    constexpr std::size_t maxStepsLogged = 8; ///< Of a job in its log line.
 
     message::queue_answerT answer(queue_outcome outcome, std::string reason = {})
     {
@@ -33,7 +35,8 @@
     nlohmann::json describe(const submission_spec& job)
     {
         auto out = nlohmann::json::array();
-        for (const auto& step : job.steps)
+        const auto count = std::min(job.steps.size(), maxStepsLogged);
+        for (const auto& step : std::span(job.steps).first(count))
             out.push_back({ { "tasks", step.count }, { "cpu_millicores", step.need.cpu.count() },
                 { "memory_mib", step.need.memory.count() }, { "accelerators", step.need.accelerator.count() },
                 { "gang", step.gang },
@@ -138,7 +141,7 @@
     const auto now = m_loop.now();
     m_planWanted = false;
     m_plannedAt = now;
-    const auto& views = m_workers.views(now);
+    const auto& views = m_workers.views(m_machine.table(), now);
     auto decisions = planJobs(
         m_plannerOptions, { m_machine.table(), views, m_workers.stopping(), m_claims, now, m_loop.wallClock() });
     m_claims = std::move(decisions.claims);
--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -5,6 +5,7 @@
 #include <poplardeal/jobs/command.h>
 #include <poplardeal/jobs/model.h>
 #include <poplardeal/jobs/run_time_model.h>
+#include <poplardeal/jobs/worker_speeds.h>
 #include <set>
 #include <string>
 #include <vector>
@@ -130,6 +131,7 @@
         return m_runTimes.expected(job.queue, step.estimate);
     }
     const run_time_model& runTimes() const { return m_runTimes; }
+    const worker_speeds& speeds() const { return m_speeds; }
 
     /// The unit of a task; null if there is no such task.
     const unit* findUnit(const task_key&) const;
@@ -157,7 +159,7 @@
     unit* locate(const task_key&);
     bool mayStart(const task_start&) const;
     void endMember(const task_key&, run_number, end_kind, const checkpoint&, instant at);
-    void learnRunTime(const submission&, const task_key&, const unit&, instant at);
+    void learn(const submission&, const task_key&, const unit&, instant at);
     void settle(submission&, const task_key&, unit&, bool isDone, instant at);
     void finish(submission&, submission_phase, instant at);
     void closeIfOver(const submission&);
@@ -169,6 +171,7 @@
     queue_plan m_plan;
     std::set<data_centre_name> m_outOfService;
     run_time_model m_runTimes;
+    worker_speeds m_speeds;
     std::map<submission_id, submission> m_jobs;
     std::set<submission_id> m_open;
     std::map<worker_boot, std::set<run_key>> m_runs; ///< Derived from `m_jobs`.
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -18,7 +18,6 @@
     instant startedAt; ///< First seen running, on the leader's clock.
     instant progressedAt; ///< When `percent` last grew.
     instant reportedAt; ///< Last report that listed it.
-    bool isSampled { false }; ///< Its speed has been taken into account.
 };
 
 /// Progress below this many percent says too little about the speed of a run.
--- a/packages/jobs/include/poplardeal/jobs/worker_registry.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -3,7 +3,6 @@
 #include <map>
 #include <poplardeal/jobs/job_table.h>
 #include <poplardeal/jobs/planner.h>
-#include <poplardeal/jobs/worker_speeds.h>
 #include <set>
 #include <string>
 #include <vector>
@@ -89,8 +88,8 @@
     /// Runs whose leases are certain to have expired.
     std::vector<released_run> expired(const job_table&, instant now);
 
-    /// Refreshes `isReachable`; call before planning.
-    const std::map<worker_id, worker_view>& views(instant now);
+    /// Refreshes `isReachable` and `slowness`; call before planning.
+    const std::map<worker_id, worker_view>& views(const job_table&, instant now);
     const std::set<run_key>& stopping() const { return m_stopping; }
 
 private:
@@ -116,8 +115,8 @@
         const worker_boot& earlier, const worker_status&, const job_table&, std::set<run_key>& inherited) const;
     bool hasListed(const worker_boot&, const run_key&) const;
     released_run releaseOf(const run_key&, const worker_boot&, const job_table&) const;
-    void updateRunning(const worker_status&, worker_view&, const job_table&, instant now);
-    void sampleSpeed(const worker_boot&, const task_key&, run_view&, const job_table&);
+    void updateRunning(const worker_status&, worker_view&, instant now) const;
+    void learnSpeeds(const job_table&);
     void judgeEnds(const record_ends&, const job_table&, session&, worker_view&, instant now);
     void addStrike(session&, worker_view&, instant now);
     std::int64_t estimatedClock(const session&, instant now) const;
@@ -129,7 +128,7 @@
     std::map<worker_id, worker_view> m_views;
     std::map<worker_id, session> m_sessions;
     std::set<run_key> m_stopping;
-    worker_speeds m_speeds;
+    instant m_speedsAt; ///< When the speeds of workers were last brought up to date.
 };
 
 } // namespace poplardeal
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -7,6 +7,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(unit_member, worker, isOver)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
     unit, phase, lastRun, failures, runFailed, saved, waitingSince, startedAt, isResumed, members)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(speed_sample, worker, task, runTime)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(run_time_record, count, meanLog, spreadLog, meanBias, spreadBias)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_state, units, doneUnits)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_occurrence, steps)
@@ -210,23 +211,30 @@
         settle(job, task, *ended, false, at);
 }
 
-/// One measurement a step, when half of its units are done: the first to finish are the short ones.
-void job_table::learnRunTime(const submission& job, const task_key& task, const unit& done, instant at)
+void job_table::learn(const submission& job, const task_key& task, const unit& done, instant at)
 {
     const auto& spec = job.spec.steps[task.step];
     const auto& step = job.occurrences[task.occurrence].steps[task.step];
-    if (step.doneUnits == (step.units.size() + 1) / 2 && done.isActive() && !done.isResumed)
-        m_runTimes.observe(job.queue, spec.estimate, at - done.startedAt);
+    const auto runTime = at - done.startedAt;
+    if (!done.isActive() || done.isResumed)
+        return;
+    // One measurement a step, when half of its units are done: the first to finish are the short ones.
+    if (step.doneUnits == (step.units.size() + 1) / 2)
+        m_runTimes.observe(job.queue, spec.estimate, runTime);
+    if (!spec.gang && step.units.size() > 1)
+        m_speeds.observe({ done.members.front().worker, task, runTime });
 }
 
 void job_table::settle(submission& job, const task_key& task, unit& ended, bool isDone, instant at)
 {
     forgetRuns(task, job.spec.steps[task.step], ended);
-    ended.members.clear();
     auto& step = job.occurrences[task.occurrence].steps[task.step];
     if (isDone) {
         ++step.doneUnits;
-        learnRunTime(job, task, ended, at);
+        learn(job, task, ended, at);
+    }
+    ended.members.clear();
+    if (isDone) {
         ended.phase = unit_phase::done;
         const bool complete = std::all_of(
             job.occurrences.begin(), job.occurrences.end(), [](const job_occurrence& each) { return each.isDone(); });
@@ -330,6 +338,7 @@
     nlohmann::json out;
     out["plan"] = m_plan;
     out["out_of_service"] = m_outOfService;
+    out["speeds"] = m_speeds.samples();
     out["run_times"] = m_runTimes.records();
     out["sequence"] = m_sequence;
     out["pruned_at"] = m_prunedAt;
@@ -347,6 +356,7 @@
         job_table read;
         read.m_plan = in.at("plan").get<queue_plan>();
         read.m_outOfService = in.at("out_of_service").get<std::set<data_centre_name>>();
+        read.m_speeds.restore(in.at("speeds").get<std::deque<speed_sample>>());
         read.m_runTimes.restore(in.at("run_times").get<std::map<queue_name, run_time_record>>());
         read.m_sequence = in.at("sequence").get<std::uint64_t>();
         read.m_prunedAt = in.at("pruned_at").get<instant>();
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -14,6 +14,7 @@
     /// Of progress for a sample of a worker's speed. Reports come every quarter of a second, which is under a tenth of
     /// that part of a run of 10 s.
     constexpr double sampledPercent = 30;
+    constexpr duration speedsInterval = std::chrono::milliseconds(500); ///< A fit takes milliseconds at 4,000 samples.
 
     std::int64_t toMilliseconds(duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
 
@@ -27,6 +28,7 @@
 void worker_registry::takeOver(instant now)
 {
     m_takenOverAt = now;
+    m_speedsAt = {};
     m_views.clear();
     m_sessions.clear();
     m_stopping.clear();
@@ -91,33 +93,18 @@
     known.address = status.address;
 }
 
-/// Once in a run, when its progress is known to a few percent.
-void worker_registry::sampleSpeed(
-    const worker_boot& worker, const task_key& task, run_view& seen, const job_table& table)
-{
-    const auto* job = table.find(task.job);
-    if (seen.isSampled || seen.percent - seen.startPercent < sampledPercent || job == nullptr)
-        return;
-    seen.isSampled = true;
-    const auto& step = job->spec.steps[task.step];
-    if (const auto runTime = measuredRunTime(seen); runTime && !step.gang && !step.longRunning)
-        m_speeds.observe(worker, task, *runTime);
-}
-
-void worker_registry::updateRunning(const worker_status& status, worker_view& view, const job_table& table, instant now)
+void worker_registry::updateRunning(const worker_status& status, worker_view& view, instant now) const
 {
     std::map<task_key, run_view> fresh;
     for (const auto& listed : status.running) {
-        run_view item { listed.run, listed.saved, listed.percent, listed.percent, now, now, now, false };
+        run_view item { listed.run, listed.saved, listed.percent, listed.percent, now, now, now };
         const auto before = view.running.find(listed.task);
         if (before != view.running.end() && before->second.run == listed.run) {
             item.startedAt = before->second.startedAt;
             item.startPercent = before->second.startPercent;
-            item.isSampled = before->second.isSampled;
             if (listed.percent <= before->second.percent && listed.saved == before->second.saved)
                 item.progressedAt = before->second.progressedAt;
         }
-        sampleSpeed(status.boot, listed.task, item, table);
         fresh[listed.task] = item;
     }
     view.running = std::move(fresh);
@@ -253,7 +240,7 @@
             // The order may still be carried out late. A stop makes the worker refuse it from then on.
             m_stopping.insert(run);
     }
-    updateRunning(status, view, table, now);
+    updateRunning(status, view, now);
     return out;
 }
 
@@ -351,12 +338,36 @@
     }
 }
 
-const std::map<worker_id, worker_view>& worker_registry::views(instant now)
+/// Speeds of workers from tasks that are done and from those that have come far enough.
+void worker_registry::learnSpeeds(const job_table& table)
+{
+    std::vector<speed_sample> running;
+    for (const auto& [id, view] : m_views) {
+        for (const auto& [task, seen] : view.running) {
+            const auto* job = table.find(task.job);
+            if (job == nullptr || seen.percent - seen.startPercent < sampledPercent)
+                continue;
+            const auto& step = job->spec.steps[task.step];
+            const auto runTime = measuredRunTime(seen);
+            if (runTime && !step.gang && !step.longRunning && step.count > 1)
+                running.push_back({ view.boot, task, *runTime });
+        }
+    }
+    const auto slowness = table.speeds().fit(running);
+    for (auto& [id, view] : m_views) {
+        const auto known = slowness.find(view.boot);
+        view.slowness = known == slowness.end() ? 1 : known->second;
+    }
+}
+
+const std::map<worker_id, worker_view>& worker_registry::views(const job_table& table, instant now)
 {
-    m_speeds.update();
+    if (now - m_speedsAt >= speedsInterval) {
+        m_speedsAt = now;
+        learnSpeeds(table);
+    }
     for (auto& [id, view] : m_views) {
         const auto& known = m_sessions.at(id);
-        view.slowness = m_speeds.slowness(view.boot);
         view.isReachable = known.hasLists && now - known.freshAt < m_options.reachable;
     }
     return m_views;
--- a/packages/jobs/src/worker_speeds.cpp
+++ b/packages/jobs/src/worker_speeds.cpp
@@ -22,43 +22,64 @@
         }
     };
 
+    /// A sample with its step and worker by number, so that fitting does not compare texts.
+    struct indexed_sample {
+        std::size_t worker { 0 };
+        std::size_t step { 0 };
+        double logTime { 0 };
+    };
+
+    struct sample_index {
+        std::map<worker_boot, std::size_t> workers;
+        std::map<std::tuple<submission_id, std::uint32_t, std::uint32_t>, std::size_t> steps;
+        std::vector<indexed_sample> samples;
+
+        void add(const speed_sample& each)
+        {
+            const auto& task = each.task;
+            const auto worker = workers.emplace(each.worker, workers.size()).first->second;
+            const auto step
+                = steps.emplace(std::tuple(task.job, task.occurrence, task.step), steps.size()).first->second;
+            samples.push_back({ worker, step, std::log(std::chrono::duration<double>(each.runTime).count()) });
+        }
+    };
+
 } // namespace
 
-void worker_speeds::observe(const worker_boot& worker, const task_key& task, duration runTime)
+void worker_speeds::observe(speed_sample sample)
 {
-    if (runTime <= duration::zero())
+    if (sample.runTime <= duration::zero())
         return;
-    m_samples.push_back(
-        { worker, { task.job, task.occurrence, task.step }, std::log(std::chrono::duration<double>(runTime).count()) });
+    m_samples.push_back(std::move(sample));
     if (m_samples.size() > maxSamples)
         m_samples.pop_front();
-    m_isStale = true;
 }
 
-void worker_speeds::update()
+std::map<worker_boot, double> worker_speeds::fit(const std::vector<speed_sample>& running) const
 {
-    if (!std::exchange(m_isStale, false))
-        return;
+    sample_index index;
+    for (const auto& each : m_samples)
+        index.add(each);
+    for (const auto& each : running)
+        index.add(each);
+    std::vector<double> logSlowness(index.workers.size());
     for (int i = 0; i < rounds; ++i) {
-        std::map<step_key, running_mean> steps;
-        for (const auto& each : m_samples)
-            steps[each.step].add(each.logTime - (m_logSlowness.contains(each.worker) ? m_logSlowness[each.worker] : 0));
-        std::map<worker_boot, running_mean> workers;
-        for (const auto& each : m_samples) {
-            const auto& step = steps.at(each.step);
+        std::vector<running_mean> steps(index.steps.size());
+        for (const auto& each : index.samples)
+            steps[each.step].add(each.logTime - logSlowness[each.worker]);
+        std::vector<running_mean> workers(index.workers.size());
+        for (const auto& each : index.samples) {
+            const auto& step = steps[each.step];
             if (step.count >= minStepSamples)
                 workers[each.worker].add(each.logTime - step.sum / static_cast<double>(step.count));
         }
-        m_logSlowness.clear();
-        for (const auto& [worker, mean] : workers)
-            m_logSlowness[worker] = mean.sum / (static_cast<double>(mean.count) + priorSamples);
+        for (std::size_t w = 0; w < workers.size(); ++w)
+            logSlowness[w] = workers[w].sum / (static_cast<double>(workers[w].count) + priorSamples);
     }
-}
-
-double worker_speeds::slowness(const worker_boot& worker) const
-{
-    const auto found = m_logSlowness.find(worker);
-    return found == m_logSlowness.end() ? 1 : std::exp(found->second);
+    std::map<worker_boot, double> out;
+    for (const auto& [worker, number] : index.workers)
+        out.emplace(worker, std::exp(logSlowness[number]));
+    return out;
 }
 
 } // namespace poplardeal
--- a/packages/jobs/tests/planner_test.cpp
+++ b/packages/jobs/tests/planner_test.cpp
@@ -35,7 +35,7 @@
         for (const auto& command : decisions.starts) {
             apply(command);
             for (const auto& start : command.starts)
-                workers.at(start.worker.worker).running[start.task] = { start.run, {}, 0, 0, now, now, now, false };
+                workers.at(start.worker.worker).running[start.task] = { start.run, {}, 0, 0, now, now, now };
         }
         return decisions;
     }
--- a/packages/jobs/tests/worker_registry_test.cpp
+++ b/packages/jobs/tests/worker_registry_test.cpp
@@ -138,7 +138,7 @@
     auto refusing = f.status(boot("w"), 1010);
     refusing.refused = { { { task("a"), run_number(1) }, "room" } };
     BOOST_TEST(f.registry.report(refusing, f.table, f.now).released.size() == 1U);
-    BOOST_TEST((f.registry.views(f.now).at(worker_id("w")).avoidUntil > f.now));
+    BOOST_TEST((f.registry.views(f.table, f.now).at(worker_id("w")).avoidUntil > f.now));
 }
 
 // A worker may carry out an order seconds late, while its lease is renewed. Guards against a lost start whose run is
@@ -172,13 +172,13 @@
 {
     registry_fixture f;
     f.registry.report(f.status(boot("w"), 1000), f.table, f.now);
-    BOOST_TEST(f.registry.views(f.now).at(worker_id("w")).isReachable);
+    BOOST_TEST(f.registry.views(f.table, f.now).at(worker_id("w")).isReachable);
     const auto later = f.now + std::chrono::seconds(6);
     f.registry.report(f.status(boot("w"), 1900), f.table, later);
-    BOOST_TEST(!f.registry.views(later).at(worker_id("w")).isReachable);
+    BOOST_TEST(!f.registry.views(f.table, later).at(worker_id("w")).isReachable);
     f.registry.report(f.status(boot("w"), 7000), f.table, later);
     f.registry.report(f.status(boot("w"), 7300), f.table, later + std::chrono::milliseconds(300));
-    BOOST_TEST(f.registry.views(later + std::chrono::milliseconds(300)).at(worker_id("w")).isReachable);
+    BOOST_TEST(f.registry.views(f.table, later + std::chrono::milliseconds(300)).at(worker_id("w")).isReachable);
 }
 
 // Guards against an end that is acknowledged to the worker before it is recorded.
@@ -208,8 +208,30 @@
         auto failing = f.status(boot("w"), 1000 + round);
         failing.ended = { { ++number, task("a"), run_number(1), end_kind::failed, {} } };
         f.registry.report(failing, f.table, f.now);
-        const auto pause = f.registry.views(f.now).at(worker_id("w")).avoidUntil - f.now;
+        const auto pause = f.registry.views(f.table, f.now).at(worker_id("w")).avoidUntil - f.now;
         BOOST_TEST(pause.count() > last.count());
         last = pause;
     }
 }
+
+// Guards against a new leader that has to learn again which workers are slow, in the middle of a burst.
+BOOST_AUTO_TEST_CASE(a_new_leader_knows_the_slow_workers)
+{
+    registry_fixture f;
+    f.submit("many", "bulk", { step(40, need(1)) });
+    for (std::uint32_t i = 0; i < 40; ++i)
+        f.start(task("many", 0, i), 1, boot("w" + std::to_string(i % 8)));
+    for (const std::uint32_t slow : { 0U, 1U }) {
+        f.ms += slow == 0 ? 5000 : 1500;
+        for (std::uint32_t i = 0; i < 40; ++i) {
+            if ((i % 8 == 3) == (slow == 1))
+                f.end(boot("w" + std::to_string(i % 8)), task("many", 0, i), 1, end_kind::done);
+        }
+    }
+    f.registry.takeOver(f.now);
+    for (const auto* id : { "w2", "w3" })
+        f.registry.report(f.status(boot(id), 1000), f.table, f.now);
+    const auto& views = f.registry.views(f.table, f.now);
+    BOOST_TEST(views.at(worker_id("w3")).slowness > 1.15);
+    BOOST_TEST(views.at(worker_id("w2")).slowness < 1.05);
+}
--- a/packages/jobs/tests/worker_speeds_test.cpp
+++ b/packages/jobs/tests/worker_speeds_test.cpp
@@ -24,16 +24,15 @@
         for (std::uint32_t i = 0; i < 30; ++i) {
             const auto w = static_cast<int>((s * 7 + i) % workerCount);
             const double factor = w % 4 == 0 ? 1.3 : 1.0;
-            speeds.observe(boot("w" + std::to_string(w)), task("j" + std::to_string(s), s, i),
-                ms((2000 + 3000.0 * s) * factor * std::exp(uneven(random))));
+            speeds.observe({ boot("w" + std::to_string(w)), task("j" + std::to_string(s), s, i),
+                ms((2000 + 3000.0 * s) * factor * std::exp(uneven(random))) });
         }
     }
-    speeds.update();
+    const auto slowness = speeds.fit({});
     for (int w = 0; w < workerCount; ++w) {
-        const double slowness = speeds.slowness(boot("w" + std::to_string(w)));
-        BOOST_TEST((slowness > 1.09) == (w % 4 == 0));
+        BOOST_TEST((slowness.at(boot("w" + std::to_string(w))) > 1.09) == (w % 4 == 0));
     }
-    BOOST_TEST(speeds.slowness(boot("unknown")) == 1.0);
+    BOOST_TEST(!slowness.contains(boot("unknown")));
 }
 
 // Guards against one odd task that marks its worker as slow.
@@ -41,10 +40,9 @@
 {
     worker_speeds speeds;
     for (std::uint32_t i = 0; i < 9; ++i)
-        speeds.observe(boot("w" + std::to_string(i)), task("j", 0, i), ms(1000));
-    speeds.observe(boot("odd"), task("j", 0, 9), ms(1150));
-    speeds.update();
-    BOOST_TEST(speeds.slowness(boot("odd")) < 1.09);
+        speeds.observe({ boot("w" + std::to_string(i)), task("j", 0, i), ms(1000) });
+    speeds.observe({ boot("odd"), task("j", 0, 9), ms(1150) });
+    BOOST_TEST(speeds.fit({}).at(boot("odd")) < 1.09);
 }
 
 // Guards against memory that grows with the length of a shift.
@@ -52,7 +50,7 @@
 {
     worker_speeds speeds;
     for (std::uint32_t i = 0; i < 3 * worker_speeds::maxSamples; ++i)
-        speeds.observe(boot("w" + std::to_string(i % 5)), task("j", i / 50, i), ms(1000));
-    speeds.update();
-    BOOST_TEST(std::abs(speeds.slowness(boot("w1")) - 1) < 0.001);
+        speeds.observe({ boot("w" + std::to_string(i % 5)), task("j", i / 50, i), ms(1000) });
+    BOOST_TEST(speeds.samples().size() == worker_speeds::maxSamples);
+    BOOST_TEST(std::abs(speeds.fit({}).at(boot("w1")) - 1) < 0.001);
 }
