fleet: replace silent connections between controls

Change: the mesh probes its peers every 0.5 s and replaces a connection on which nothing has been heard for 1.5 s. Children of the soak inherit no descriptors and end with it.

--- a/packages/fleet/src/peer_mesh.cpp
+++ b/packages/fleet/src/peer_mesh.cpp
@@ -1,5 +1,7 @@
 #include "peer_mesh.h"
 #include "replica_address.h"
+#include <nlohmann/json.hpp>
+#include <poplardeal/base/log.h>
 #include <poplardeal/wire/message.h>
 
 namespace poplardeal::detail {
@@ -8,6 +10,8 @@
 
     constexpr duration longestRedial = std::chrono::milliseconds(300); // Below the election timeout.
     constexpr duration idleLimit = std::chrono::seconds(30);
+    constexpr duration probeInterval = std::chrono::milliseconds(500);
+    constexpr duration silenceLimit = std::chrono::milliseconds(1500); ///< Two probes may be late.
 
 } // namespace
 
@@ -24,31 +28,52 @@
         return;
     auto& known = m_peers[to];
     known.usedAt = now;
-    if (!known.link) {
-        const std::uint64_t seed = (std::uint64_t { m_self.value() } << 32) | to.value();
-        known.link = std::make_unique<dialer>(m_loop, address { ipOf(to), m_settings.framePort }, seed, longestRedial);
-        auto* link = known.link.get();
-        link->onUp([this, link] {
-            message::helloT hello;
-            hello.role = message::process_role::control;
-            hello.name = m_settings.name;
-            hello.data_centre = m_settings.dataCentre.value();
-            hello.replica = m_self.value();
-            hello.protocol = 1;
-            link->send(packMessage(frame_kind::hello, 0, hello));
-        });
-        link->onFrame([this](const frame& received) {
-            if (m_onFrame)
-                m_onFrame(received);
-        });
-        link->start();
-    }
+    if (!known.link)
+        dial(to, known);
     known.link->send(out);
 }
 
+void peer_mesh::dial(replica_id to, peer& known)
+{
+    const std::uint64_t seed = (std::uint64_t { m_self.value() } << 32) | to.value();
+    known.link = std::make_unique<dialer>(m_loop, address { ipOf(to), m_settings.framePort }, seed, longestRedial);
+    known.heardAt = m_loop.now();
+    auto* link = known.link.get();
+    link->onUp([this, to, link] {
+        message::helloT hello;
+        hello.role = message::process_role::control;
+        hello.name = m_settings.name;
+        hello.data_centre = m_settings.dataCentre.value();
+        hello.replica = m_self.value();
+        hello.protocol = 1;
+        link->send(packMessage(frame_kind::hello, 0, hello));
+        m_peers.at(to).heardAt = m_loop.now();
+    });
+    link->onFrame([this, to](const frame& received) {
+        m_peers.at(to).heardAt = m_loop.now();
+        if (m_onFrame)
+            m_onFrame(received);
+    });
+    link->start();
+}
+
 void peer_mesh::tick(instant now)
 {
     std::erase_if(m_peers, [now](const auto& item) { return now - item.second.usedAt > idleLimit; });
+    for (auto& [to, known] : m_peers) {
+        if (!known.link->isUp())
+            continue;
+        if (now - known.heardAt >= silenceLimit) {
+            logEvent(log_level::warning, "connection_silent",
+                { { "peer", toString(known.link->peer()) },
+                    { "silent_ms",
+                        std::chrono::duration_cast<std::chrono::milliseconds>(now - known.heardAt).count() } });
+            dial(to, known);
+        } else if (now - known.probedAt >= probeInterval) {
+            known.probedAt = now;
+            known.link->send(packMessage(frame_kind::control_probe, 0, message::control_probeT {}));
+        }
+    }
 }
 
 } // namespace poplardeal::detail
--- a/packages/fleet/src/peer_mesh.h
+++ b/packages/fleet/src/peer_mesh.h
@@ -21,15 +21,20 @@
     void send(replica_id to, const frame&, instant now);
     /// Answers that arrive on these connections.
     void onFrame(std::function<void(const frame&)> handler) { m_onFrame = std::move(handler); }
-    /// Drops connections that are no longer used.
+    /// Drops connections that are no longer used and replaces silent ones: a connection may stop passing anything on
+    /// without being closed, while new ones work.
     void tick(instant now);
 
 private:
     struct peer {
         std::unique_ptr<dialer> link;
         instant usedAt;
+        instant probedAt;
+        instant heardAt; ///< Last frame, or when the connection came up.
     };
 
+    void dial(replica_id to, peer&);
+
     event_loop& m_loop;
     const fleet_settings& m_settings;
     replica_id m_self;
--- a/packages/soak/src/child_process.cpp
+++ b/packages/soak/src/child_process.cpp
@@ -2,6 +2,7 @@
 #include <cerrno>
 #include <csignal>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <system_error>
 #include <unistd.h>
@@ -31,6 +32,9 @@
     if (id == 0) {
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
+        // A connection of a proxy that a child holds too would stay open after the proxy has closed it.
+        ::close_range(STDERR_FILENO + 1, ~0U, 0);
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Nothing goes on if the soak itself is ended.
         ::execv(arguments.front(), arguments.data());
         ::_exit(127);
     }
