--- a/packages/fleet/src/peer_mesh.cpp
+++ b/packages/fleet/src/peer_mesh.cpp
@@ -50,7 +50,10 @@
         m_peers.at(to).heardAt = m_loop.now();
     });
     link->onFrame([this, to](const frame& received) {
-        m_peers.at(to).heardAt = m_loop.now();
+        auto& heard = m_peers.at(to);
+        heard.heardAt = m_loop.now();
+        if (std::exchange(heard.isLost, false))
+            logEvent(log_level::info, "connection_regained", { { "peer", toString(heard.link->peer()) } });
         if (m_onFrame)
             m_onFrame(received);
     });
@@ -64,10 +67,11 @@
         if (!known.link->isUp())
             continue;
         if (now - known.heardAt >= silenceLimit) {
-            logEvent(log_level::warning, "connection_silent",
-                { { "peer", toString(known.link->peer()) },
-                    { "silent_ms",
-                        std::chrono::duration_cast<std::chrono::milliseconds>(now - known.heardAt).count() } });
+            if (!std::exchange(known.isLost, true))
+                logEvent(log_level::warning, "connection_silent",
+                    { { "peer", toString(known.link->peer()) },
+                        { "silent_ms",
+                            std::chrono::duration_cast<std::chrono::milliseconds>(now - known.heardAt).count() } });
             dial(to, known);
         } else if (now - known.probedAt >= probeInterval) {
             known.probedAt = now;
