fleet, jobs, soak: repairs from reading the change as a whole

Cause: a relay that could not pass a frame on dropped it without a word; the walk over running units stood twice; the soak had parameters and members that nothing used, and a name that did not say that its worker is a stand-in.

Change: such a relay is closed and logged (relay_closed), so that the caller takes another way; one forEachActive; the soak's worker is standin_worker. No decision has changed.

--- a/packages/fleet/src/leader_link.cpp
+++ b/packages/fleet/src/leader_link.cpp
@@ -212,7 +212,7 @@
         way.probedAt = now;
         way.link->send(packMessage(frame_kind::control_probe, 0, message::control_probeT {}));
     }
-    if (now - way.heardAt < (leads ? leaderSilence : followerSilence))
+    if (kind == path_kind::relayed || now - way.heardAt < (leads ? leaderSilence : followerSilence))
         return;
     logEvent(log_level::warning, "connection_silent",
         { { "peer", toString(frames) },
--- a/packages/fleet/src/relay_host.cpp
+++ b/packages/fleet/src/relay_host.cpp
@@ -48,13 +48,20 @@
         m_pipes.erase(number);
         return;
     }
-    if (open.onward->isUp()) {
-        open.onward->send(received);
-    } else if (open.waiting.size() < maxWaiting) {
+    const bool isUp = open.onward->isUp();
+    const bool isTaken = isUp ? open.onward->send(received) : open.waiting.size() < maxWaiting;
+    if (!isTaken)
+        return close(number, "the control does not take frames");
+    if (!isUp)
         open.waiting.push_back(std::move(received));
-    } else {
-        m_pipes.erase(number);
-    }
+}
+
+/// The caller notices and looks for another way.
+void relay_host::close(std::uint64_t number, const char* reason)
+{
+    logEvent(log_level::warning, "relay_closed",
+        { { "peer", toString(m_pipes.at(number).caller->peer()) }, { "reason", reason } });
+    m_pipes.erase(number);
 }
 
 void relay_host::connect(std::uint64_t number, pipe& open, const address& target)
@@ -70,8 +77,11 @@
             up.onward->send(each);
     });
     link->onDown([this, number] { m_pipes.erase(number); });
-    link->onFrame([this, number](const frame& received) { m_pipes.at(number).caller->send(received); });
-    open.dialTimer = m_loop.after(dialLimit, [this, number] { m_pipes.erase(number); });
+    link->onFrame([this, number](const frame& received) {
+        if (!m_pipes.at(number).caller->send(received))
+            close(number, "the caller does not take frames");
+    });
+    open.dialTimer = m_loop.after(dialLimit, [this, number] { close(number, "the control cannot be reached"); });
     link->start();
 }
 
--- a/packages/fleet/src/relay_host.h
+++ b/packages/fleet/src/relay_host.h
@@ -41,6 +41,7 @@
     void accept(std::unique_ptr<channel>);
     void handle(std::uint64_t number, frame);
     void connect(std::uint64_t number, pipe&, const address& target);
+    void close(std::uint64_t number, const char* reason);
 
     event_loop& m_loop;
     std::function<bool(const address&)> m_isControl;
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -73,7 +73,7 @@
     return m_input.table.expectedRunTime(job, spec);
 }
 
-void placement_round::occupyWorkers()
+template <class Action> void placement_round::forEachActive(Action action) const
 {
     for (const auto& id : m_input.table.openJobs()) {
         const auto& job = *m_input.table.find(id);
@@ -82,13 +82,20 @@
                 const auto& units = job.occurrences[o].steps[s].units;
                 for (std::uint32_t u = 0; u < units.size(); ++u) {
                     if (units[u].isActive())
-                        occupy(job, { id, o, s, u }, job.spec.steps[s], units[u]);
+                        action(job, unit_key { id, o, s, u }, job.spec.steps[s], units[u]);
                 }
             }
         }
     }
 }
 
+void placement_round::occupyWorkers()
+{
+    forEachActive([this](const auto& job, const auto& key, const auto& step, const auto& active) {
+        occupy(job, key, step, active);
+    });
+}
+
 const run_view* placement_round::viewOf(
     const unit_key& key, const step_spec& step, const unit& active, std::uint32_t member) const
 {
@@ -223,18 +230,9 @@
 
 void placement_round::stopWhatMustEnd()
 {
-    for (const auto& id : m_input.table.openJobs()) {
-        const auto& job = *m_input.table.find(id);
-        for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
-            for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
-                const auto& units = job.occurrences[o].steps[s].units;
-                for (std::uint32_t u = 0; u < units.size(); ++u) {
-                    if (units[u].isActive())
-                        stopMembersOf(job, { id, o, s, u }, job.spec.steps[s], units[u]);
-                }
-            }
-        }
-    }
+    forEachActive([this](const auto& job, const auto& key, const auto& step, const auto& active) {
+        stopMembersOf(job, key, step, active);
+    });
 }
 
 bool placement_round::isReady(const submission& job, std::uint32_t occurrence, std::uint32_t step) const
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -74,6 +74,8 @@
     job_decisions takeDecisions() { return std::move(m_decisions); }
 
 private:
+    /// Calls `action(job, key, step, unit)` for every unit that runs.
+    template <class Action> void forEachActive(Action) const;
     void occupyWorkers();
     void occupy(const submission&, const unit_key&, const step_spec&, const unit&);
     const run_view* viewOf(const unit_key&, const step_spec&, const unit&, std::uint32_t member) const;
--- a/packages/soak/src/promises.cpp
+++ b/packages/soak/src/promises.cpp
@@ -9,13 +9,12 @@
     known.tasks = tasks;
 }
 
-void promises::accepted(const std::string& job, instant now)
+void promises::accepted(const std::string& job)
 {
     auto& known = m_jobs.at(job);
     if (known.isAccepted)
         return;
     known.isAccepted = true;
-    known.acceptedAt = now;
     ++m_acceptedCount;
 }
 
@@ -39,7 +38,7 @@
     known.isCancelled = true;
 }
 
-void promises::shown(const std::string& job, int status, const std::string& state, instant)
+void promises::shown(const std::string& job, int status, const std::string& state)
 {
     auto& known = m_jobs.at(job);
     if (!known.isAccepted)
@@ -106,14 +105,11 @@
     record.runs[life] = run;
 }
 
-void promises::ended(const std::string& task, std::uint32_t, const std::string& life, const std::string& how)
+void promises::ended(const std::string& task, const std::string& life, const std::string& how)
 {
-    auto& record = m_tasks[task];
-    record.runs.erase(life);
-    if (how != "done")
-        return;
-    record.isDone = true;
-    m_doneTasks[jobOf(task)].insert(task);
+    m_tasks[task].runs.erase(life);
+    if (how == "done")
+        m_doneTasks[jobOf(task)].insert(task);
 }
 
 void promises::acknowledged(const std::string& task, const std::string& how)
--- a/packages/soak/src/promises.h
+++ b/packages/soak/src/promises.h
@@ -14,14 +14,14 @@
 public:
     // Callers.
     void sent(const std::string& job, const std::string& payload, std::uint32_t tasks);
-    void accepted(const std::string& job, instant now);
+    void accepted(const std::string& job);
     /// An attempt had no answer, or one that leaves it open.
     void unclear(const std::string& job);
     /// The client stops after every attempt had an answer. Unless one left it open, the job was rejected.
     void gaveUp(const std::string& job);
     void cancelAsked(const std::string& job);
     void cancelled(const std::string& job, instant now);
-    void shown(const std::string& job, int status, const std::string& state, instant now);
+    void shown(const std::string& job, int status, const std::string& state);
 
     // Operators.
     void planAcknowledged(std::uint64_t version, instant now);
@@ -33,7 +33,7 @@
     // Workers. `life` names one boot of a worker.
     void started(const std::string& task, std::uint32_t run, const std::string& life, const std::string& dataCentre,
         const std::string& payload, instant now);
-    void ended(const std::string& task, std::uint32_t run, const std::string& life, const std::string& how);
+    void ended(const std::string& task, const std::string& life, const std::string& how);
     /// The end has been taken note of by the scheduler.
     void acknowledged(const std::string& task, const std::string& how);
     /// All runs of a life are over.
@@ -62,12 +62,10 @@
         bool isCancelAsked { false };
         bool isCancelled { false };
         bool isCompleted { false };
-        instant acceptedAt;
         instant cancelledAt;
     };
     struct task_record {
         std::map<std::string, std::uint32_t> runs; ///< By life.
-        bool isDone { false };
         bool isNoted { false }; ///< An end `done` was acknowledged.
     };
 
--- a/packages/soak/src/soak.cpp
+++ b/packages/soak/src/soak.cpp
@@ -42,7 +42,7 @@
     for (std::size_t i = 0; i < m_cluster.sidecars().size(); ++i) {
         worker_place place { "w" + std::to_string(i), i % 2 == 0 ? "east" : "west", "r" + std::to_string(i % 2),
             m_cluster.workerAddress(i), m_cluster.sidecarAddress(i) };
-        m_workers.push_back(std::make_unique<soak_worker>(loop, place, m_promises, options.seed * 100 + i));
+        m_workers.push_back(std::make_unique<standin_worker>(loop, place, m_promises, options.seed * 100 + i));
     }
 }
 
@@ -86,7 +86,7 @@
             const int status = out.has_value() ? out.value().status : 0;
             if (status == 200) {
                 job->isAccepted = true;
-                m_promises.accepted(job->id, m_loop.now());
+                m_promises.accepted(job->id);
                 if (job->willCancel)
                     later(someTime(0, 1500), [this, job] { cancel(job); });
                 return poll(job);
@@ -112,7 +112,7 @@
             if (out.has_value()) {
                 const auto body = nlohmann::json::parse(out.value().body, nullptr, false);
                 const auto state = body.is_object() ? body.value("state", std::string()) : std::string();
-                m_promises.shown(job->id, out.value().status, state, m_loop.now());
+                m_promises.shown(job->id, out.value().status, state);
                 job->isOver = state == "completed" || state == "cancelled" || state == "failed";
             }
             later(pollInterval, [this, job] { poll(job); });
@@ -206,7 +206,8 @@
 
 void soak::failProcess()
 {
-    auto& each = *oneOf(*std::make_unique<std::vector<member*>>(m_cluster.all()));
+    auto members = m_cluster.all();
+    auto& each = *oneOf(members);
     auto* process = each.process.get();
     switch (between(0, 3)) {
     case 0: {
--- a/packages/soak/src/soak.h
+++ b/packages/soak/src/soak.h
@@ -2,7 +2,7 @@
 
 #include "promises.h"
 #include "soak_cluster.h"
-#include "soak_worker.h"
+#include "standin_worker.h"
 #include <deque>
 #include <functional>
 #include <random>
@@ -70,7 +70,7 @@
     std::mt19937_64 m_random;
     promises m_promises;
     soak_cluster m_cluster;
-    std::vector<std::unique_ptr<soak_worker>> m_workers;
+    std::vector<std::unique_ptr<standin_worker>> m_workers;
     http_client m_client;
     instant m_begun;
     instant m_wipedAt;
@@ -80,7 +80,6 @@
     std::uint64_t m_plan { 0 };
     std::size_t m_plansAcknowledged { 0 };
     std::vector<std::string> m_faults;
-    std::vector<std::function<void()>> m_repairs; ///< Undo what is still broken when healing begins.
     std::deque<event_loop::timer> m_timers;
 };
 
--- a/packages/soak/src/soak_worker.cpp
+++ b/packages/soak/src/standin_worker.cpp
@@ -1,4 +1,4 @@
-#include "soak_worker.h"
+#include "standin_worker.h"
 
 namespace poplardeal::soak {
 
@@ -17,7 +17,7 @@
 
 } // namespace
 
-soak_worker::soak_worker(event_loop& loop, worker_place place, promises& seen, std::uint64_t seed)
+standin_worker::standin_worker(event_loop& loop, worker_place place, promises& seen, std::uint64_t seed)
     : m_loop(loop)
     , m_place(std::move(place))
     , m_promises(seen)
@@ -33,9 +33,9 @@
     m_ticks = loop.every(settleInterval, [this] { settle(); });
 }
 
-std::int64_t soak_worker::clockMs() const { return 1 + toMs(m_loop.now() - m_bornAt); }
+std::int64_t standin_worker::clockMs() const { return 1 + toMs(m_loop.now() - m_bornAt); }
 
-void soak_worker::crash(bool keepsId)
+void standin_worker::crash(bool keepsId)
 {
     if (!m_id.empty())
         m_promises.lifeEnded(life());
@@ -54,7 +54,7 @@
     m_late.clear();
 }
 
-void soak_worker::announce()
+void standin_worker::announce()
 {
     http_request beat { "PUT", "/instances/" + m_id, "", { { "content-type", "application/json" } }, "" };
     nlohmann::json body { { "service", "desk" }, { "addr", toString(m_place.own) }, { "zone", m_place.dataCentre },
@@ -69,7 +69,7 @@
 
 /// Ends what has finished, and everything when the lease is over. Moments are compared, so that a late call changes
 /// nothing.
-void soak_worker::settle()
+void standin_worker::settle()
 {
     const auto now = m_loop.now();
     auto running = m_running;
@@ -81,15 +81,15 @@
     }
 }
 
-void soak_worker::end(const std::string& task, const std::string& how)
+void standin_worker::end(const std::string& task, const std::string& how)
 {
     const auto found = m_running.find(task);
     m_ended.push_back({ ++m_lastEnd, task, found->second.run, how });
-    m_promises.ended(task, found->second.run, life(), how);
+    m_promises.ended(task, life(), how);
     m_running.erase(found);
 }
 
-void soak_worker::extendLease(const nlohmann::json& body)
+void standin_worker::extendLease(const nlohmann::json& body)
 {
     const auto until = body.value("until_ms", std::int64_t(0));
     if (until == 0)
@@ -98,7 +98,7 @@
     m_leaseEnd = std::max(m_leaseEnd, std::min(longest, m_bornAt + std::chrono::milliseconds(until - 1)));
 }
 
-int soak_worker::start(const nlohmann::json& body, std::string& reason)
+int standin_worker::start(const nlohmann::json& body, std::string& reason)
 {
     const auto task = body.at("task").get<std::string>();
     const auto run = body.at("run").get<std::uint32_t>();
@@ -121,7 +121,7 @@
     return 200;
 }
 
-void soak_worker::stop(const nlohmann::json& body)
+void standin_worker::stop(const nlohmann::json& body)
 {
     const auto task = body.at("task").get<std::string>();
     const auto run = body.at("run").get<std::uint32_t>();
@@ -131,7 +131,7 @@
         end(task, "stopped");
 }
 
-nlohmann::json soak_worker::look(const nlohmann::json& body)
+nlohmann::json standin_worker::look(const nlohmann::json& body)
 {
     extendLease(body);
     const auto upTo = body.value("acked_upto", std::uint64_t(0));
@@ -152,7 +152,7 @@
     return out;
 }
 
-void soak_worker::serve(const http_request& request, const http_responder& respond)
+void standin_worker::serve(const http_request& request, const http_responder& respond)
 {
     settle();
     const auto body = nlohmann::json::parse(request.body);
--- a/packages/soak/src/soak_worker.h
+++ b/packages/soak/src/standin_worker.h
@@ -22,9 +22,9 @@
 
 /// A stand-in for the platform's worker: it guards its room, keeps leases and fences, ends its tasks by itself, lists
 /// ends until they are acknowledged, and can crash, leave calls unanswered and carry out starts late.
-class soak_worker {
+class standin_worker {
 public:
-    soak_worker(event_loop&, worker_place, promises&, std::uint64_t seed);
+    standin_worker(event_loop&, worker_place, promises&, std::uint64_t seed);
 
     /// Everything that runs is gone; a new boot answers at the same address, under the same id or another.
     void crash(bool keepsId);
--- a/packages/soak/tests/promises_test.cpp
+++ b/packages/soak/tests/promises_test.cpp
@@ -30,21 +30,21 @@
 const std::vector<promise_row> rows {
     { "a job runs whole",
         [](promises& p) {
-            p.accepted(job, at(50));
+            p.accepted(job);
             start(p, taskA, "w1");
             start(p, taskB, "w1");
-            p.ended(taskA, 1, "w1", "done");
-            p.ended(taskB, 1, "w1", "done");
+            p.ended(taskA, "w1", "done");
+            p.ended(taskB, "w1", "done");
             p.acknowledged(taskA, "done");
-            p.shown(job, 200, "completed", at(200));
+            p.shown(job, 200, "completed");
         },
         0 },
     { "completed too early",
         [](promises& p) {
-            p.accepted(job, at(50));
+            p.accepted(job);
             start(p, taskA, "w1");
-            p.ended(taskA, 1, "w1", "done");
-            p.shown(job, 200, "completed", at(200));
+            p.ended(taskA, "w1", "done");
+            p.shown(job, 200, "completed");
         },
         1 },
     { "two runs at a time",
@@ -63,7 +63,7 @@
     { "started again after its end was noted",
         [](promises& p) {
             start(p, taskA, "w1");
-            p.ended(taskA, 1, "w1", "done");
+            p.ended(taskA, "w1", "done");
             p.acknowledged(taskA, "done");
             start(p, taskA, "w2");
         },
@@ -83,8 +83,8 @@
         0 },
     { "unknown after acceptance",
         [](promises& p) {
-            p.accepted(job, at(50));
-            p.shown(job, 410, "", at(100));
+            p.accepted(job);
+            p.shown(job, 410, "");
         },
         1 },
     { "started long after cancellation",
