--- a/review/standin/replaced_then_lost.cc
+++ b/review/standin/replaced_then_lost.cc
@@ -1,5 +1,5 @@
-// Case: a core machine is replaced as planned: the successor starts, has its `catch_up_s`, then the old one gets SIGTERM.
-// 2 s later another one loses its disk right after it has acknowledged a manifest.
+// Case: a core machine is replaced as planned: the successor starts, has its `catch_up_s`, then the old one gets
+// SIGTERM. 2 s later another one loses its disk right after it has acknowledged a manifest.
 #include "harness.hpp"
 
 using namespace review;
