--- a/review/standin/harness.hpp
+++ b/review/standin/harness.hpp
@@ -29,6 +29,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -112,6 +113,7 @@
         const std::lock_guard guard(childrenMutex);
         pid = ::fork();
         if (pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
