--- a/review/standin/late_leave.cc
+++ b/review/standin/late_leave.cc
@@ -8,6 +8,7 @@
 {
     const auto setup = setUp(argc, argv);
     cluster_options size;
+    size.workers = 5; // One of five is the share of `srv_cut`, 0.2.
     cluster system(size, setup.daemon, setup.folder);
     if (!system.start() || !system.putPlan(planText(1), 20000))
         finish(2);
@@ -32,8 +33,8 @@
         sleepMs(5);
     leaving.restart(id);
     sleepMs(500);
-    // Three tasks fit on a runner, so that all three runners get some and two places are left.
-    const json step { { "count", 7 }, { "cpu", 40000 }, { "mem_mb", 1000 }, { "est_ms", 9000 } };
+    // Three tasks fit on a runner, so that all five runners get some and two places are left.
+    const json step { { "count", 13 }, { "cpu", 40000 }, { "mem_mb", 1000 }, { "est_ms", 9000 } };
     const json job { { "spec", "ms=9000..9500" }, { "steps", { step } } };
     if (clientCall(system, size.entries, "POST", "/jobs/" + jobId(0), job.dump(), 10000).status != 200)
         finish(2);
@@ -54,7 +55,7 @@
     }
     sleepMs(1000);
     const int breaks = countTwice();
-    record.line("job %s; %zu starts of 7 tasks; %d breaks of TWICE", state.c_str(), history.count(""), breaks);
+    record.line("job %s; %zu starts of 13 tasks; %d breaks of TWICE", state.c_str(), history.count(""), breaks);
     if (!setup.trouble && state.find("completed") == std::string::npos)
         finish(2);
     finish(breaks > 0 ? 1 : 0);
