fleet: a replaced control stops counting when it stops

What callers saw: a core machine was replaced as planned and another one lost its disk 2 s later.

Cause: the successor became the fourth voter and the old one stayed one until it had been silent for 6 s, counted anew by each leader and only with an even number of voters. Four voters of which one is gone bear no further loss, and an empty replica needs a leader to come back.

Change: a control that stops asks the leader not to count on it and votes until the answer comes. The leader removes a voter that stops or has been silent for 1 s while more than three remain, which never lowers the number of losses that the group bears. A removed replica that comes back with its old log asks to join when it hears no leader. The decisions move to group_membership, which tests drive on a simulated clock.

--- /dev/null
+++ b/packages/fleet/src/group_membership.cpp
@@ -0,0 +1,113 @@
+#include "group_membership.h"
+#include "replica_address.h"
+#include <nlohmann/json.hpp>
+#include <poplardeal/base/log.h>
+#include <poplardeal/wire/message.h>
+
+namespace poplardeal::detail {
+
+namespace {
+
+    constexpr duration joinRequestInterval = std::chrono::milliseconds(400);
+    constexpr duration leaveRequestInterval = std::chrono::milliseconds(100);
+
+    std::vector<std::uint32_t> idsOf(const membership& members)
+    {
+        std::vector<std::uint32_t> out;
+        for (const auto& each : members.members)
+            out.push_back(each.id.value());
+        return out;
+    }
+
+} // namespace
+
+group_membership::group_membership(const fleet_settings& settings, replica_id self, send_function send)
+    : m_settings(settings)
+    , m_self(self)
+    , m_send(std::move(send))
+    , m_manager(self)
+{
+}
+
+void group_membership::tick(replica& group, bool leads, instant now)
+{
+    const auto ledTerm = leads ? group.term() : 0;
+    if (leads && ledTerm != m_ledTerm)
+        m_manager.leadershipBegan(now);
+    m_ledTerm = ledTerm;
+    if (leads)
+        propose(group, now);
+    else
+        requestToJoin(group, now);
+}
+
+void group_membership::propose(replica& group, instant now)
+{
+    const auto change = m_manager.nextChange(group.members(), now);
+    if (!change)
+        return;
+    group.changeMembership(*change, now,
+        [this, before = idsOf(group.members()), ids = idsOf(*change)](const result<std::string>& outcome) {
+            m_manager.changeEnded();
+            logEvent(log_level::info, "membership_change",
+                { { "before", before }, { "members", ids },
+                    { "outcome", outcome.has_error() ? outcome.error().message : "recorded" } });
+        });
+}
+
+/// A voter that hears no leader asks as well: it may have been removed while it was away, which its own log doesn't
+/// show. The leader ignores requests of its members.
+void group_membership::requestToJoin(const replica& group, instant now)
+{
+    const bool isVoter = group.members().isVoter(m_self) && group.mayVote();
+    if ((group.leader() && isVoter) || m_leavingSince || now - m_requestedAt < joinRequestInterval)
+        return;
+    m_requestedAt = now;
+    message::join_groupT request;
+    request.replica = m_self.value();
+    const auto out = packMessage(frame_kind::join_group, 0, request);
+    for (const auto& seed : m_settings.seeds)
+        m_send(replicaIdFromIp(seed.ip), out);
+    for (const auto& each : group.members().members)
+        m_send(each.id, out);
+}
+
+std::optional<frame> group_membership::receive(replica& group, bool leads, const frame& received, instant now)
+{
+    if (!leads)
+        return std::nullopt;
+    if (received.kind == frame_kind::join_group) {
+        if (const auto request = unpackMessage<message::join_group>(received.body); request.has_value())
+            m_manager.recordJoinRequest(replica_id(request.value().replica), now);
+        return std::nullopt;
+    }
+    const auto request = unpackMessage<message::leave_group>(received.body);
+    if (request.has_error())
+        return std::nullopt;
+    const replica_id from(request.value().replica);
+    m_manager.recordLeaveRequest(from, now);
+    propose(group, now);
+    if (!m_manager.mayStop(group.members(), from, now))
+        return std::nullopt;
+    return packMessage(frame_kind::leave_answer, received.correlation, message::leave_answerT {});
+}
+
+bool group_membership::leave(const replica& group, instant now)
+{
+    if (!m_leavingSince)
+        m_leavingSince = now;
+    if (m_hasLeft || now - *m_leavingSince >= leaveTimeout)
+        return true;
+    const bool isNeeded = group.members().voterCount() <= membership_manager::minVoters;
+    if (isNeeded || !group.members().isVoter(m_self))
+        return true;
+    if (group.leader() && now - m_requestedAt >= leaveRequestInterval) {
+        m_requestedAt = now;
+        message::leave_groupT request;
+        request.replica = m_self.value();
+        m_send(*group.leader(), packMessage(frame_kind::leave_group, 0, request));
+    }
+    return false;
+}
+
+} // namespace poplardeal::detail
--- /dev/null
+++ b/packages/fleet/src/group_membership.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "membership_manager.h"
+#include <functional>
+#include <poplardeal/fleet/settings.h>
+#include <poplardeal/wire/frame.h>
+
+namespace poplardeal::detail {
+
+/// A replica's part in the membership of the control group: it asks to join and to leave and, while it leads, answers
+/// these requests and proposes the changes.
+class group_membership {
+public:
+    using send_function = std::function<void(replica_id, const frame&)>;
+
+    /// The settings must outlive this object; their seeds may change.
+    group_membership(const fleet_settings&, replica_id self, send_function);
+
+    /// A message of the replica has arrived.
+    void recordContact(replica_id from, instant now) { m_manager.recordContact(from, now); }
+    /// Proposes what is due if this replica leads; otherwise asks to join if it takes no part in the group.
+    void tick(replica&, bool leads, instant now);
+    /// Handles `join_group` and `leave_group`. Returns the answer, if there is one yet.
+    std::optional<frame> receive(replica&, bool leads, const frame&, instant now);
+    /// A `leave_answer` has arrived.
+    void recordLeaveAnswer() { m_hasLeft = true; }
+    /// For a replica that stops and does not lead, called until it returns true: asks the leader not to count on it
+    /// any more, and waits for the answer up to `leaveTimeout`.
+    bool leave(const replica&, instant now);
+
+    static constexpr duration leaveTimeout = std::chrono::seconds(2);
+
+private:
+    void propose(replica&, instant now);
+    void requestToJoin(const replica&, instant now);
+
+    const fleet_settings& m_settings;
+    replica_id m_self;
+    send_function m_send;
+    membership_manager m_manager;
+    std::uint64_t m_ledTerm { 0 }; ///< Term that this replica leads, 0 if it does not lead.
+    instant m_requestedAt; ///< When this replica last asked to join or to leave.
+    std::optional<instant> m_leavingSince;
+    bool m_hasLeft { false };
+};
+
+} // namespace poplardeal::detail
--- a/packages/fleet/src/membership_manager.cpp
+++ b/packages/fleet/src/membership_manager.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr duration joinRequestLifetime = std::chrono::seconds(2); ///< Replicas repeat their requests more often.
+    constexpr duration requestLifetime = std::chrono::seconds(2); ///< Replicas repeat their requests more often.
 
 } // namespace
 
@@ -27,6 +27,13 @@
     m_joinRequests[from] = now;
 }
 
+void membership_manager::recordLeaveRequest(replica_id from, instant now)
+{
+    std::erase_if(m_leaveRequests, [&](const auto& item) { return now - item.second > requestLifetime; });
+    m_lastContact[from] = now;
+    m_leaveRequests[from] = now;
+}
+
 void membership_manager::leadershipBegan(instant now)
 {
     m_leadsSince = now;
@@ -35,15 +42,15 @@
 
 std::optional<membership> membership_manager::addLearner(const membership& current, instant now)
 {
-    std::erase_if(m_joinRequests, [&](const auto& item) {
-        return now - item.second > joinRequestLifetime || current.find(item.first) != nullptr;
-    });
+    std::erase_if(m_joinRequests,
+        [&](const auto& item) { return now - item.second > requestLifetime || current.find(item.first) != nullptr; });
     if (m_joinRequests.empty() || current.voterCount() >= maxVoters)
         return std::nullopt;
     auto changed = current;
     if (changed.members.size() >= maxMembers) {
-        const auto absent = std::find_if(changed.members.begin(), changed.members.end(),
-            [&](const member& each) { return each.role == member_role::learner && isAbsent(each, now); });
+        const auto absent = std::find_if(changed.members.begin(), changed.members.end(), [&](const member& each) {
+            return each.role == member_role::learner && isAbsent(each, learnerAbsenceLimit, now);
+        });
         if (absent == changed.members.end())
             return std::nullopt;
         changed.members.erase(absent);
@@ -52,37 +59,55 @@
     return changed;
 }
 
-bool membership_manager::isAbsent(const member& each, instant now) const
+bool membership_manager::isAbsent(const member& each, duration limit, instant now) const
 {
     if (each.id == m_self)
         return false;
     const auto heard = m_lastContact.find(each.id);
     const auto last = heard == m_lastContact.end() ? m_leadsSince : std::max(heard->second, m_leadsSince);
-    return now - last > absenceLimit;
+    return now - last > limit;
+}
+
+bool membership_manager::isLeaving(const member& each, instant now) const
+{
+    const auto asked = m_leaveRequests.find(each.id);
+    return each.id != m_self && asked != m_leaveRequests.end() && now - asked->second <= requestLifetime;
 }
 
-/// Removes an absent voter only if the number of voters is even: one voter fewer then tolerates as many failures. With
-/// an odd number, the absent voter stays, since it may come back.
-std::optional<membership> membership_manager::removeAbsentVoter(const membership& current, instant now) const
+/// Without an unavailable voter, the group tolerates at least as many failures of the others. The smallest group keeps
+/// its voters, since they may come back.
+std::optional<membership> membership_manager::removeUnavailableVoter(const membership& current, instant now) const
 {
-    if (current.voterCount() % 2 != 0)
+    if (current.voterCount() <= minVoters)
         return std::nullopt;
-    const auto absent = std::find_if(current.members.begin(), current.members.end(),
-        [&](const member& each) { return each.role == member_role::voter && isAbsent(each, now); });
-    if (absent == current.members.end())
+    const auto& all = current.members;
+    const auto findVoter = [&all](const auto& condition) {
+        return std::find_if(all.begin(), all.end(),
+            [&](const member& each) { return each.role == member_role::voter && condition(each); });
+    };
+    // One that is leaving still votes, so an absent one goes first.
+    auto removed = findVoter([&](const member& each) { return isAbsent(each, voterAbsenceLimit, now); });
+    if (removed == all.end())
+        removed = findVoter([&](const member& each) { return isLeaving(each, now); });
+    if (removed == all.end())
         return std::nullopt;
     auto changed = current;
-    std::erase_if(changed.members, [&](const member& each) { return each.id == absent->id; });
+    std::erase_if(changed.members, [&](const member& each) { return each.id == removed->id; });
     return changed;
 }
 
+bool membership_manager::mayStop(const membership& current, replica_id id, instant now) const
+{
+    return !m_isChanging && (!current.isVoter(id) || !removeUnavailableVoter(current, now));
+}
+
 std::optional<membership> membership_manager::nextChange(const membership& current, instant now)
 {
     if (m_isChanging)
         return std::nullopt;
-    auto change = addLearner(current, now);
+    auto change = removeUnavailableVoter(current, now);
     if (!change)
-        change = removeAbsentVoter(current, now);
+        change = addLearner(current, now);
     m_isChanging = change.has_value();
     return change;
 }
--- a/packages/fleet/src/membership_manager.h
+++ b/packages/fleet/src/membership_manager.h
@@ -2,12 +2,12 @@
 
 #include <map>
 #include <poplardeal/consensus/replica.h>
-#include <set>
 
 namespace poplardeal::detail {
 
 /// Decides changes of the control group's membership without an operator. A replica that asks to join becomes a learner
-/// and, once caught up, a voter. A voter that stays unreachable is removed once a new voter has replaced it.
+/// and, once caught up, a voter. A voter that stops or stays unreachable is removed as soon as the group tolerates more
+/// failures without it.
 class membership_manager {
 public:
     explicit membership_manager(replica_id self);
@@ -17,6 +17,10 @@
     /// The replica has asked to join; it is not a voting member as far as it knows. Ignored if its id is no address
     /// that one process can have.
     void recordJoinRequest(replica_id, instant now);
+    /// The replica is about to stop. It may come back.
+    void recordLeaveRequest(replica_id, instant now);
+    /// True if the group no longer counts on the replica, or keeps its place although it stops.
+    bool mayStop(const membership&, replica_id, instant now) const;
 
     /// The next change to propose; for the leader only. Nothing is returned until `changeEnded` is called for the last
     /// change.
@@ -26,21 +30,27 @@
     /// This replica has become the leader. Silence of members counts from now.
     void leadershipBegan(instant now);
 
-    /// A voter silent for longer may be removed. Longer than a process restart and the platform's usual stalls.
-    static constexpr duration absenceLimit = std::chrono::seconds(6);
+    /// A voter silent for longer may be removed. Twice the election timeout: a shorter stall costs no vote. A removed
+    /// voter that comes back joins again within moments.
+    static constexpr duration voterAbsenceLimit = std::chrono::seconds(1);
+    /// A learner silent for longer may make room for another one.
+    static constexpr duration learnerAbsenceLimit = std::chrono::seconds(6);
+    static constexpr std::size_t minVoters = 3; ///< Fewer are left only by replicas that lost their data folder.
     static constexpr std::size_t maxVoters = 7; ///< The design reserves at most 7 instances for control.
     /// With learners. A learner that is absent makes room for a new one.
     static constexpr std::size_t maxMembers = maxVoters + 2;
 
 private:
     std::optional<membership> addLearner(const membership&, instant now);
-    std::optional<membership> removeAbsentVoter(const membership&, instant now) const;
-    bool isAbsent(const member&, instant now) const;
+    std::optional<membership> removeUnavailableVoter(const membership&, instant now) const;
+    bool isAbsent(const member&, duration limit, instant now) const;
+    bool isLeaving(const member&, instant now) const;
 
     replica_id m_self;
     instant m_leadsSince;
     std::map<replica_id, instant> m_lastContact;
     std::map<replica_id, instant> m_joinRequests;
+    std::map<replica_id, instant> m_leaveRequests;
     bool m_isChanging { false };
 };
 
--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -1,7 +1,7 @@
 #include "control_metrics.h"
 #include "folder_refusal.h"
+#include "group_membership.h"
 #include "job_leader.h"
-#include "membership_manager.h"
 #include "metrics_server.h"
 #include "peer_mesh.h"
 #include "replica_address.h"
@@ -24,7 +24,6 @@
     /// Lower bound. A message takes a few milliseconds and a slow disk write up to 150. Kept short, since the
     /// service is unavailable for about twice this timeout when a leader fails.
     constexpr duration electionTimeout = std::chrono::milliseconds(500);
-    constexpr duration joinRequestInterval = std::chrono::milliseconds(400);
     constexpr duration hintInterval = std::chrono::milliseconds(1000);
     constexpr duration metricsInterval = std::chrono::milliseconds(250);
     constexpr duration stopPollInterval = std::chrono::milliseconds(20);
@@ -73,9 +72,6 @@
     result<void> join();
     void tick();
     void tickRefused(instant now);
-    void updateMembership(instant now);
-    void requestToJoin(instant now);
-    bool isMember() const;
 
     void accept(std::unique_ptr<channel>);
     void handle(connection_number, const frame&);
@@ -110,7 +106,7 @@
     detail::job_state_machine stateMachine;
     detail::job_leader jobLeader;
     detail::peer_mesh mesh;
-    detail::membership_manager membershipManager;
+    detail::group_membership groupMembership;
     detail::folder_refusal refusal;
     detail::control_metrics controlMetrics;
     std::unique_ptr<replica> raftReplica; ///< Null while the data folder cannot be opened.
@@ -124,7 +120,6 @@
     std::unique_ptr<http_server> metricsHttp;
     event_loop::timer timer;
     event_loop::timer stopTimer;
-    instant lastJoinRequestAt;
     instant lastHintAt;
     instant leaderTickAt;
     instant metricsUpdatedAt;
@@ -142,7 +137,7 @@
     , self(detail::replicaIdFromIp(settings.ip))
     , jobLeader(eventLoop, settings, stateMachine, metrics)
     , mesh(eventLoop, settings, self)
-    , membershipManager(self)
+    , groupMembership(settings, self, [this](replica_id to, const frame& out) { mesh.send(to, out, loop.now()); })
     , refusal(settings, self, metrics)
     , controlMetrics(metrics)
 {
@@ -152,6 +147,8 @@
     mesh.onFrame([this](const frame& received) {
         if (received.kind == frame_kind::operator_answer)
             return handleForwardedAnswer(received);
+        if (received.kind == frame_kind::leave_answer)
+            return groupMembership.recordLeaveAnswer();
         if (received.kind != frame_kind::control_hint || raftReplica)
             return;
         if (const auto parsed = unpackMessage<message::control_hint>(received.body); parsed.has_value())
@@ -241,11 +238,6 @@
     loop.quit();
 }
 
-bool queue_control::impl::isMember() const
-{
-    return raftReplica->members().find(self) != nullptr && raftReplica->mayVote();
-}
-
 void queue_control::impl::tick()
 {
     const auto now = loop.now();
@@ -259,10 +251,7 @@
     const bool leads = jobLeader.leads();
     if (leads != lastHintLeads || raftReplica->term() != lastHintTerm || now - lastHintAt > hintInterval)
         broadcastHint();
-    if (leads)
-        updateMembership(now);
-    else
-        requestToJoin(now);
+    groupMembership.tick(*raftReplica, leads, now);
     mesh.tick(now);
     if (now - metricsUpdatedAt >= metricsInterval) {
         metricsUpdatedAt = now;
@@ -270,37 +259,6 @@
     }
 }
 
-void queue_control::impl::updateMembership(instant now)
-{
-    const auto change = membershipManager.nextChange(raftReplica->members(), now);
-    if (!change)
-        return;
-    std::vector<std::uint32_t> ids;
-    for (const auto& each : change->members)
-        ids.push_back(each.id.value());
-    raftReplica->changeMembership(*change, now, [this, ids](const result<std::string>& outcome) {
-        membershipManager.changeEnded();
-        logEvent(log_level::info, "membership_change",
-            { { "members", ids }, { "outcome", outcome.has_error() ? outcome.error().message : "recorded" } });
-    });
-}
-
-void queue_control::impl::requestToJoin(instant now)
-{
-    if (now - lastJoinRequestAt < joinRequestInterval || (raftReplica->leader() && isMember()) || stopping)
-        return;
-    lastJoinRequestAt = now;
-    if (isMember())
-        return;
-    message::join_groupT request;
-    request.replica = self.value();
-    const auto out = packMessage(frame_kind::join_group, 0, request);
-    for (const auto& seed : settings.seeds)
-        mesh.send(detail::replicaIdFromIp(seed.ip), out, now);
-    for (const auto& each : raftReplica->members().members)
-        mesh.send(each.id, out, now);
-}
-
 message::control_hintT queue_control::impl::hint() const
 {
     message::control_hintT out;
@@ -336,8 +294,6 @@
 {
     const auto now = loop.now();
     const auto current = hint();
-    if (current.leads && !lastHintLeads)
-        membershipManager.leadershipBegan(now);
     const bool changed = current.leads != lastHintLeads || current.term != lastHintTerm;
     lastHintLeads = current.leads;
     lastHintTerm = current.term;
@@ -388,16 +344,15 @@
     switch (received.kind) {
     case frame_kind::raft: {
         const replica_id from(open.hello->replica);
-        membershipManager.recordContact(from, now);
+        groupMembership.recordContact(from, now);
         raftReplica->receive(from, received.body, now);
         return;
     }
-    case frame_kind::join_group: {
-        const auto request = unpackMessage<message::join_group>(received.body);
-        if (request.has_value() && jobLeader.leads())
-            membershipManager.recordJoinRequest(replica_id(request.value().replica), now);
+    case frame_kind::join_group:
+    case frame_kind::leave_group:
+        if (const auto answer = groupMembership.receive(*raftReplica, jobLeader.leads(), received, now))
+            open.link->send(*answer);
         return;
-    }
     case frame_kind::control_probe:
         if (open.worker)
             jobLeader.recordContact(*open.worker);
@@ -624,14 +579,16 @@
 
 void queue_control::impl::pollStop(instant deadline)
 {
-    const bool idle = !raftReplica->isLeader() && http->inFlight() == 0;
-    if (idle || loop.now() >= deadline) {
+    const auto now = loop.now();
+    const bool hasLeft = !raftReplica->isLeader() && groupMembership.leave(*raftReplica, now);
+    const bool idle = hasLeft && http->inFlight() == 0;
+    if (idle || now >= deadline) {
         timer.cancel();
         logEvent(log_level::info, "control_stopped", { { "handed_over", !raftReplica->isLeader() } });
         return std::exchange(stopped, nullptr)();
     }
     if (raftReplica->isLeader())
-        raftReplica->transferLeadership(loop.now());
+        raftReplica->transferLeadership(now);
     stopTimer = loop.after(stopPollInterval, [this, deadline] { pollStop(deadline); });
 }
 
--- a/packages/wire/include/poplardeal/wire/frame.h
+++ b/packages/wire/include/poplardeal/wire/frame.h
@@ -48,9 +48,11 @@
     relay_open,
     operator_call,
     operator_answer,
+    leave_group,
+    leave_answer,
 };
 
-inline constexpr frame_kind lastFrameKind = frame_kind::operator_answer;
+inline constexpr frame_kind lastFrameKind = frame_kind::leave_answer;
 
 /// One message between two processes of the system.
 struct frame {
--- a/packages/wire/include/poplardeal/wire/messages_generated.h
+++ b/packages/wire/include/poplardeal/wire/messages_generated.h
@@ -129,6 +129,14 @@
 struct join_groupBuilder;
 struct join_groupT;
 
+struct leave_group;
+struct leave_groupBuilder;
+struct leave_groupT;
+
+struct leave_answer;
+struct leave_answerBuilder;
+struct leave_answerT;
+
 struct queue_call;
 struct queue_callBuilder;
 struct queue_callT;
@@ -3545,6 +3553,109 @@
 
 flatbuffers::Offset<join_group> Createjoin_group(flatbuffers::FlatBufferBuilder &_fbb, const join_groupT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct leave_groupT : public flatbuffers::NativeTable {
+  typedef leave_group TableType;
+  uint32_t replica = 0;
+};
+
+struct leave_group FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef leave_groupT NativeTableType;
+  typedef leave_groupBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPLICA = 4
+  };
+  uint32_t replica() const {
+    return GetField<uint32_t>(VT_REPLICA, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_REPLICA, 4) &&
+           verifier.EndTable();
+  }
+  leave_groupT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(leave_groupT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<leave_group> Pack(flatbuffers::FlatBufferBuilder &_fbb, const leave_groupT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct leave_groupBuilder {
+  typedef leave_group Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_replica(uint32_t replica) {
+    fbb_.AddElement<uint32_t>(leave_group::VT_REPLICA, replica, 0);
+  }
+  explicit leave_groupBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<leave_group> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<leave_group>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<leave_group> Createleave_group(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t replica = 0) {
+  leave_groupBuilder builder_(_fbb);
+  builder_.add_replica(replica);
+  return builder_.Finish();
+}
+
+struct leave_group::Traits {
+  using type = leave_group;
+  static auto constexpr Create = Createleave_group;
+};
+
+flatbuffers::Offset<leave_group> Createleave_group(flatbuffers::FlatBufferBuilder &_fbb, const leave_groupT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct leave_answerT : public flatbuffers::NativeTable {
+  typedef leave_answer TableType;
+};
+
+struct leave_answer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef leave_answerT NativeTableType;
+  typedef leave_answerBuilder Builder;
+  struct Traits;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           verifier.EndTable();
+  }
+  leave_answerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(leave_answerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<leave_answer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const leave_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct leave_answerBuilder {
+  typedef leave_answer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit leave_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<leave_answer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<leave_answer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<leave_answer> Createleave_answer(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  leave_answerBuilder builder_(_fbb);
+  return builder_.Finish();
+}
+
+struct leave_answer::Traits {
+  using type = leave_answer;
+  static auto constexpr Create = Createleave_answer;
+};
+
+flatbuffers::Offset<leave_answer> Createleave_answer(flatbuffers::FlatBufferBuilder &_fbb, const leave_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct queue_callT : public flatbuffers::NativeTable {
   typedef queue_call TableType;
   poplardeal::message::queue_verb verb = poplardeal::message::queue_verb::submit;
@@ -5883,6 +5994,55 @@
       _replica);
 }
 
+inline leave_groupT *leave_group::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<leave_groupT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void leave_group::UnPackTo(leave_groupT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = replica(); _o->replica = _e; }
+}
+
+inline flatbuffers::Offset<leave_group> leave_group::Pack(flatbuffers::FlatBufferBuilder &_fbb, const leave_groupT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createleave_group(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<leave_group> Createleave_group(flatbuffers::FlatBufferBuilder &_fbb, const leave_groupT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const leave_groupT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _replica = _o->replica;
+  return poplardeal::message::Createleave_group(
+      _fbb,
+      _replica);
+}
+
+inline leave_answerT *leave_answer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<leave_answerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void leave_answer::UnPackTo(leave_answerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<leave_answer> leave_answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const leave_answerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createleave_answer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<leave_answer> Createleave_answer(flatbuffers::FlatBufferBuilder &_fbb, const leave_answerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const leave_answerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return poplardeal::message::Createleave_answer(
+      _fbb);
+}
+
 inline queue_callT *queue_call::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<queue_callT>();
   UnPackTo(_o.get(), _resolver);
