jobs: a run that a cut list lacks is not taken for one that never was

What callers saw: tasks whose run had ended done were started again and ran twice (TWICE), after more runs of one runner had ended than it lists at once while no control led.

Cause: a runner lists 500 ends at once. A new leader took the runs whose ends did not fit for runs that the runner doesn't have and ordered them again; the sidecar took the refusal "old" for proof that they never were; the leader gave them up and started the tasks elsewhere. Then the ends of the first runs came.

Change: lists of 500 ends or more count as incomplete, through the report up to the leader. It then orders nothing again, and a refused start is reported as proof only if complete lists lack the run. The stand-in workers and the emulator's worker cut their lists as the platform does.

--- a/packages/emulator/include/poplardeal/emulator/fault_play.h
+++ b/packages/emulator/include/poplardeal/emulator/fault_play.h
@@ -11,6 +11,7 @@
 struct fault_scenario {
     std::size_t workers { 3 };
     std::size_t slotsPerWorker { 3 };
+    std::size_t listedEnds { 500 }; ///< Ends that a worker lists at once.
     std::size_t jobs { 8 };
     std::size_t faults { 6 };
     duration faultTime { std::chrono::seconds(16) }; ///< In which jobs arrive and faults begin.
--- a/packages/emulator/src/fault_cluster.cpp
+++ b/packages/emulator/src/fault_cluster.cpp
@@ -377,7 +377,7 @@
     machine.lastBootMs = std::max(machine.lastBootMs + 1, toMicros(m_events.now()) / 1000);
     machine.announcements = 0;
     machine.worker.emplace(worker_boot { machine.id, machine.lastBootMs }, machine.clockRate, m_scenario.slotsPerWorker,
-        m_leases.length, m_events.now());
+        m_scenario.listedEnds, m_leases.length, m_events.now());
     announce(machine, networkDelay);
 }
 
--- a/packages/emulator/src/worker_model.cpp
+++ b/packages/emulator/src/worker_model.cpp
@@ -12,10 +12,12 @@
 
 } // namespace
 
-worker_model::worker_model(worker_boot boot, double clockRate, std::size_t slots, duration longestLease, instant bornAt)
+worker_model::worker_model(worker_boot boot, double clockRate, std::size_t slots, std::size_t listedEnds,
+    duration longestLease, instant bornAt)
     : m_boot(std::move(boot))
     , m_clockRate(clockRate)
     , m_slots(slots)
+    , m_listedEnds(listedEnds)
     , m_longestLease(longestLease)
     , m_bornAt(bornAt)
 {
@@ -97,7 +99,9 @@
         const auto share = std::chrono::duration<double>(now - run.beganAt) / (run.endsAt - run.beganAt);
         out.running.push_back({ task, run.run, {}, wholePercent * share });
     }
-    out.ended = m_ended;
+    const auto listed = std::min(m_ended.size(), m_listedEnds);
+    out.ended.assign(m_ended.begin(), m_ended.begin() + static_cast<std::ptrdiff_t>(listed));
+    out.isComplete = listed < m_listedEnds;
     return out;
 }
 
--- a/packages/emulator/src/worker_model.h
+++ b/packages/emulator/src/worker_model.h
@@ -17,8 +17,9 @@
 /// are refused once their run is stopped or over. Calls take effect at once.
 class worker_model {
 public:
-    /// The clock runs at `clockRate` seconds a second and shows 0 at `bornAt`.
-    worker_model(worker_boot, double clockRate, std::size_t slots, duration longestLease, instant bornAt);
+    /// The clock runs at `clockRate` seconds a second and shows 0 at `bornAt`. A poll lists at most `listedEnds` ends.
+    worker_model(worker_boot, double clockRate, std::size_t slots, std::size_t listedEnds, duration longestLease,
+        instant bornAt);
 
     const worker_boot& boot() const { return m_boot; }
     std::int64_t clockMs(instant now) const;
@@ -55,6 +56,7 @@
     worker_boot m_boot;
     double m_clockRate;
     std::size_t m_slots;
+    std::size_t m_listedEnds;
     duration m_longestLease;
     instant m_bornAt;
     std::uint64_t m_fence { 0 };
--- a/packages/emulator/tests/fault_play_test.cpp
+++ b/packages/emulator/tests/fault_play_test.cpp
@@ -42,12 +42,21 @@
     return out;
 }
 
+fault_scenario makeCutListScenario()
+{
+    auto out = makeScenario(2, 10, 10);
+    out.slotsPerWorker = 6;
+    out.listedEnds = 2;
+    return out;
+}
+
 const range_row rangeRows[] = {
     { "one fault", makeScenario(3, 8, 1), 1 },
     { "some faults", makeScenario(3, 8, 6), 1 },
     { "many faults", makeScenario(3, 8, 15), 1 },
     { "one worker", makeScenario(1, 5, 5), 1 },
     { "more workers", makeScenario(8, 16, 10), 1 },
+    { "lists of ends that are cut", makeCutListScenario(), 1 },
 };
 
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
--- a/packages/fleet/src/status_messages.cpp
+++ b/packages/fleet/src/status_messages.cpp
@@ -21,6 +21,7 @@
     out.gone = status.isGone;
     out.clock_ms = status.clockMs;
     out.has_lists = status.hasLists;
+    out.incomplete = !status.isComplete;
     for (const auto& each : status.running) {
         auto listed = std::make_unique<message::listed_taskT>();
         listed->task = toString(each.task);
@@ -84,6 +85,7 @@
         else
             ++malformed;
     }
+    out.isComplete = !in.incomplete && malformed == 0;
     return out;
 }
 
--- a/packages/jobs/include/poplardeal/jobs/worker_agent.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_agent.h
@@ -33,9 +33,9 @@
     std::vector<task_end> ended; ///< Ends that are not acknowledged, by ascending number.
     std::vector<run_key> withoutProgress {}; ///< Those in `running` whose progress could not be read.
     std::size_t oddRows { 0 }; ///< Rows that could not be read, or only in part.
-    bool isComplete {
-        true
-    }; ///< False if a row that could not be read may be of any run: no run is known to be absent.
+    /// False if the list of ends may be cut, or if a row that could not be read may be of any run: no run is known to
+    /// be absent.
+    bool isComplete { true };
 };
 
 /// A poll of a boot that was announced and has not answered yet. Changes nothing at the worker.
@@ -48,7 +48,7 @@
 /// A worker's answer to a start order.
 enum class start_result : std::uint8_t {
     accepted, ///< The run is running or has ended.
-    refused, ///< The run has not started and never will.
+    refused, ///< This attempt has started nothing and never will. The run may have been started, and be over, before.
     unhealthy, ///< The worker did nothing; the start may be tried again.
 };
 
@@ -176,9 +176,12 @@
         start_instruction start;
         bool isInFlight { false };
         bool isAccepted { false };
-        bool isRefused { false };
+        bool isRefused { false }; ///< The run does not exist and never will.
+        std::uint64_t firstConfirmingPoll { 0 }; ///< As of `stop_state`, after a refusal that proves nothing yet; or 0.
         std::string reason;
         unsigned retries { 0 }; ///< Since the leader last sent the order.
+
+        bool isDecided() const { return isAccepted || isRefused || firstConfirmingPoll != 0; }
     };
 
     struct stop_state {
@@ -220,6 +223,8 @@
     bool startTask(const start_instruction&, instant now);
     void stopTask(const run_key&);
     void order(start_state&);
+    void refuse(const run_key&, start_state&, const std::string& reason);
+    bool confirmRefusals(std::uint64_t pollNumber);
     void order(const run_key&, stop_state&);
     void keepUnreadableRuns(poll_result&) const;
     bool isClockPlausible(std::int64_t clockMs, instant now);
--- a/packages/jobs/include/poplardeal/jobs/worker_registry.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -9,8 +9,8 @@
 
 namespace poplardeal {
 
-/// A run that does not exist and will not: its start was refused and no earlier attempt is unanswered, or the worker
-/// has confirmed a stop and lists neither the run nor its end.
+/// A run that does not exist and will not: its start was refused, no earlier attempt is unanswered and the worker's
+/// complete lists do not show it, or the worker has confirmed a stop and lists neither the run nor its end.
 struct refused_run {
     run_key run;
     std::string reason;
@@ -30,6 +30,7 @@
     bool isGone { false }; ///< The worker has said that it ends; nothing runs there any more.
     std::int64_t clockMs { 0 }; ///< Worker's clock when the lists were made.
     bool hasLists { false };
+    bool isComplete { true }; ///< False if the lists may lack runs: then no run is known to be absent.
     std::vector<live_task> running;
     std::vector<task_end> ended;
     std::vector<refused_run> refused;
--- a/packages/jobs/src/worker_agent.cpp
+++ b/packages/jobs/src/worker_agent.cpp
@@ -99,6 +99,7 @@
     merged.running = std::move(m_worker->running);
     merged.ended = std::move(m_worker->ended);
     merged.clockMs = m_worker->clockMs;
+    merged.isComplete = m_worker->isComplete;
     m_worker = std::move(merged);
 }
 
@@ -168,7 +169,7 @@
     const bool isSameId = m_worker && m_worker->boot.worker == boot.worker;
     const bool isNewBoot = !m_worker || m_worker->boot != boot;
     if (isNewBoot)
-        m_worker.emplace();
+        m_worker.emplace().isComplete = false; // No lists have been seen yet.
     update(announced, now);
     m_isReportWanted = true;
     if (isNewBoot)
@@ -196,7 +197,7 @@
         starting.insert(start.run);
     // Instructions may overtake each other: what has been decided is kept as long as an earlier one may come.
     std::erase_if(m_starts, [&](const auto& item) {
-        const bool isDecided = item.second.isAccepted || item.second.isRefused;
+        const bool isDecided = item.second.isDecided();
         const bool mayComeAgain = isDecided && !hasExpired(item.second.start, now);
         return !item.second.isInFlight && !mayComeAgain && !starting.contains(item.first);
     });
@@ -228,7 +229,7 @@
     if (m_stops.contains(start.run) || isListed(start.run))
         return true;
     const auto known = m_starts.find(start.run);
-    if (known != m_starts.end() && (known->second.isInFlight || known->second.isAccepted || known->second.isRefused))
+    if (known != m_starts.end() && (known->second.isInFlight || known->second.isDecided()))
         return true;
     if (hasExpired(start, now))
         return false;
@@ -238,9 +239,7 @@
     if (now - m_startedAt < m_options.startWindow)
         m_unansweredStarts[start.run] = { start.untilMs, now, false, false };
     if (m_worker->isDraining && !mayStillStart(start.run)) {
-        state.isRefused = true;
-        state.reason = "draining";
-        m_isReportWanted = true;
+        refuse(start.run, state, "draining");
         return true;
     }
     state.retries = 0;
@@ -289,11 +288,34 @@
     }
     state.isAccepted = *reply.result == start_result::accepted;
     // An attempt without an answer may still start the run, so a refusal proves nothing then.
-    state.isRefused = !state.isAccepted && !mayStillStart(reply.run);
-    state.reason = reply.reason;
+    if (!state.isAccepted && !mayStillStart(reply.run))
+        refuse(reply.run, state, reply.reason);
+}
+
+/// A worker also refuses a run that is over there, so its lists have to show that the run never was. If they were cut,
+/// the next complete ones decide.
+void worker_agent::refuse(const run_key& run, start_state& state, const std::string& reason)
+{
+    state.reason = reason;
+    state.isRefused = m_worker->isComplete && !isListed(run);
+    state.firstConfirmingPoll = state.isRefused ? 0 : m_lastPollNumber + 1;
     m_isReportWanted = m_isReportWanted || state.isRefused;
 }
 
+bool worker_agent::confirmRefusals(std::uint64_t pollNumber)
+{
+    bool isAnyNew = false;
+    for (auto& [run, state] : m_starts) {
+        if (state.firstConfirmingPoll == 0 || pollNumber < state.firstConfirmingPoll)
+            continue;
+        state.firstConfirmingPoll = 0;
+        state.isAccepted = isListed(run);
+        state.isRefused = !state.isAccepted;
+        isAnyNew = isAnyNew || state.isRefused;
+    }
+    return isAnyNew;
+}
+
 bool worker_agent::mayStillStart(const run_key& run) const
 {
     const auto found = m_unansweredStarts.find(run);
@@ -416,7 +438,7 @@
         [](const live_task& x, const live_task& y) { return x.run == y.run && x.task == y.task; });
 }
 
-/// Fills in from the list before what odd rows do not tell: progress, and which runs they are of.
+/// Fills in from the list before what odd rows and cut lists do not tell: progress, and which runs are there.
 void worker_agent::keepUnreadableRuns(poll_result& lists) const
 {
     for (const auto& known : m_worker->running) {
@@ -477,7 +499,9 @@
     m_worker->running = std::move(lists.running);
     m_worker->ended = std::move(lists.ended);
     m_worker->hasLists = true;
-    const bool hasNewConfirmation = isComplete && confirmStops(number);
+    m_worker->isComplete = isComplete;
+    const bool hasNewRefusal = isComplete && confirmRefusals(number);
+    const bool hasNewConfirmation = (isComplete && confirmStops(number)) || hasNewRefusal;
     voidExpiredStarts(now);
     const auto highest = m_worker->ended.empty() ? 0 : m_worker->ended.back().number;
     const bool hasNewEnds = highest > m_lastEndNumber;
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -300,10 +300,12 @@
         const auto until = workerSession.startUntilMs.find(run);
         if (listed.contains(run))
             workerSession.startUntilMs.erase(run);
-        else if (until == workerSession.startUntilMs.end() && !m_stopping.contains(run))
-            // An order of an earlier leader; it is given again and has to be carried out in time.
-            workerSession.startUntilMs[run] = status.clockMs + toMilliseconds(m_options.startWindow);
-        else if (until != workerSession.startUntilMs.end() && status.clockMs > until->second)
+        else if (until == workerSession.startUntilMs.end() && !m_stopping.contains(run)) {
+            // An order of an earlier leader; it is given again and has to be carried out in time. If the lists are cut,
+            // the run may be over, and its end comes with a later report.
+            if (status.isComplete)
+                workerSession.startUntilMs[run] = status.clockMs + toMilliseconds(m_options.startWindow);
+        } else if (until != workerSession.startUntilMs.end() && status.clockMs > until->second)
             // The order may still be carried out late. A stop makes the worker refuse it from then on.
             m_stopping.insert(run);
     }
--- a/packages/jobs/tests/worker_agent_test.cpp
+++ b/packages/jobs/tests/worker_agent_test.cpp
@@ -62,6 +62,15 @@
             agent.tick(now);
     }
 
+    /// The worker lists as many ends as it does at once; others may follow.
+    void pollCutLists(instant now, std::int64_t clock)
+    {
+        agent.beginPoll(term);
+        poll_result lists { clock, boot.startedAtMs, {}, {} };
+        lists.isComplete = false;
+        agent.applyPollResult(boot, lists, now);
+    }
+
     std::vector<run_key> instruct(instant now, std::int64_t startUntilMs, std::uint64_t byTerm = term)
     {
         worker_instructions out;
@@ -407,6 +416,51 @@
         fresh.applyProbeResult(probe, { clockMs, boot.startedAtMs, {}, {} }, at(10200ms)) == agent_change::new_worker));
 }
 
+struct refusal_row {
+    const char* name;
+    bool isCutBefore; ///< The lists before the refusal.
+    bool isDraining; ///< The start is refused by the sidecar, not by the worker.
+    bool isEndListed; ///< In the complete lists after it.
+    bool isProvenAtOnce;
+    bool isProven;
+};
+std::ostream& operator<<(std::ostream& out, const refusal_row& row) { return out << row.name; }
+
+const refusal_row refusalRows[] = {
+    { "complete lists", false, false, false, true, true },
+    { "complete lists of a worker that drains", false, true, false, true, true },
+    { "cut lists, then none of the run", true, false, false, false, true },
+    { "cut lists, then the end of the run", true, false, true, false, false },
+    { "cut lists of a worker that drains, then the end of the run", true, true, true, false, false },
+};
+
+// More ends wait than the worker lists at once, and it refuses the start of a run that is over. Guards against taking
+// the run for one that never was, which starts its task again.
+BOOST_DATA_TEST_CASE_F(agent_fixture, a_refusal_beside_cut_lists_proves_nothing, refusalRows, row)
+{
+    auto drained = announce(boot, 2);
+    drained.status.isDraining = row.isDraining;
+    agent.applyAnnouncement(drained, at(10s));
+    if (row.isCutBefore)
+        pollCutLists(at(10s), clockMs);
+    instruct(at(10s), clockMs + 1500);
+    const auto orders = agent.takeOrders();
+    BOOST_TEST(countStarts(orders) == (row.isDraining ? 0U : 1U));
+    if (!row.isDraining)
+        agent.applyReply(start_reply { run, boot, start_result::refused, "old", true }, at(10s));
+    BOOST_TEST(refusedRuns(at(10s)).size() == (row.isProvenAtOnce ? 1U : 0U));
+    instruct(at(10s), clockMs + 1500);
+    BOOST_TEST(agent.takeOrders().empty());
+    if (row.isCutBefore)
+        pollCutLists(at(10s), clockMs + 1);
+    BOOST_TEST(refusedRuns(at(10s)).size() == (row.isProvenAtOnce ? 1U : 0U));
+    std::vector<task_end> ended;
+    if (row.isEndListed)
+        ended.push_back({ 501, run.task, run.run, end_kind::done, {} });
+    poll(at(10s), clockMs + 2, {}, ended);
+    BOOST_TEST(refusedRuns(at(10s)).size() == (row.isProven ? 1U : 0U));
+}
+
 // A row of the worker's lists cannot be read. Guards against a run that counts as not existing because of it, and
 // against runs that are not followed any more.
 BOOST_AUTO_TEST_CASE(an_unreadable_row_proves_no_absence)
--- a/packages/jobs/tests/worker_registry_test.cpp
+++ b/packages/jobs/tests/worker_registry_test.cpp
@@ -48,6 +48,24 @@
 
 } // namespace
 
+// Guards against a new leader that starts runs again whose ends did not fit into the lists of their worker.
+BOOST_AUTO_TEST_CASE(runs_that_cut_lists_lack_are_not_ordered_again)
+{
+    registry_fixture f;
+    f.registry.report(f.status(boot("w"), 1000), f.table, f.now);
+    f.orderStart(boot("w"));
+    f.registry.startLeadership(f.now);
+    auto cut = f.status(boot("w"), 2000);
+    cut.isComplete = false;
+    BOOST_TEST(f.registry.report(cut, f.table, f.now).released.empty());
+    const auto before = f.registry.instructionsFor(boot("w"), f.table, f.now);
+    BOOST_REQUIRE(before.has_value());
+    BOOST_TEST(before->starts.empty());
+    BOOST_TEST(before->stops.empty());
+    f.registry.report(f.status(boot("w"), 2001), f.table, f.now);
+    BOOST_TEST(f.registry.instructionsFor(boot("w"), f.table, f.now)->starts.size() == 1U);
+}
+
 // Guards against a run that is given up while its worker's lease may still be running, or never.
 BOOST_AUTO_TEST_CASE(a_silent_worker_is_released_when_its_lease_is_certainly_over)
 {
--- a/packages/soak/src/standin_worker.cpp
+++ b/packages/soak/src/standin_worker.cpp
@@ -6,6 +6,7 @@
 
     constexpr std::size_t maxBody = std::size_t { 64 } * 1024;
     constexpr std::size_t maxTasks = 8; ///< Room: one accelerator a task.
+    constexpr std::size_t maxListedEnds = 500; ///< The others follow when these are acknowledged.
     constexpr duration beatInterval = std::chrono::milliseconds(300);
     constexpr duration settleInterval = std::chrono::milliseconds(10);
     constexpr duration callTimeout = std::chrono::seconds(1);
@@ -147,8 +148,11 @@
         const auto whole = std::max<std::int64_t>(toMs(each.endsAt - each.startedAt), 1);
         out["running"].push_back({ task, each.run, "", toMs(m_loop.now() - each.startedAt) * 100 / whole });
     }
-    for (const auto& each : m_ended)
+    for (const auto& each : m_ended) {
+        if (out["ended"].size() == maxListedEnds)
+            break;
         out["ended"].push_back({ each.number, each.task, each.run, each.how, "" });
+    }
     return out;
 }
 
--- a/packages/wire/include/poplardeal/wire/messages_generated.h
+++ b/packages/wire/include/poplardeal/wire/messages_generated.h
@@ -4249,6 +4249,7 @@
   std::vector<std::unique_ptr<poplardeal::message::listed_taskT>> running{};
   std::vector<std::unique_ptr<poplardeal::message::listed_endT>> ended{};
   std::vector<std::unique_ptr<poplardeal::message::refused_startT>> refused{};
+  bool incomplete = false;
   worker_reportT() = default;
   worker_reportT(const worker_reportT &o);
   worker_reportT(worker_reportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4277,7 +4278,8 @@
     VT_HAS_LISTS = 32,
     VT_RUNNING = 34,
     VT_ENDED = 36,
-    VT_REFUSED = 38
+    VT_REFUSED = 38,
+    VT_INCOMPLETE = 40
   };
   const flatbuffers::String *worker() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKER);
@@ -4333,6 +4335,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::refused_start>> *refused() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::refused_start>> *>(VT_REFUSED);
   }
+  bool incomplete() const {
+    return GetField<uint8_t>(VT_INCOMPLETE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKER) &&
@@ -4366,6 +4371,7 @@
            VerifyOffset(verifier, VT_REFUSED) &&
            verifier.VerifyVector(refused()) &&
            verifier.VerifyVectorOfTables(refused()) &&
+           VerifyField<uint8_t>(verifier, VT_INCOMPLETE, 1) &&
            verifier.EndTable();
   }
   worker_reportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4431,6 +4437,9 @@
   void add_refused(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::refused_start>>> refused) {
     fbb_.AddOffset(worker_report::VT_REFUSED, refused);
   }
+  void add_incomplete(bool incomplete) {
+    fbb_.AddElement<uint8_t>(worker_report::VT_INCOMPLETE, static_cast<uint8_t>(incomplete), 0);
+  }
   explicit worker_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4461,7 +4470,8 @@
     bool has_lists = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::listed_task>>> running = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::listed_end>>> ended = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::refused_start>>> refused = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::refused_start>>> refused = 0,
+    bool incomplete = false) {
   worker_reportBuilder builder_(_fbb);
   builder_.add_clock_ms(clock_ms);
   builder_.add_drain_left_ms(drain_left_ms);
@@ -4478,6 +4488,7 @@
   builder_.add_service(service);
   builder_.add_address(address);
   builder_.add_worker(worker);
+  builder_.add_incomplete(incomplete);
   builder_.add_has_lists(has_lists);
   builder_.add_gone(gone);
   builder_.add_draining(draining);
@@ -4508,7 +4519,8 @@
     bool has_lists = false,
     const std::vector<flatbuffers::Offset<poplardeal::message::listed_task>> *running = nullptr,
     const std::vector<flatbuffers::Offset<poplardeal::message::listed_end>> *ended = nullptr,
-    const std::vector<flatbuffers::Offset<poplardeal::message::refused_start>> *refused = nullptr) {
+    const std::vector<flatbuffers::Offset<poplardeal::message::refused_start>> *refused = nullptr,
+    bool incomplete = false) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -4537,7 +4549,8 @@
       has_lists,
       running__,
       ended__,
-      refused__);
+      refused__,
+      incomplete);
 }
 
 flatbuffers::Offset<worker_report> Createworker_report(flatbuffers::FlatBufferBuilder &_fbb, const worker_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6239,7 +6252,8 @@
         drain_left_ms(o.drain_left_ms),
         gone(o.gone),
         clock_ms(o.clock_ms),
-        has_lists(o.has_lists) {
+        has_lists(o.has_lists),
+        incomplete(o.incomplete) {
   running.reserve(o.running.size());
   for (const auto &running_ : o.running) { running.emplace_back((running_) ? new poplardeal::message::listed_taskT(*running_) : nullptr); }
   ended.reserve(o.ended.size());
@@ -6267,6 +6281,7 @@
   std::swap(running, o.running);
   std::swap(ended, o.ended);
   std::swap(refused, o.refused);
+  std::swap(incomplete, o.incomplete);
   return *this;
 }
 
@@ -6297,6 +6312,7 @@
   { auto _e = running(); if (_e) { _o->running.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->running[_i] = std::unique_ptr<poplardeal::message::listed_taskT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = ended(); if (_e) { _o->ended.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ended[_i] = std::unique_ptr<poplardeal::message::listed_endT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = refused(); if (_e) { _o->refused.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->refused[_i] = std::unique_ptr<poplardeal::message::refused_startT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = incomplete(); _o->incomplete = _e; }
 }
 
 inline flatbuffers::Offset<worker_report> worker_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const worker_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6325,6 +6341,7 @@
   auto _running = _o->running.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::listed_task>> (_o->running.size(), [](size_t i, _VectorArgs *__va) { return Createlisted_task(*__va->__fbb, __va->__o->running[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _ended = _o->ended.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::listed_end>> (_o->ended.size(), [](size_t i, _VectorArgs *__va) { return Createlisted_end(*__va->__fbb, __va->__o->ended[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _refused = _o->refused.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::refused_start>> (_o->refused.size(), [](size_t i, _VectorArgs *__va) { return Createrefused_start(*__va->__fbb, __va->__o->refused[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _incomplete = _o->incomplete;
   return poplardeal::message::Createworker_report(
       _fbb,
       _worker,
@@ -6344,7 +6361,8 @@
       _has_lists,
       _running,
       _ended,
-      _refused);
+      _refused,
+      _incomplete);
 }
 
 inline start_orderT *start_order::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
