fleet: orders that do not fit into a frame are split, and few are under way

What callers saw: a job of 1,500 tasks with a long spec stood still for 12 to 21 s at a time (LOST), and the leader lost its leadership.

Cause: each recorded start sent the sidecar the whole list of outstanding starts, with the payload in each; lists above 1 MiB were dropped without a word, and making the others held up the leader for longer than its lease. The sidecar gave all orders to libsoup at once, which walks through all waiting requests at each step.

Change: orders of one turn of the loop share a message, starts of one job share their payload, and larger lists come in partial messages that withdraw nothing. A sidecar has at most 16 order calls under way. A frame that is not sent is logged. Reports and submissions may have 17 MiB.

--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -162,7 +162,7 @@
         affected.insert(stop.worker);
     }
     for (const auto& boot : affected)
-        sendInstructions(boot);
+        scheduleInstructions(boot);
     for (const auto& command : decisions.starts)
         proposeStarts(command);
 }
@@ -193,17 +193,26 @@
                     { "worker", start.worker.worker.value() } });
         }
         for (const auto& boot : affected)
-            sendInstructions(boot);
+            scheduleInstructions(boot);
     });
 }
 
-void job_leader::sendInstructions(const worker_boot& boot)
+void job_leader::scheduleInstructions(const worker_boot& boot)
 {
+    if (m_instructionsDue.empty())
+        m_instructionTimer = m_loop.after(duration(0), [this] { sendInstructions(); });
+    m_instructionsDue.insert(boot);
+}
+
+void job_leader::sendInstructions()
+{
+    const auto due = std::exchange(m_instructionsDue, {});
     if (!leads())
         return;
-    const auto instructions = m_workers.instructionsFor(boot, m_stateMachine.table(), m_loop.now());
-    if (instructions)
-        m_send(boot.worker, m_replica->term(), *instructions);
+    for (const auto& boot : due) {
+        if (const auto instructions = m_workers.instructionsFor(boot, m_stateMachine.table(), m_loop.now()))
+            m_send(boot.worker, m_replica->term(), *instructions);
+    }
 }
 
 void job_leader::answerReport(const worker_boot& boot)
@@ -253,7 +262,7 @@
         const auto& boot = command.worker;
         m_workers.didFinishRecordingEnds(boot, upTo, outcome.has_value());
         logFinished(command, before);
-        sendInstructions(boot);
+        scheduleInstructions(boot);
         schedulePlan();
     });
 }
--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -69,7 +69,9 @@
     void recordEnds(const record_ends&);
     void logFinished(const record_ends&, instant proposedAt) const;
     void releaseRuns(const std::vector<released_run>&, const char* cause);
-    void sendInstructions(const worker_boot&);
+    /// Sends outstanding orders in the next turn of the loop, so that changes of this turn share a message.
+    void scheduleInstructions(const worker_boot&);
+    void sendInstructions();
     void answerReport(const worker_boot&);
     void submit(const accept_submission&, const call_responder&);
     void cancel(const submission_id&, const call_responder&);
@@ -83,6 +85,8 @@
     planner_options m_plannerOptions;
     capacity_claims m_claims;
     instruction_sender m_send;
+    std::set<worker_boot> m_instructionsDue;
+    event_loop::timer m_instructionTimer;
     bool m_wasLeading { false };
     std::uint64_t m_epoch { 0 }; ///< Incremented when leadership begins or ends; older callbacks are ignored.
     std::size_t m_startsInFlight { 0 }; ///< Proposals not yet answered.
--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -403,8 +403,11 @@
     const auto bound = sidecars.find(worker);
     if (bound == sidecars.end())
         return false;
-    return connections.at(bound->second)
-        .link->send(packMessage(frame_kind::worker_orders, 0, detail::toMessage(out, term)));
+    auto& link = *connections.at(bound->second).link;
+    bool isSent = true;
+    for (const auto& each : detail::toMessages(out, term))
+        isSent = isSent && link.send(packMessage(frame_kind::worker_orders, 0, each));
+    return isSent;
 }
 
 http_response queue_control::impl::redirectToLeader(const http_request& request) const
--- a/packages/fleet/src/queue_sidecar.cpp
+++ b/packages/fleet/src/queue_sidecar.cpp
@@ -2,6 +2,7 @@
 #include "line_limiter.h"
 #include "metrics_server.h"
 #include "status_messages.h"
+#include <deque>
 #include <nlohmann/json.hpp>
 #include <poplardeal/base/log.h>
 #include <poplardeal/fleet/queue_sidecar.h>
@@ -18,6 +19,9 @@
     /// a retried start delays the whole gang.
     constexpr duration orderTimeout = std::chrono::milliseconds(200);
     constexpr unsigned workerConnections = 64;
+    /// Orders to the worker under way; others wait. Each takes milliseconds, and its timeout must not run while it waits
+    /// for a connection.
+    constexpr std::size_t maxOrdersInFlight = 16;
     constexpr std::size_t maxAnnouncementBytes = std::size_t { 64 } * 1024;
     constexpr duration refusalLogInterval = std::chrono::seconds(1);
     constexpr std::size_t maxLoggedPath = 200; ///< Bytes of the path of a refused call.
@@ -38,8 +42,11 @@
     void handleOrders(const frame&);
     /// Does what the agent asks for after a change.
     void carryOut();
+    void sendOrders();
     void send(const start_order&);
     void send(const stop_order&);
+    /// Counts the order as answered, and hands its outcome to the agent.
+    template <class Reply> void finishOrder(const Reply&);
     void handleStartResult(start_reply, const http_result&);
     void handleStopResult(stop_reply, const http_result&);
     /// The address from the settings if the worker announces none.
@@ -53,6 +60,8 @@
     detail::leader_link leaderLink;
     http_client client;
     worker_agent agent;
+    std::deque<worker_order> waitingOrders;
+    std::size_t ordersInFlight { 0 };
     std::unique_ptr<http_server> http;
     std::unique_ptr<http_server> metricsHttp;
     event_loop::timer timer;
@@ -130,8 +139,9 @@
 
 void queue_sidecar::impl::carryOut()
 {
-    for (const auto& order : agent.takeOrders())
-        std::visit([this](const auto& each) { send(each); }, order);
+    for (auto& order : agent.takeOrders())
+        waitingOrders.push_back(std::move(order));
+    sendOrders();
     if (agent.takeReportRequest())
         report();
     for (const auto& probe : agent.takeProbes(leaderLink.term(), loop.now()))
@@ -240,6 +250,23 @@
     carryOut();
 }
 
+void queue_sidecar::impl::sendOrders()
+{
+    while (!waitingOrders.empty() && ordersInFlight < maxOrdersInFlight) {
+        const auto order = std::move(waitingOrders.front());
+        waitingOrders.pop_front();
+        ++ordersInFlight;
+        std::visit([this](const auto& each) { send(each); }, order);
+    }
+}
+
+template <class Reply> void queue_sidecar::impl::finishOrder(const Reply& reply)
+{
+    --ordersInFlight;
+    agent.applyReply(reply, loop.now());
+    carryOut();
+}
+
 void queue_sidecar::impl::send(const start_order& order)
 {
     start_reply reply { order.start.run, order.boot, std::nullopt, {}, true };
@@ -263,8 +290,7 @@
                 { { "job", run.task.job.value() }, { "task", toString(run.task) }, { "run", run.run.value() },
                     { "reason", reply.reason }, { "certain", !agent.mayStillStart(run) } });
     }
-    agent.applyReply(reply, loop.now());
-    carryOut();
+    finishOrder(reply);
 }
 
 void queue_sidecar::impl::send(const stop_order& order)
@@ -286,8 +312,7 @@
                 { { "job", run.task.job.value() }, { "task", toString(run.task) }, { "run", run.run.value() },
                     { "status", result.value().status } });
     }
-    agent.applyReply(reply, loop.now());
-    carryOut();
+    finishOrder(reply);
 }
 
 result<std::unique_ptr<queue_sidecar>> queue_sidecar::start(
--- a/packages/fleet/src/status_messages.cpp
+++ b/packages/fleet/src/status_messages.cpp
@@ -1,4 +1,5 @@
 #include "status_messages.h"
+#include <map>
 
 namespace poplardeal::detail {
 
@@ -89,30 +90,90 @@
     return out;
 }
 
-message::worker_ordersT toMessage(const worker_instructions& in, std::uint64_t term)
+namespace {
+
+    constexpr std::size_t orderOverhead = 64; ///< Of one order in a message beside its texts, in bytes; an upper bound.
+
+    /// Fills messages up to `maxOrderBytes`. Starts of one job share their payload.
+    class order_writer {
+    public:
+        order_writer(const worker_instructions& in, std::uint64_t term)
+        {
+            m_head.worker = in.boot.worker.value();
+            m_head.started_at_ms = in.boot.startedAtMs;
+            m_head.term = term;
+            m_head.lease_until_ms = in.leaseUntilMs;
+            m_head.acknowledged = in.acknowledged;
+            open();
+        }
+
+        void add(const start_instruction& start)
+        {
+            auto order = std::make_unique<message::start_orderT>();
+            order->task = toString(start.run.task);
+            order->run = start.run.run.value();
+            order->saved = start.saved.value();
+            order->until_ms = start.untilMs;
+            const bool hasPayload = m_payloads.contains(start.run.task.job);
+            reserve(order->task.size() + order->saved.size() + (hasPayload ? 0 : start.payload.size()));
+            const auto [known, isNew]
+                = m_payloads.try_emplace(start.run.task.job, static_cast<std::uint32_t>(m_out.back().payloads.size()));
+            if (isNew) {
+                m_out.back().payloads.push_back(start.payload);
+                m_bytes += start.payload.size();
+            }
+            order->payload_index = known->second;
+            m_bytes += orderOverhead + order->task.size() + order->saved.size();
+            m_out.back().starts.push_back(std::move(order));
+        }
+
+        void add(const run_key& stop)
+        {
+            auto order = std::make_unique<message::stop_orderT>();
+            order->task = toString(stop.task);
+            order->run = stop.run.value();
+            reserve(order->task.size());
+            m_bytes += orderOverhead + order->task.size();
+            m_out.back().stops.push_back(std::move(order));
+        }
+
+        std::vector<message::worker_ordersT> take()
+        {
+            for (auto& each : m_out)
+                each.partial = m_out.size() > 1;
+            return std::move(m_out);
+        }
+
+    private:
+        void open()
+        {
+            m_out.push_back(m_head);
+            m_payloads.clear();
+            m_bytes = 0;
+        }
+
+        void reserve(std::size_t textBytes)
+        {
+            if (m_bytes > 0 && m_bytes + orderOverhead + textBytes > maxOrderBytes)
+                open();
+        }
+
+        message::worker_ordersT m_head;
+        std::vector<message::worker_ordersT> m_out;
+        std::map<submission_id, std::uint32_t> m_payloads; ///< Index in the last message, by job.
+        std::size_t m_bytes { 0 };
+    };
+
+} // namespace
+
+std::vector<message::worker_ordersT> toMessages(const worker_instructions& in, std::uint64_t term)
 {
-    message::worker_ordersT out;
-    out.worker = in.boot.worker.value();
-    out.started_at_ms = in.boot.startedAtMs;
-    out.term = term;
-    out.lease_until_ms = in.leaseUntilMs;
-    out.acknowledged = in.acknowledged;
-    for (const auto& start : in.starts) {
-        auto order = std::make_unique<message::start_orderT>();
-        order->task = toString(start.run.task);
-        order->run = start.run.run.value();
-        order->payload = start.payload;
-        order->saved = start.saved.value();
-        order->until_ms = start.untilMs;
-        out.starts.push_back(std::move(order));
-    }
-    for (const auto& stop : in.stops) {
-        auto order = std::make_unique<message::stop_orderT>();
-        order->task = toString(stop.task);
-        order->run = stop.run.value();
-        out.stops.push_back(std::move(order));
-    }
-    return out;
+    order_writer out(in, term);
+    for (const auto& stop : in.stops)
+        out.add(stop);
+    for (const auto& start : in.starts)
+        out.add(start);
+    return out.take();
 }
 
 worker_instructions fromMessage(const message::worker_ordersT& in, std::size_t& malformed)
@@ -121,10 +182,12 @@
     out.boot = { worker_id(in.worker), in.started_at_ms };
     out.leaseUntilMs = in.lease_until_ms;
     out.acknowledged = in.acknowledged;
+    out.isPartial = in.partial;
     for (const auto& each : in.starts) {
-        if (auto task = parseTaskKey(each->task))
-            out.starts.push_back({ { std::move(*task), run_number(each->run) }, each->payload, checkpoint(each->saved),
-                each->until_ms });
+        auto task = parseTaskKey(each->task);
+        if (task && each->payload_index < in.payloads.size())
+            out.starts.push_back({ { std::move(*task), run_number(each->run) }, in.payloads[each->payload_index],
+                checkpoint(each->saved), each->until_ms });
         else
             ++malformed;
     }
--- a/packages/jobs/include/poplardeal/jobs/worker_agent.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_agent.h
@@ -221,6 +221,7 @@
     void noticePause(instant now);
     /// False if the order came too late.
     bool startTask(const start_instruction&, instant now);
+    void eraseWithdrawn(const worker_instructions&, instant now);
     void stopTask(const run_key&);
     void order(start_state&);
     void refuse(const run_key&, start_state&, const std::string& reason);
--- a/packages/jobs/include/poplardeal/jobs/worker_registry.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -50,6 +50,7 @@
     std::uint64_t acknowledged { 0 }; ///< Ends up to this number are recorded.
     std::vector<start_instruction> starts;
     std::vector<run_key> stops;
+    bool isPartial { false }; ///< There are more; what is missing here is not withdrawn.
 };
 
 struct lease_options {
--- a/packages/jobs/src/worker_agent.cpp
+++ b/packages/jobs/src/worker_agent.cpp
@@ -192,13 +192,27 @@
         m_acknowledged = orders.acknowledged;
         m_nextPollAt = {};
     }
+    if (!orders.isPartial)
+        eraseWithdrawn(orders, now);
+    for (const auto& run : orders.stops)
+        stopTask(run);
+    std::vector<run_key> late;
+    for (const auto& start : orders.starts) {
+        if (!startTask(start, now))
+            late.push_back(start.run);
+    }
+    return late;
+}
+
+/// Forgets the orders that the leader no longer gives.
+void worker_agent::eraseWithdrawn(const worker_instructions& orders, instant now)
+{
     std::set<run_key> starting;
     for (const auto& start : orders.starts)
         starting.insert(start.run);
     // Instructions may overtake each other: what has been decided is kept as long as an earlier one may come.
     std::erase_if(m_starts, [&](const auto& item) {
-        const bool isDecided = item.second.isDecided();
-        const bool mayComeAgain = isDecided && !hasExpired(item.second.start, now);
+        const bool mayComeAgain = item.second.isDecided() && !hasExpired(item.second.start, now);
         return !item.second.isInFlight && !mayComeAgain && !starting.contains(item.first);
     });
     const std::set<run_key> stopping(orders.stops.begin(), orders.stops.end());
@@ -206,14 +220,6 @@
         const bool isPending = item.second.isInFlight || (item.second.isOwn && !item.second.isConfirmed);
         return !isPending && !stopping.contains(item.first) && !starting.contains(item.first);
     });
-    for (const auto& run : orders.stops)
-        stopTask(run);
-    std::vector<run_key> late;
-    for (const auto& start : orders.starts) {
-        if (!startTask(start, now))
-            late.push_back(start.run);
-    }
-    return late;
 }
 
 /// Whether the time in which a start may be carried out is over on the worker's clock, or may be over.
--- a/packages/wire/include/poplardeal/wire/frame.h
+++ b/packages/wire/include/poplardeal/wire/frame.h
@@ -63,8 +63,8 @@
 
 inline constexpr std::size_t frameHeaderSize = 28;
 inline constexpr std::size_t maxControlBody = std::size_t { 1024 } * 1024;
-/// Of `request`, `response`, `raft`, `operator_call` and `operator_answer`: up to 16 MiB of payload, such as one log
-/// entry, and what surrounds it.
+/// Of `request`, `response`, `raft`, `operator_call`, `operator_answer`, `queue_call` and `worker_report`, which cannot
+/// be split: up to 16 MiB of payload, such as one log entry, and what surrounds it.
 inline constexpr std::size_t maxRequestBody = std::size_t { 17 } * 1024 * 1024;
 
 /// Largest body of a frame of this kind, in bytes.
--- a/packages/wire/include/poplardeal/wire/messages_generated.h
+++ b/packages/wire/include/poplardeal/wire/messages_generated.h
@@ -4559,9 +4559,9 @@
   typedef start_order TableType;
   std::string task{};
   uint32_t run = 0;
-  std::string payload{};
   std::string saved{};
   int64_t until_ms = 0;
+  uint32_t payload_index = 0;
 };
 
 struct start_order FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4571,9 +4571,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TASK = 4,
     VT_RUN = 6,
-    VT_PAYLOAD = 8,
     VT_SAVED = 10,
-    VT_UNTIL_MS = 12
+    VT_UNTIL_MS = 12,
+    VT_PAYLOAD_INDEX = 14
   };
   const flatbuffers::String *task() const {
     return GetPointer<const flatbuffers::String *>(VT_TASK);
@@ -4581,25 +4581,24 @@
   uint32_t run() const {
     return GetField<uint32_t>(VT_RUN, 0);
   }
-  const flatbuffers::String *payload() const {
-    return GetPointer<const flatbuffers::String *>(VT_PAYLOAD);
-  }
   const flatbuffers::String *saved() const {
     return GetPointer<const flatbuffers::String *>(VT_SAVED);
   }
   int64_t until_ms() const {
     return GetField<int64_t>(VT_UNTIL_MS, 0);
   }
+  uint32_t payload_index() const {
+    return GetField<uint32_t>(VT_PAYLOAD_INDEX, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TASK) &&
            verifier.VerifyString(task()) &&
            VerifyField<uint32_t>(verifier, VT_RUN, 4) &&
-           VerifyOffset(verifier, VT_PAYLOAD) &&
-           verifier.VerifyString(payload()) &&
            VerifyOffset(verifier, VT_SAVED) &&
            verifier.VerifyString(saved()) &&
            VerifyField<int64_t>(verifier, VT_UNTIL_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_PAYLOAD_INDEX, 4) &&
            verifier.EndTable();
   }
   start_orderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4617,15 +4616,15 @@
   void add_run(uint32_t run) {
     fbb_.AddElement<uint32_t>(start_order::VT_RUN, run, 0);
   }
-  void add_payload(flatbuffers::Offset<flatbuffers::String> payload) {
-    fbb_.AddOffset(start_order::VT_PAYLOAD, payload);
-  }
   void add_saved(flatbuffers::Offset<flatbuffers::String> saved) {
     fbb_.AddOffset(start_order::VT_SAVED, saved);
   }
   void add_until_ms(int64_t until_ms) {
     fbb_.AddElement<int64_t>(start_order::VT_UNTIL_MS, until_ms, 0);
   }
+  void add_payload_index(uint32_t payload_index) {
+    fbb_.AddElement<uint32_t>(start_order::VT_PAYLOAD_INDEX, payload_index, 0);
+  }
   explicit start_orderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4641,13 +4640,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> task = 0,
     uint32_t run = 0,
-    flatbuffers::Offset<flatbuffers::String> payload = 0,
     flatbuffers::Offset<flatbuffers::String> saved = 0,
-    int64_t until_ms = 0) {
+    int64_t until_ms = 0,
+    uint32_t payload_index = 0) {
   start_orderBuilder builder_(_fbb);
   builder_.add_until_ms(until_ms);
+  builder_.add_payload_index(payload_index);
   builder_.add_saved(saved);
-  builder_.add_payload(payload);
   builder_.add_run(run);
   builder_.add_task(task);
   return builder_.Finish();
@@ -4662,19 +4661,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *task = nullptr,
     uint32_t run = 0,
-    const char *payload = nullptr,
     const char *saved = nullptr,
-    int64_t until_ms = 0) {
+    int64_t until_ms = 0,
+    uint32_t payload_index = 0) {
   auto task__ = task ? _fbb.CreateString(task) : 0;
-  auto payload__ = payload ? _fbb.CreateString(payload) : 0;
   auto saved__ = saved ? _fbb.CreateString(saved) : 0;
   return poplardeal::message::Createstart_order(
       _fbb,
       task__,
       run,
-      payload__,
       saved__,
-      until_ms);
+      until_ms,
+      payload_index);
 }
 
 flatbuffers::Offset<start_order> Createstart_order(flatbuffers::FlatBufferBuilder &_fbb, const start_orderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4769,6 +4767,8 @@
   uint64_t acknowledged = 0;
   std::vector<std::unique_ptr<poplardeal::message::start_orderT>> starts{};
   std::vector<std::unique_ptr<poplardeal::message::stop_orderT>> stops{};
+  std::vector<std::string> payloads{};
+  bool partial = false;
   worker_ordersT() = default;
   worker_ordersT(const worker_ordersT &o);
   worker_ordersT(worker_ordersT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4786,7 +4786,9 @@
     VT_LEASE_UNTIL_MS = 10,
     VT_ACKNOWLEDGED = 12,
     VT_STARTS = 14,
-    VT_STOPS = 16
+    VT_STOPS = 16,
+    VT_PAYLOADS = 18,
+    VT_PARTIAL = 20
   };
   const flatbuffers::String *worker() const {
     return GetPointer<const flatbuffers::String *>(VT_WORKER);
@@ -4809,6 +4811,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::stop_order>> *stops() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::stop_order>> *>(VT_STOPS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *payloads() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PAYLOADS);
+  }
+  bool partial() const {
+    return GetField<uint8_t>(VT_PARTIAL, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORKER) &&
@@ -4823,6 +4831,10 @@
            VerifyOffset(verifier, VT_STOPS) &&
            verifier.VerifyVector(stops()) &&
            verifier.VerifyVectorOfTables(stops()) &&
+           VerifyOffset(verifier, VT_PAYLOADS) &&
+           verifier.VerifyVector(payloads()) &&
+           verifier.VerifyVectorOfStrings(payloads()) &&
+           VerifyField<uint8_t>(verifier, VT_PARTIAL, 1) &&
            verifier.EndTable();
   }
   worker_ordersT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4855,6 +4867,12 @@
   void add_stops(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::stop_order>>> stops) {
     fbb_.AddOffset(worker_orders::VT_STOPS, stops);
   }
+  void add_payloads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> payloads) {
+    fbb_.AddOffset(worker_orders::VT_PAYLOADS, payloads);
+  }
+  void add_partial(bool partial) {
+    fbb_.AddElement<uint8_t>(worker_orders::VT_PARTIAL, static_cast<uint8_t>(partial), 0);
+  }
   explicit worker_ordersBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4874,15 +4892,19 @@
     int64_t lease_until_ms = 0,
     uint64_t acknowledged = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::start_order>>> starts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::stop_order>>> stops = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<poplardeal::message::stop_order>>> stops = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> payloads = 0,
+    bool partial = false) {
   worker_ordersBuilder builder_(_fbb);
   builder_.add_acknowledged(acknowledged);
   builder_.add_lease_until_ms(lease_until_ms);
   builder_.add_term(term);
   builder_.add_started_at_ms(started_at_ms);
+  builder_.add_payloads(payloads);
   builder_.add_stops(stops);
   builder_.add_starts(starts);
   builder_.add_worker(worker);
+  builder_.add_partial(partial);
   return builder_.Finish();
 }
 
@@ -4899,10 +4921,13 @@
     int64_t lease_until_ms = 0,
     uint64_t acknowledged = 0,
     const std::vector<flatbuffers::Offset<poplardeal::message::start_order>> *starts = nullptr,
-    const std::vector<flatbuffers::Offset<poplardeal::message::stop_order>> *stops = nullptr) {
+    const std::vector<flatbuffers::Offset<poplardeal::message::stop_order>> *stops = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *payloads = nullptr,
+    bool partial = false) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto starts__ = starts ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::start_order>>(*starts) : 0;
   auto stops__ = stops ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::stop_order>>(*stops) : 0;
+  auto payloads__ = payloads ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*payloads) : 0;
   return poplardeal::message::Createworker_orders(
       _fbb,
       worker__,
@@ -4911,7 +4936,9 @@
       lease_until_ms,
       acknowledged,
       starts__,
-      stops__);
+      stops__,
+      payloads__,
+      partial);
 }
 
 flatbuffers::Offset<worker_orders> Createworker_orders(flatbuffers::FlatBufferBuilder &_fbb, const worker_ordersT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6376,9 +6403,9 @@
   (void)_resolver;
   { auto _e = task(); if (_e) _o->task = _e->str(); }
   { auto _e = run(); _o->run = _e; }
-  { auto _e = payload(); if (_e) _o->payload = _e->str(); }
   { auto _e = saved(); if (_e) _o->saved = _e->str(); }
   { auto _e = until_ms(); _o->until_ms = _e; }
+  { auto _e = payload_index(); _o->payload_index = _e; }
 }
 
 inline flatbuffers::Offset<start_order> start_order::Pack(flatbuffers::FlatBufferBuilder &_fbb, const start_orderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6391,16 +6418,16 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const start_orderT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _task = _o->task.empty() ? 0 : _fbb.CreateString(_o->task);
   auto _run = _o->run;
-  auto _payload = _o->payload.empty() ? 0 : _fbb.CreateString(_o->payload);
   auto _saved = _o->saved.empty() ? 0 : _fbb.CreateString(_o->saved);
   auto _until_ms = _o->until_ms;
+  auto _payload_index = _o->payload_index;
   return poplardeal::message::Createstart_order(
       _fbb,
       _task,
       _run,
-      _payload,
       _saved,
-      _until_ms);
+      _until_ms,
+      _payload_index);
 }
 
 inline stop_orderT *stop_order::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6437,7 +6464,9 @@
         started_at_ms(o.started_at_ms),
         term(o.term),
         lease_until_ms(o.lease_until_ms),
-        acknowledged(o.acknowledged) {
+        acknowledged(o.acknowledged),
+        payloads(o.payloads),
+        partial(o.partial) {
   starts.reserve(o.starts.size());
   for (const auto &starts_ : o.starts) { starts.emplace_back((starts_) ? new poplardeal::message::start_orderT(*starts_) : nullptr); }
   stops.reserve(o.stops.size());
@@ -6452,6 +6481,8 @@
   std::swap(acknowledged, o.acknowledged);
   std::swap(starts, o.starts);
   std::swap(stops, o.stops);
+  std::swap(payloads, o.payloads);
+  std::swap(partial, o.partial);
   return *this;
 }
 
@@ -6471,6 +6502,8 @@
   { auto _e = acknowledged(); _o->acknowledged = _e; }
   { auto _e = starts(); if (_e) { _o->starts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->starts[_i] = std::unique_ptr<poplardeal::message::start_orderT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = stops(); if (_e) { _o->stops.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->stops[_i] = std::unique_ptr<poplardeal::message::stop_orderT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = payloads(); if (_e) { _o->payloads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->payloads[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = partial(); _o->partial = _e; }
 }
 
 inline flatbuffers::Offset<worker_orders> worker_orders::Pack(flatbuffers::FlatBufferBuilder &_fbb, const worker_ordersT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6488,6 +6521,8 @@
   auto _acknowledged = _o->acknowledged;
   auto _starts = _o->starts.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::start_order>> (_o->starts.size(), [](size_t i, _VectorArgs *__va) { return Createstart_order(*__va->__fbb, __va->__o->starts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _stops = _o->stops.size() ? _fbb.CreateVector<flatbuffers::Offset<poplardeal::message::stop_order>> (_o->stops.size(), [](size_t i, _VectorArgs *__va) { return Createstop_order(*__va->__fbb, __va->__o->stops[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _payloads = _o->payloads.size() ? _fbb.CreateVectorOfStrings(_o->payloads) : 0;
+  auto _partial = _o->partial;
   return poplardeal::message::Createworker_orders(
       _fbb,
       _worker,
@@ -6496,7 +6531,9 @@
       _lease_until_ms,
       _acknowledged,
       _starts,
-      _stops);
+      _stops,
+      _payloads,
+      _partial);
 }
 
 }  // namespace message
--- a/packages/wire/src/channel.cpp
+++ b/packages/wire/src/channel.cpp
@@ -66,11 +66,19 @@
 
     bool connection::send(const frame& f)
     {
-        if (m_phase != phase::open || f.body.size() > maxFrameBody(f.kind))
+        if (m_phase != phase::open)
             return false;
         const auto queued = m_queue.size() + m_writeBuffer.size();
-        if (queued + frameHeaderSize + f.body.size() > channel::maxQueuedBytes)
+        const bool isTooLarge = f.body.size() > maxFrameBody(f.kind);
+        if (isTooLarge || queued + frameHeaderSize + f.body.size() > channel::maxQueuedBytes) {
+            if (!std::exchange(m_isRefusing, true))
+                logEvent(log_level::warning, "frame_not_sent",
+                    { { "peer", toString(m_peer) }, { "kind", static_cast<int>(f.kind) }, { "bytes", f.body.size() },
+                        { "queued_bytes", queued },
+                        { "reason", isTooLarge ? "larger than a frame may be" : "the peer does not read" } });
             return false;
+        }
+        m_isRefusing = false;
         m_queue += encodeFrame(f);
         write();
         return true;
--- a/packages/wire/src/channel_impl.h
+++ b/packages/wire/src/channel_impl.h
@@ -62,6 +62,7 @@
     phase m_phase { phase::open };
     bool m_reading { false };
     bool m_writing { false };
+    bool m_isRefusing { false }; ///< The last frame was too large or did not fit into the queue.
     std::vector<char> m_readBuffer;
     frame_decoder m_decoder;
     std::string m_writeBuffer;
--- a/packages/wire/src/frame.cpp
+++ b/packages/wire/src/frame.cpp
@@ -79,6 +79,8 @@
     case frame_kind::raft:
     case frame_kind::operator_call:
     case frame_kind::operator_answer:
+    case frame_kind::queue_call:
+    case frame_kind::worker_report:
         return maxRequestBody;
     default:
         return maxControlBody;
