http_client: one call without an answer replaces all kept connections

Cause: a call without an answer closed only its own connection, and the next call took the next one of a silent pool of up to 64.

Change: each server has a pool of its own, which is replaced after the first call without an answer in time.

--- a/packages/wire/src/http_client.cpp
+++ b/packages/wire/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "chunk_decoder.h"
 #include "http_message.h"
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <poplardeal/base/log.h>
@@ -9,6 +10,28 @@
 namespace poplardeal {
 namespace detail {
 
+    /// The kept connections to one server.
+    struct connection_pool {
+        unsigned maxConnections { 0 };
+        object_ptr<SoupSession> session;
+        instant usedAt;
+    };
+
+    /// Shorter than the 60 s after which `http_server` closes an idle connection.
+    static constexpr unsigned idleSeconds = 30;
+
+    static object_ptr<SoupSession> makeSession(unsigned maxConnections)
+    {
+        const auto most = static_cast<int>(maxConnections);
+        object_ptr<SoupSession> out(soup_session_new_with_options(
+            "max-conns", most, "max-conns-per-host", most, "timeout", 0u, "idle-timeout", idleSeconds, nullptr));
+        // Requests go straight to their server, and bodies and status codes pass unchanged.
+        soup_session_set_proxy_resolver(out.get(), nullptr);
+        soup_session_remove_feature_by_type(out.get(), SOUP_TYPE_CONTENT_DECODER);
+        soup_session_remove_feature_by_type(out.get(), SOUP_TYPE_AUTH_MANAGER);
+        return out;
+    }
+
     class client_call;
     using call_table = std::unordered_set<std::shared_ptr<client_call>>;
 
@@ -17,15 +40,18 @@
     public:
         using done_handler = std::function<void(http_result)>;
 
-        client_call(call_table& table, object_ptr<SoupMessage> message, done_handler done)
+        client_call(call_table& table, std::shared_ptr<connection_pool> pool, object_ptr<SoupMessage> message,
+            done_handler done)
             : m_table(table)
+            , m_pool(std::move(pool))
+            , m_session(shareObject(m_pool->session.get()))
             , m_message(std::move(message))
             , m_cancellable(g_cancellable_new())
             , m_done(std::move(done))
         {
         }
 
-        void start(event_loop&, SoupSession*, duration timeout);
+        void start(event_loop&, duration timeout);
         void abandon();
 
     private:
@@ -54,6 +80,8 @@
         static constexpr gsize readSize = 65536;
 
         call_table& m_table;
+        std::shared_ptr<connection_pool> m_pool;
+        object_ptr<SoupSession> m_session; ///< Of the pool when the call began.
         object_ptr<SoupMessage> m_message;
         object_ptr<GCancellable> m_cancellable;
         object_ptr<GInputStream> m_input;
@@ -66,7 +94,7 @@
         bool m_expired { false };
     };
 
-    void client_call::start(event_loop& loop, SoupSession* session, duration timeout)
+    void client_call::start(event_loop& loop, duration timeout)
     {
         m_timer = loop.after(timeout, [this] {
             m_expired = true;
@@ -78,7 +106,8 @@
         const auto finish = [](GObject* source, GAsyncResult* result, gpointer data) {
             take(data)->finishSend(SOUP_SESSION(source), result);
         };
-        soup_session_send_async(session, m_message.get(), G_PRIORITY_DEFAULT, m_cancellable.get(), finish, share());
+        soup_session_send_async(
+            m_session.get(), m_message.get(), G_PRIORITY_DEFAULT, m_cancellable.get(), finish, share());
     }
 
     /// libsoup sends a request again when a kept connection ends before the response; the first may have run.
@@ -236,6 +265,10 @@
     {
         // What is left of the response is not waited for.
         g_cancellable_cancel(m_cancellable.get());
+        // Connections may stop passing anything without being closed, all at the same time. The next call must not wait
+        // for an answer on another one of them.
+        if (m_expired && m_sending && m_pool->session.get() == m_session.get())
+            m_pool->session = makeSession(m_pool->maxConnections);
         const auto verdict = m_sending ? run_verdict::may_have_run : run_verdict::not_run;
         finish(http_failure { std::move(cause), verdict });
     }
@@ -259,15 +292,10 @@
 } // namespace detail
 
 struct http_client::impl {
-    impl(event_loop& l, unsigned maxConnections)
+    impl(event_loop& l, unsigned connections)
         : loop(l)
-        , session(soup_session_new_with_options("max-conns", maxTotalConnections, "max-conns-per-host",
-              static_cast<int>(maxConnections), "timeout", 0u, "idle-timeout", idleSeconds, nullptr))
+        , maxConnections(connections)
     {
-        // Requests go straight to their server, and bodies and status codes pass unchanged.
-        soup_session_set_proxy_resolver(session.get(), nullptr);
-        soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_CONTENT_DECODER);
-        soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_AUTH_MANAGER);
     }
 
     ~impl()
@@ -275,22 +303,39 @@
         for (const auto& call : calls)
             call->abandon();
         calls.clear();
-        soup_session_abort(session.get());
+        for (const auto& [server, pool] : pools)
+            soup_session_abort(pool->session.get());
     }
 
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
 
-    static constexpr int maxTotalConnections = 4096;
-    /// Shorter than the 60 s after which `http_server` closes an idle connection.
-    static constexpr guint idleSeconds = 30;
+    std::shared_ptr<detail::connection_pool> poolOf(const address&);
 
     event_loop& loop;
-    detail::object_ptr<SoupSession> session;
+    unsigned maxConnections;
+    std::map<address, std::shared_ptr<detail::connection_pool>> pools;
     detail::call_table calls;
     std::shared_ptr<bool> alive { std::make_shared<bool>(true) };
 };
 
+/// Forgets pools whose connections have expired when another one is added.
+std::shared_ptr<detail::connection_pool> http_client::impl::poolOf(const address& server)
+{
+    const auto now = loop.now();
+    auto found = pools.find(server);
+    if (found == pools.end()) {
+        std::erase_if(pools,
+            [now](const auto& item) { return now - item.second->usedAt > std::chrono::seconds(detail::idleSeconds); });
+        auto fresh = std::make_shared<detail::connection_pool>();
+        fresh->maxConnections = maxConnections;
+        fresh->session = detail::makeSession(maxConnections);
+        found = pools.emplace(server, std::move(fresh)).first;
+    }
+    found->second->usedAt = now;
+    return found->second;
+}
+
 http_client::http_client(event_loop& loop, unsigned maxConnections)
     : m_impl(std::make_unique<impl>(loop, maxConnections))
 {
@@ -357,9 +402,10 @@
     // libsoup keeps new connections above its limit; they would add up.
     if (use == connection_use::fresh)
         soup_message_headers_replace(headers, "Connection", "close");
-    const auto call = std::make_shared<detail::client_call>(m_impl->calls, std::move(message), std::move(done));
+    const auto call = std::make_shared<detail::client_call>(
+        m_impl->calls, m_impl->poolOf(server), std::move(message), std::move(done));
     m_impl->calls.insert(call);
-    call->start(m_impl->loop, m_impl->session.get(), timeout);
+    call->start(m_impl->loop, timeout);
 }
 
 } // namespace poplardeal
--- a/packages/wire/tests/http_client_test.cpp
+++ b/packages/wire/tests/http_client_test.cpp
@@ -53,6 +53,37 @@
     BOOST_TEST(again.empty());
 }
 
+// All kept connections to a server go silent at the same time, without being closed, while new ones work. Guards
+// against a client that uses them up one by one, with a timeout for each.
+BOOST_AUTO_TEST_CASE(silent_kept_connections_cost_one_timeout)
+{
+    constexpr duration timeout = std::chrono::milliseconds(200);
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    const auto listening = raw_socket::listenOnLoopback();
+    std::vector<std::optional<http_result>> results(3);
+    for (auto& result : results)
+        client->send(listening.local(), post("x"), patience, connection_use::kept,
+            [&result](http_result r) { result.emplace(std::move(r)); });
+    std::vector<raw_socket> silent;
+    for (std::size_t i = 0; i < results.size(); ++i) {
+        silent.push_back(acceptRequest(listening));
+        silent.back().send(answer);
+    }
+    BOOST_REQUIRE(runUntil([&] {
+        return std::all_of(results.begin(), results.end(), [](const auto& each) { return each.has_value(); });
+    }));
+    const auto lost = call(listening.local(), post("x"), connection_use::kept, timeout);
+    BOOST_REQUIRE(lost.has_error());
+    BOOST_TEST((lost.error().cause.code == failure_code::timed_out));
+    BOOST_TEST((lost.error().verdict == run_verdict::may_have_run));
+    std::optional<http_result> next;
+    client->send(listening.local(), post("x"), patience, connection_use::kept,
+        [&next](http_result r) { next.emplace(std::move(r)); });
+    acceptRequest(listening).send(answer);
+    BOOST_REQUIRE(runUntil([&] { return next.has_value(); }));
+    BOOST_TEST(next->has_value());
+}
+
 // Guards against an ambiguous verdict where a fresh connection gives a certain one.
 BOOST_AUTO_TEST_CASE(connection_closed_by_the_server_is_not_used_for_requests_sent_once)
 {
