soak: replaced controls, silent connections everywhere, disks lost at the end

It replaced no control, silenced connections to one process at a time and none to workers, had jobs of one step, took no notice of a job that stands still, and looked jobs up one after the other within 120 s.

Always: jobs of up to three steps, which must not start before their turn; after healing an open job may not stand still for 3 s, and all jobs are asked for at once and need an answer within 12 s.

--- a/packages/soak/src/promises.cpp
+++ b/packages/soak/src/promises.cpp
@@ -1,20 +1,23 @@
 #include "promises.h"
+#include <algorithm>
+#include <numeric>
 
 namespace poplardeal::soak {
 
-void promises::sent(const std::string& job, const std::string& payload, std::uint32_t tasks)
+void promises::sent(const std::string& job, const std::string& payload, const std::vector<std::uint32_t>& steps)
 {
     auto& known = m_jobs[job];
     known.payload = payload;
-    known.tasks = tasks;
+    known.steps = steps;
 }
 
-void promises::accepted(const std::string& job)
+void promises::accepted(const std::string& job, instant now)
 {
     auto& known = m_jobs.at(job);
     if (known.isAccepted)
         return;
     known.isAccepted = true;
+    known.idleSince = now;
     ++m_acceptedCount;
 }
 
@@ -47,10 +50,9 @@
         breach("job " + job + " was accepted and is not known");
     if (status != 200)
         return;
-    const bool isWhole = m_doneTasks[job].size() == known.tasks;
-    if (state == "completed" && !isWhole)
-        breach("job " + job + " is shown as completed with " + std::to_string(m_doneTasks[job].size()) + " of "
-            + std::to_string(known.tasks) + " tasks done");
+    if (state == "completed" && !isWhole(job))
+        breach("job " + job + " is shown as completed with " + std::to_string(m_doneTasks[job].size())
+            + " tasks done, which are not all");
     if (known.isCompleted && state != "completed")
         breach("job " + job + " was shown as completed and is now " + state);
     if (state == "failed")
@@ -96,6 +98,9 @@
     const auto out = m_out.find(dataCentre);
     if (out != m_out.end() && now > out->second + evacuationLag)
         breach("task " + task + " was started in " + dataCentre + ", which is out of service");
+    if (!hasTurn(task))
+        breach("task " + task + " was started before the step before it was done");
+    job.running.insert(task);
     auto& record = m_tasks[task];
     if (!record.runs.empty())
         breach("task " + task + " runs as " + std::to_string(run) + " on " + life + " and as "
@@ -105,23 +110,74 @@
     record.runs[life] = run;
 }
 
-void promises::ended(const std::string& task, const std::string& life, const std::string& how)
+bool promises::isWhole(const std::string& job) const
+{
+    const auto done = m_doneTasks.find(job);
+    const auto& steps = m_jobs.at(job).steps;
+    return done != m_doneTasks.end() && done->second.size() == std::accumulate(steps.begin(), steps.end(), 0U);
+}
+
+/// Tasks are named JOB.OCCURRENCE.STEP.INDEX.
+bool promises::hasTurn(const std::string& task) const
+{
+    const auto job = jobOf(task);
+    const auto index = task.rfind('.');
+    const auto step = task.rfind('.', index - 1) + 1;
+    const auto number = std::stoul(task.substr(step, index - step));
+    if (number == 0)
+        return true;
+    const auto before = task.substr(0, step) + std::to_string(number - 1) + ".";
+    const auto done = m_doneTasks.find(job);
+    if (done == m_doneTasks.end())
+        return false;
+    const auto count = std::count_if(
+        done->second.begin(), done->second.end(), [&](const auto& each) { return each.starts_with(before); });
+    return static_cast<std::uint32_t>(count) == m_jobs.at(job).steps.at(number - 1);
+}
+
+void promises::runEnded(const std::string& task, instant now)
+{
+    const auto found = m_jobs.find(jobOf(task));
+    if (found == m_jobs.end() || !m_tasks[task].runs.empty())
+        return;
+    found->second.running.erase(task);
+    if (found->second.running.empty())
+        found->second.idleSince = now;
+}
+
+void promises::ended(const std::string& task, const std::string& life, const std::string& how, instant now)
 {
     m_tasks[task].runs.erase(life);
+    runEnded(task, now);
     if (how == "done")
         m_doneTasks[jobOf(task)].insert(task);
 }
 
+void promises::checkIdleJobs(instant calmSince, instant now)
+{
+    for (auto& [name, each] : m_jobs) {
+        const bool isOpen = each.isAccepted && !each.isCancelAsked && !isWhole(name);
+        const auto since = std::max(each.idleSince, calmSince);
+        if (!isOpen || !each.running.empty() || each.wasIdle || now - since <= idleLimit)
+            continue;
+        each.wasIdle = true;
+        breach("job " + name + " has had nothing running for "
+            + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count()) + " ms");
+    }
+}
+
 void promises::acknowledged(const std::string& task, const std::string& how)
 {
     if (how == "done")
         m_tasks[task].isNoted = true;
 }
 
-void promises::lifeEnded(const std::string& life)
+void promises::lifeEnded(const std::string& life, instant now)
 {
-    for (auto& [task, record] : m_tasks)
-        record.runs.erase(life);
+    for (auto& [task, record] : m_tasks) {
+        if (record.runs.erase(life) > 0)
+            runEnded(task, now);
+    }
 }
 
 std::vector<std::string> promises::openJobs() const
--- a/packages/soak/src/promises.h
+++ b/packages/soak/src/promises.h
@@ -13,8 +13,9 @@
 class promises {
 public:
     // Callers.
-    void sent(const std::string& job, const std::string& payload, std::uint32_t tasks);
-    void accepted(const std::string& job);
+    /// `steps`: tasks of each step. A step begins when all tasks of the one before are done.
+    void sent(const std::string& job, const std::string& payload, const std::vector<std::uint32_t>& steps);
+    void accepted(const std::string& job, instant now);
     /// An attempt had no answer, or one that leaves it open.
     void unclear(const std::string& job);
     /// The client stops after every attempt had an answer. Unless one left it open, the job was rejected.
@@ -33,11 +34,15 @@
     // Workers. `life` names one boot of a worker.
     void started(const std::string& task, std::uint32_t run, const std::string& life, const std::string& dataCentre,
         const std::string& payload, instant now);
-    void ended(const std::string& task, const std::string& life, const std::string& how);
+    void ended(const std::string& task, const std::string& life, const std::string& how, instant now);
     /// The end has been taken note of by the scheduler.
     void acknowledged(const std::string& task, const std::string& how);
     /// All runs of a life are over.
-    void lifeEnded(const std::string& life);
+    void lifeEnded(const std::string& life, instant now);
+
+    /// Call often while nothing disturbs the system, which has been so since `calmSince`: an open job with nothing
+    /// running for `idleLimit` is a breach, once for each job.
+    void checkIdleJobs(instant calmSince, instant now);
 
     /// Jobs that were accepted, not cancelled and not shown as completed.
     std::vector<std::string> openJobs() const;
@@ -51,12 +56,17 @@
     /// more starts there; from a cancellation until nothing more starts.
     static constexpr duration planLag { std::chrono::milliseconds(2000) };
     static constexpr duration evacuationLag { std::chrono::milliseconds(5000) };
+    /// Longest time for which a job has nothing running while the next task could run.
+    static constexpr duration idleLimit { std::chrono::milliseconds(3000) };
     static constexpr duration cancelLag { std::chrono::milliseconds(3000) };
 
 private:
     struct job_record {
         std::string payload;
-        std::uint32_t tasks { 0 };
+        std::vector<std::uint32_t> steps;
+        std::set<std::string> running; ///< Tasks.
+        instant idleSince;
+        bool wasIdle { false }; ///< For longer than `idleLimit`.
         bool wasUnclear { false };
         bool isRejected { false };
         bool hasStarted { false };
@@ -73,6 +83,9 @@
 
     void breach(const std::string& what) { m_broken.push_back(what); }
     std::string jobOf(const std::string& task) const { return task.substr(0, task.find('.')); }
+    bool isWhole(const std::string& job) const;
+    bool hasTurn(const std::string& task) const;
+    void runEnded(const std::string& task, instant now);
 
     std::map<std::string, job_record> m_jobs;
     std::map<std::string, task_record> m_tasks;
--- a/packages/soak/src/soak.cpp
+++ b/packages/soak/src/soak.cpp
@@ -20,6 +20,13 @@
     /// Far beyond the time that any job needs; only ends a soak in which one is stuck.
     constexpr duration finishLimit = std::chrono::seconds(120);
     constexpr int orderAttempts = 30;
+    constexpr std::size_t longestChain = 3; ///< Steps of a job.
+    // As on the platform.
+    constexpr duration catchUpTime = std::chrono::seconds(4);
+    constexpr duration graceTime = std::chrono::seconds(4);
+    constexpr duration recoveryTime = std::chrono::seconds(12);
+    constexpr duration finishTime = std::chrono::seconds(14);
+    constexpr duration lookUpLimit = std::chrono::seconds(12); ///< For four attempts of a client.
 
 } // namespace
 
@@ -35,13 +42,14 @@
     : m_loop(loop)
     , m_options(options)
     , m_random(options.seed)
+    , m_extraRandom(~options.seed)
     , m_cluster(options.size, options.daemon, options.folder, options.controlDaemon, options.seed)
     , m_client(loop, 64)
     , m_begun(loop.now())
 {
     for (std::size_t i = 0; i < m_cluster.sidecars().size(); ++i) {
         worker_place place { "w" + std::to_string(i), i % 2 == 0 ? "east" : "west", "r" + std::to_string(i % 2),
-            m_cluster.workerAddress(i), m_cluster.sidecarAddress(i) };
+            m_cluster.workerAddress(i), m_cluster.announcedWorkerAddress(i), m_cluster.sidecarAddress(i) };
         m_workers.push_back(std::make_unique<standin_worker>(loop, place, m_promises, options.seed * 100 + i));
     }
 }
@@ -67,12 +75,20 @@
     std::ostringstream id;
     id << std::hex << std::setw(16) << std::setfill('0') << (m_options.seed << 32 | ++m_jobs);
     job->id = id.str();
-    const auto tasks = static_cast<std::uint32_t>(between(1, 4));
+    std::vector<std::uint32_t> steps { static_cast<std::uint32_t>(between(1, 4)) };
+    while (m_jobs % 3 == 0 && steps.size() < longestChain)
+        steps.push_back(steps.back());
     const auto payload = "payload of " + job->id;
-    nlohmann::json step { { "count", tasks }, { "cpu", 500 }, { "mem_mb", 100 }, { "gpu", 1 }, { "est_ms", 700 } };
-    job->body = nlohmann::json({ { "spec", payload }, { "steps", { step } } }).dump();
+    nlohmann::json body { { "spec", payload } };
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        body["steps"].push_back(
+            { { "count", steps[i] }, { "cpu", 500 }, { "mem_mb", 100 }, { "gpu", 1 }, { "est_ms", 700 } });
+        if (i > 0)
+            body["steps"].back()["after"] = { i - 1 };
+    }
+    job->body = body.dump();
     job->willCancel = chance(0.1);
-    m_promises.sent(job->id, payload, tasks);
+    m_promises.sent(job->id, payload, steps);
     attempt(job);
 }
 
@@ -86,7 +102,7 @@
             const int status = out.has_value() ? out.value().status : 0;
             if (status == 200) {
                 m_callers.push_back(job);
-                m_promises.accepted(job->id);
+                m_promises.accepted(job->id, m_loop.now());
                 if (job->willCancel)
                     later(someTime(0, 1500), [this, job] { cancel(job); });
                 return poll(job);
@@ -156,8 +172,7 @@
         body["routes"].push_back({ { "name", entry.name }, { "host", entry.advertisedIp }, { "path_prefix", "/q/" },
             { "timeout_ms", 3000 }, { "priority", 1 }, { "service", "desk" }, { "attempts", 50 }, { "stretch", 3 } });
     http_request request { "PUT", "/config", "", { { "content-type", "application/json" } }, body.dump() };
-    const auto control = static_cast<std::size_t>(between(0, static_cast<int>(m_cluster.controls().size()) - 1));
-    m_client.send(m_cluster.operatorAddress(control), request, operatorTimeout,
+    m_client.send(m_cluster.operatorAddress(anyControl()), request, operatorTimeout,
         [this, version, attemptsLeft](const http_result& out) {
             const int status = out.has_value() ? out.value().status : 0;
             if (status == 200) {
@@ -171,15 +186,15 @@
 
 void soak::readPlan()
 {
-    const auto control = static_cast<std::size_t>(between(0, static_cast<int>(m_cluster.controls().size()) - 1));
+    const auto& control = anyControl();
     m_client.send(m_cluster.operatorAddress(control), { "GET", "/config", "", {}, "" }, operatorTimeout,
-        [this, control, asked = m_loop.now()](const http_result& out) {
+        [this, name = control.name, asked = m_loop.now()](const http_result& out) {
             if (!out.has_value() || out.value().status != 200)
                 return;
             const auto version = nlohmann::json::parse(out.value().body).value("version", std::uint64_t(0));
             m_promises.planRead(version, asked);
             if (m_isHealing && version >= m_promises.plan())
-                m_currentPlanAt.insert(m_cluster.controls()[control].name);
+                m_currentPlanAt.insert(name);
         });
 }
 
@@ -194,10 +209,9 @@
 
 void soak::sendOrder(const std::string& method, int attemptsLeft)
 {
-    const auto control = static_cast<std::size_t>(between(0, static_cast<int>(m_cluster.controls().size()) - 1));
     if (method == "DELETE")
         m_promises.dataCentreIn("west");
-    m_client.send(m_cluster.operatorAddress(control), { method, "/evacuate/west", "", {}, "" }, operatorTimeout,
+    m_client.send(m_cluster.operatorAddress(anyControl()), { method, "/evacuate/west", "", {}, "" }, operatorTimeout,
         [this, method, attemptsLeft](const http_result& out) {
             const int status = out.has_value() ? out.value().status : 0;
             const bool isTaken = status == 200;
@@ -247,17 +261,24 @@
     }
 }
 
-/// A lost disk counts until its control has caught up.
+member& soak::anyControl()
+{
+    auto controls = m_cluster.controls();
+    return *oneOf(controls);
+}
+
+/// A lost disk counts until its control has caught up, and so does a control that is being replaced.
 bool soak::mayLoseDisk()
 {
-    auto& controls = m_cluster.controls();
+    const auto controls = m_cluster.controls();
     return m_loop.now() - m_diskLostAt > diskLossGap && controls.size() >= 3 && m_plansAcknowledged > 0
-        && std::all_of(controls.begin(), controls.end(), [](const member& each) { return each.mayVote(); });
+        && m_loop.now() >= m_replacedAt
+        && std::all_of(controls.begin(), controls.end(), [](const member* each) { return each->mayVote(); });
 }
 
 void soak::failControl()
 {
-    auto& each = oneOf(m_cluster.controls());
+    auto& each = anyControl();
     if (mayLoseDisk() && chance(0.3)) {
         note("kill " + each.name + " and empty its disk");
         m_diskLostAt = m_loop.now();
@@ -266,9 +287,9 @@
     }
     if (chance(0.15)) {
         note("kill all controls");
-        for (auto& other : m_cluster.controls()) {
-            other.kill();
-            startLater(other, 50, 1500);
+        for (auto* other : m_cluster.controls()) {
+            other->kill();
+            startLater(*other, 50, 1500);
         }
         return;
     }
@@ -283,7 +304,7 @@
 
 void soak::losePower()
 {
-    auto& each = oneOf(m_cluster.controls());
+    auto& each = anyControl();
     switch (between(0, 5)) {
     case 0:
         return endInWrite(each, true);
@@ -293,8 +314,8 @@
     case 3:
         return losePowerAfterKill(each);
     default:
-        for (auto& other : m_cluster.controls())
-            endInWrite(other, chance(0.3));
+        for (auto* other : m_cluster.controls())
+            endInWrite(*other, chance(0.3));
         later(someTime(700, 2500), [this, &each] { losePowerOfAll(mayLoseDisk() && chance(0.5) ? &each : nullptr); });
     }
 }
@@ -302,7 +323,7 @@
 void soak::endInWrite(member& each, bool losesPower)
 {
     each.disk->update();
-    if (m_isHealing)
+    if (m_isHealing || each.isRetired)
         return;
     if (each.process->isRunning() && !each.disk->hasUnsynced())
         return later(std::chrono::milliseconds(1), [this, &each, losesPower] { endInWrite(each, losesPower); });
@@ -343,6 +364,105 @@
     }
 }
 
+/// Another control takes the place of one that is gone for good, before or after it ends. Then perhaps, at the first
+/// moment at which that is allowed, the disk of another one is lost.
+void soak::replaceControl()
+{
+    if (!mayLoseDisk() || !m_cluster.hasSpare())
+        return;
+    auto controls = m_cluster.controls();
+    auto* old = controls[extraBetween(0, static_cast<int>(controls.size()) - 1)];
+    const bool isPlanned = extraBetween(0, 1) == 0;
+    const bool isTold = extraBetween(0, 1) == 0;
+    const bool losesDisk = extraBetween(0, 2) > 0;
+    note("replace " + old->name + (isPlanned ? ", the new one first" : ", the new one later")
+        + (isTold ? ", SIGTERM" : ", SIGKILL"));
+    const auto loseAnother = [this, losesDisk] {
+        if (losesDisk && !m_isHealing)
+            loseAnyDisk();
+    };
+    // Nothing else may lose a disk meanwhile.
+    m_replacedAt = m_loop.now() + catchUpTime * 2 + graceTime;
+    if (isPlanned) {
+        m_cluster.startSpare();
+        return later(catchUpTime, [this, old, isTold, loseAnother] { endForGood(*old, isTold, loseAnother); });
+    }
+    endForGood(*old, isTold, [this, loseAnother] {
+        later(std::chrono::milliseconds(1000), [this, loseAnother] {
+            m_cluster.startSpare();
+            later(catchUpTime, loseAnother);
+        });
+    });
+}
+
+void soak::endForGood(member& control, bool isTold, const std::function<void()>& then)
+{
+    if (isTold)
+        control.signal(SIGTERM);
+    waitForEnd(control, m_loop.now() + (isTold ? graceTime : duration(0)), then);
+}
+
+void soak::waitForEnd(member& control, instant deadline, const std::function<void()>& then)
+{
+    if (control.process->isRunning() && m_loop.now() < deadline)
+        return later(
+            std::chrono::milliseconds(20), [this, &control, deadline, then] { waitForEnd(control, deadline, then); });
+    m_cluster.retire(control);
+    then();
+}
+
+void soak::loseAnyDisk()
+{
+    auto controls = m_cluster.controls();
+    const auto isWhole = [](const member* each) { return each->mayVote(); };
+    if (!std::all_of(controls.begin(), controls.end(), isWhole))
+        return;
+    auto* each = controls[extraBetween(0, static_cast<int>(controls.size()) - 1)];
+    note("kill " + each->name + " and empty its disk after a replacement");
+    m_diskLostAt = m_loop.now();
+    each->loseDisk();
+    later(std::chrono::milliseconds(1000), [each] { each->start(); });
+}
+
+void soak::injectExtra()
+{
+    if (m_isHealing)
+        return;
+    if (extraBetween(0, 2) == 0) {
+        replaceControl();
+    } else {
+        note("silence all connections");
+        m_cluster.silenceAll();
+    }
+    later(std::chrono::milliseconds(extraBetween(1500, 6000)), [this] { injectExtra(); });
+}
+
+/// As the platform's days end: right after an acknowledged plan, as many controls as may be lost lose their disks, and
+/// perhaps all other machines lose power.
+void soak::loseAtTheEnd()
+{
+    constexpr std::size_t groupOfTwoLosses = 5;
+    auto controls = m_cluster.controls();
+    std::shuffle(controls.begin(), controls.end(), m_extraRandom);
+    const std::size_t losses = controls.size() >= groupOfTwoLosses ? 2 : 1;
+    const bool losesPower = extraBetween(0, 1) == 0;
+    std::string names;
+    for (std::size_t i = 0; i < losses; ++i) {
+        names += " " + controls[i]->name;
+        controls[i]->loseDisk();
+    }
+    note("at the end, loss of the disks of" + names + (losesPower ? ", loss of power of all others" : ""));
+    for (auto* each : losesPower ? m_cluster.all() : controls) {
+        const bool hasLostDisk
+            = std::find(controls.begin(), controls.begin() + static_cast<std::ptrdiff_t>(losses), each)
+            != controls.begin() + static_cast<std::ptrdiff_t>(losses);
+        if (losesPower && !hasLostDisk)
+            each->losePower(m_random);
+        if (losesPower || hasLostDisk)
+            startLater(*each, 500, 1500);
+    }
+}
+
 void soak::failLink()
 {
     std::vector<member*> reached;
@@ -433,39 +553,40 @@
     return std::all_of(all.begin(), all.end(), [](const member* each) { return each->process->isRunning(); });
 }
 
-/// One after the other, since a job that ended may have been forgotten since.
-void soak::lookUpNext()
+void soak::lookUp(const std::shared_ptr<caller>& job, std::size_t attempt)
 {
-    if (m_lookedUp == m_callers.size())
-        return;
-    const auto& job = m_callers[m_lookedUp];
     http_request request { "GET", "/q/" + job->id, "", { { "authorization", "Bearer k" } }, "" };
-    m_client.send(
-        m_cluster.frontAddress(0), request, callTimeout, connection_use::kept, [this, job](const http_result& out) {
-            const bool isAnswered = showAnswer(job, out);
-            m_lookedUp += isAnswered ? 1 : 0;
-            later(isAnswered ? duration(0) : retryPause, [this] { lookUpNext(); });
+    const auto entry = (m_lookUpEntry + attempt) % m_cluster.entries().size();
+    m_client.send(m_cluster.frontAddress(entry), request, callTimeout, connection_use::kept,
+        [this, job, attempt](const http_result& out) {
+            if (showAnswer(job, out))
+                ++m_lookedUp;
+            else
+                later(retryPause, [this, job, attempt] { lookUp(job, attempt + 1); });
         });
 }
 
 void soak::checkEnd(soak_report& out)
 {
-    lookUpNext();
-    wait(finishLimit, [this] { return m_lookedUp == m_callers.size() || !isWholeRunning(); });
+    for (const auto& job : m_callers) {
+        ++m_lookUpEntry;
+        lookUp(job, 0);
+    }
+    wait(lookUpLimit, [this] { return m_lookedUp == m_callers.size() || !isWholeRunning(); });
     out.broken = m_promises.broken();
     const auto check = [&](bool isKept, const std::string& what) {
         if (!isKept)
             out.broken.push_back(what);
     };
     const auto due = m_callers.size() - m_lookedUp;
-    check(due == 0, std::to_string(due) + " accepted jobs could not be looked up after healing");
+    check(due == 0, std::to_string(due) + " accepted jobs got no answer after healing, when all were asked for");
     for (const auto& job : m_promises.openJobs())
         check(false, "job " + job + " was accepted and is not completed after healing");
     const auto plan = std::to_string(m_promises.plan());
-    for (auto& each : m_cluster.controls()) {
-        check(m_currentPlanAt.contains(each.name), each.name + " did not show plan " + plan + " after healing");
-        each.kill();
-        check(each.diskFault.empty(), "the record of " + each.name + " is wrong: " + each.diskFault);
+    for (auto* each : m_cluster.controls()) {
+        check(m_currentPlanAt.contains(each->name), each->name + " did not show plan " + plan + " after healing");
+        each->kill();
+        check(each->diskFault.empty(), "the record of " + each->name + " is wrong: " + each->diskFault);
     }
     for (auto* each : m_cluster.all())
         check(each->process->ownEnds() == 0, each->name + " ended by itself");
@@ -482,12 +603,26 @@
     const auto reads = m_loop.every(readInterval, [this] { readPlan(); });
     const auto orders = m_loop.every(orderInterval, [this] { orderDataCentre(); });
     later(std::chrono::milliseconds(500), [this] { injectOne(); });
+    if (m_options.hasExtraFaults)
+        later(std::chrono::milliseconds(2000), [this] { injectExtra(); });
     wait(m_options.faults, [] { return false; });
     heal();
     // Processes that were told to end restart by their own timers within this time.
     wait(std::chrono::seconds(7), [] { return false; });
     for (auto* each : m_cluster.all())
         each->start();
+    if (m_options.hasExtraFaults) {
+        wait(catchUpTime * 2 + graceTime, [] { return false; });
+        const auto before = m_plansAcknowledged;
+        sendPlan(++m_plan, orderAttempts);
+        wait(finishLimit, [this, before] { return m_plansAcknowledged > before; });
+        m_currentPlanAt.clear();
+        loseAtTheEnd();
+        wait(recoveryTime + std::chrono::milliseconds(1500), [] { return false; });
+    }
+    const auto calmSince = m_loop.now() + (m_options.hasExtraFaults ? duration(0) : finishTime);
+    const auto idle = m_loop.every(
+        std::chrono::milliseconds(100), [this, calmSince] { m_promises.checkIdleJobs(calmSince, m_loop.now()); });
     wait(finishLimit, [this] {
         const bool isDone = m_promises.openJobs().empty() && !m_isOrderUnderWay
             && m_currentPlanAt.size() == m_cluster.controls().size();
--- a/packages/soak/src/soak.h
+++ b/packages/soak/src/soak.h
@@ -13,6 +13,8 @@
 struct soak_options {
     std::uint64_t seed { 1 };
     duration faults { std::chrono::seconds(12) }; ///< Time in which faults are injected.
+    /// Also replaced controls, all connections silent at the same time, and a loss of disks at the end.
+    bool hasExtraFaults { false };
     cluster_size size;
     std::string daemon;
     std::string controlDaemon; ///< Path of the daemon of controls, which records what it does to its data folder.
@@ -41,7 +43,8 @@
     void submitOne();
     void attempt(const std::shared_ptr<caller>&);
     void poll(const std::shared_ptr<caller>&);
-    void lookUpNext();
+    /// Asks until there is an answer, at another entry each time.
+    void lookUp(const std::shared_ptr<caller>&, std::size_t attempt);
     bool showAnswer(const std::shared_ptr<caller>&, const http_result&);
     void cancel(const std::shared_ptr<caller>&);
     void putPlan();
@@ -63,16 +66,25 @@
     void losePowerOfAll(const member* diskLoser);
     void failLink();
     void failWorker();
+    void injectExtra();
+    void replaceControl();
+    void endForGood(member& control, bool isTold, const std::function<void()>& then);
+    void waitForEnd(member& control, instant deadline, const std::function<void()>& then);
+    void loseAnyDisk();
+    void loseAtTheEnd();
     void heal();
     void checkEnd(soak_report&);
     void later(duration, std::function<void()>);
     void startLater(member& each, int leastMs, int mostMs);
     bool mayLoseDisk();
+    member& anyControl();
     bool isWholeRunning();
     void note(const std::string& what);
 
     bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(m_random) < share; }
     int between(int least, int most) { return std::uniform_int_distribution<int>(least, most)(m_random); }
+    /// For the faults of `hasExtraFaults`, which leave the schedule of the others as it is.
+    int extraBetween(int least, int most) { return std::uniform_int_distribution<int>(least, most)(m_extraRandom); }
     duration someTime(int leastMs, int mostMs) { return std::chrono::milliseconds(between(leastMs, mostMs)); }
     template <class T> T& oneOf(std::vector<T>& all)
     {
@@ -83,12 +95,14 @@
     event_loop& m_loop;
     soak_options m_options;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_extraRandom;
     promises m_promises;
     soak_cluster m_cluster;
     std::vector<std::unique_ptr<standin_worker>> m_workers;
     http_client m_client;
     instant m_begun;
     instant m_diskLostAt;
+    instant m_replacedAt; ///< When the last replacement is over, at the latest.
     bool m_isHealing { false };
     bool m_isOrderUnderWay { false };
     std::uint64_t m_jobs { 0 };
@@ -98,6 +112,7 @@
     std::vector<std::shared_ptr<caller>> m_callers; ///< Of accepted jobs.
     std::set<std::string> m_currentPlanAt; ///< Controls that showed the newest plan after healing.
     std::size_t m_lookedUp { 0 }; ///< Of `m_callers`, at the end.
+    std::size_t m_lookUpEntry { 0 };
     std::deque<event_loop::timer> m_timers;
 };
 
--- a/packages/soak/src/soak_cluster.cpp
+++ b/packages/soak/src/soak_cluster.cpp
@@ -20,6 +20,14 @@
         each->setMode(mode);
 }
 
+void member::start()
+{
+    if (isRetired)
+        return;
+    isStarted = true;
+    process->start();
+}
+
 void member::signal(int number)
 {
     if (!disk)
@@ -79,6 +87,10 @@
         m_entries.push_back(make("queue-entry", i, ++host));
     for (std::uint32_t i = 0; i < size.sidecars; ++i)
         m_sidecars.push_back(make("queue-sidecar", i, ++host));
+    for (std::uint32_t i = 0; i < size.spares; ++i)
+        m_controls.push_back(make("queue-control", size.controls + i, ++host));
+    for (std::size_t i = 0; i < m_sidecars.size(); ++i)
+        m_workerProxies.push_back(std::make_unique<loopback_proxy>(announcedWorkerAddress(i), workerAddress(i)));
 }
 
 member soak_cluster::make(const std::string& role, std::uint32_t number, std::uint32_t host)
@@ -111,7 +123,7 @@
     return out;
 }
 
-void soak_cluster::writeSettings(const member& each, const std::string& role, bool bootstrap) const
+void soak_cluster::writeSettings(const member& each, const std::string& role, bool bootstrap)
 {
     std::ofstream out(m_folder / (each.name + ".toml"));
     const auto port = role == "queue-entry" ? frontPort : operatorPort;
@@ -123,38 +135,85 @@
         out << "data_folder = \"" << each.data.string() << "\"\nbootstrap = " << (bootstrap ? "true" : "false")
             << "\nsnapshot_every = " << snapshotIntervals[m_seed % snapshotIntervals.size()] << "\n";
     out << "seeds = [";
-    for (std::size_t i = 0; i < m_controls.size(); ++i)
-        out << (i > 0 ? ", " : "") << '"' << toString(operatorAddress(i)) << '"';
+    constexpr std::size_t maxSeeds = 3; // As on the platform.
+    std::size_t seeds = 0;
+    for (std::size_t i = 0; i < m_controls.size() && seeds < maxSeeds; ++i) {
+        const bool isInitial = i < m_size.controls;
+        if (!m_controls[i].isRetired && (isInitial || m_controls[i].isStarted))
+            out << (seeds++ > 0 ? ", " : "") << '"' << toString(operatorAddress(m_controls[i])) << '"';
+    }
     out << "]\n";
 }
 
+void soak_cluster::writeAllSettings(bool bootstrap)
+{
+    for (const auto& each : m_controls)
+        writeSettings(each, "queue-control", bootstrap);
+    for (const auto& each : m_entries)
+        writeSettings(each, "queue-entry", false);
+    for (const auto& each : m_sidecars)
+        writeSettings(each, "queue-sidecar", false);
+}
+
 void soak_cluster::start()
 {
-    for (const bool bootstrap : { true, false }) {
-        for (const auto& each : m_controls)
-            writeSettings(each, "queue-control", bootstrap);
-        if (!bootstrap)
-            return;
-        for (const auto& each : m_entries)
-            writeSettings(each, "queue-entry", false);
-        for (const auto& each : m_sidecars)
-            writeSettings(each, "queue-sidecar", false);
-        for (auto* each : all()) {
-            if (!each->data.empty())
-                std::filesystem::create_directories(each->data);
-            each->start();
-        }
-        // The settings are read at the start; those for later starts must not form a second group.
-        const auto isOpen = [](const member& each) { return each.hasLogged("replica_opened"); };
-        for (int i = 0; i < openChecks && !std::all_of(m_controls.begin(), m_controls.end(), isOpen); ++i)
-            std::this_thread::sleep_for(openCheckInterval);
+    writeAllSettings(true);
+    std::vector<member*> controls;
+    for (std::size_t i = 0; i < m_size.controls; ++i)
+        controls.push_back(&m_controls[i]);
+    for (auto* each : controls) {
+        std::filesystem::create_directories(each->data);
+        each->start();
     }
+    for (auto* group : { &m_entries, &m_sidecars }) {
+        for (auto& each : *group)
+            each.start();
+    }
+    // The settings are read at the start; those for later starts must not form a second group.
+    const auto isOpen = [](const member* each) { return each->hasLogged("replica_opened"); };
+    for (int i = 0; i < openChecks && !std::all_of(controls.begin(), controls.end(), isOpen); ++i)
+        std::this_thread::sleep_for(openCheckInterval);
+    writeAllSettings(false);
 }
 
-std::vector<member*> soak_cluster::all()
+void soak_cluster::startSpare()
+{
+    auto& spare = m_controls.at(m_size.controls + m_startedSpares++);
+    std::filesystem::create_directories(spare.data);
+    spare.start();
+}
+
+void soak_cluster::retire(member& control)
+{
+    control.kill();
+    control.isRetired = true;
+    writeAllSettings(false);
+}
+
+void soak_cluster::silenceAll()
+{
+    for (const auto* each : all()) {
+        for (const auto& proxy : each->proxies)
+            proxy->silence();
+    }
+    for (const auto& proxy : m_workerProxies)
+        proxy->silence();
+}
+
+std::vector<member*> soak_cluster::controls()
 {
     std::vector<member*> out;
-    for (auto* group : { &m_controls, &m_entries, &m_sidecars }) {
+    for (auto& each : m_controls) {
+        if (each.isActive())
+            out.push_back(&each);
+    }
+    return out;
+}
+
+std::vector<member*> soak_cluster::all()
+{
+    auto out = controls();
+    for (auto* group : { &m_entries, &m_sidecars }) {
         for (auto& each : *group)
             out.push_back(&each);
     }
--- a/packages/soak/src/soak_cluster.h
+++ b/packages/soak/src/soak_cluster.h
@@ -17,6 +17,7 @@
     std::uint32_t controls { 3 };
     std::uint32_t entries { 2 };
     std::uint32_t sidecars { 4 };
+    std::uint32_t spares { 3 }; ///< Controls that may replace others.
     std::uint32_t network { 30 }; ///< All addresses are in 127.NETWORK.0.0/16, so that soaks can run side by side.
 };
 
@@ -32,9 +33,13 @@
     std::filesystem::path log;
     std::uintmax_t logBytesAtLoss { 0 }; ///< When the disk was lost.
     std::string diskFault; ///< The folder of a control that had ended was not as recorded.
+    bool isStarted { false };
+    bool isRetired { false }; ///< The machine is gone for good.
 
+    bool isActive() const { return isStarted && !isRetired; }
     void setMode(link_mode);
-    void start() { process->start(); }
+    /// Does nothing for a machine that is gone.
+    void start();
     /// A signal that may end a process that has just started.
     void signal(int number);
     /// Ends the process only; what it wrote stays.
@@ -59,13 +64,27 @@
     /// Starts every process. Only the first start may form the group.
     void start();
 
-    std::vector<member>& controls() { return m_controls; }
+    /// The controls that take part: replaced ones and unused spares do not.
+    std::vector<member*> controls();
     std::vector<member>& entries() { return m_entries; }
     std::vector<member>& sidecars() { return m_sidecars; }
+    /// The controls that take part, the entries and the sidecars.
     std::vector<member*> all();
-    address operatorAddress(std::size_t control) const { return { m_controls[control].advertisedIp, operatorPort }; }
+    bool hasSpare() const { return m_startedSpares < m_size.spares; }
+    /// Starts a spare control with an empty disk. Needs `hasSpare`.
+    void startSpare();
+    /// Ends the process of a control whose machine is gone for good. The settings of the others name other seeds.
+    void retire(member&);
+    address operatorAddress(const member& control) const { return { control.advertisedIp, operatorPort }; }
     address frontAddress(std::size_t entry) const { return { m_entries[entry].advertisedIp, frontPort }; }
     address workerAddress(std::size_t sidecar) const { return { m_sidecars[sidecar].ownIp, workerPort }; }
+    /// Where the sidecar reaches its worker.
+    address announcedWorkerAddress(std::size_t sidecar) const
+    {
+        return { m_sidecars[sidecar].advertisedIp, workerPort };
+    }
+    /// Open connections between all machines and to the workers never pass anything again; new ones work.
+    void silenceAll();
     address sidecarAddress(std::size_t sidecar) const { return { m_sidecars[sidecar].ownIp, operatorPort }; }
 
     static constexpr std::uint16_t framePort = 7000;
@@ -76,16 +95,19 @@
 
 private:
     member make(const std::string& role, std::uint32_t number, std::uint32_t host);
-    void writeSettings(const member&, const std::string& role, bool bootstrap) const;
+    void writeSettings(const member&, const std::string& role, bool bootstrap);
+    void writeAllSettings(bool bootstrap);
 
     cluster_size m_size;
     std::string m_daemon;
     std::filesystem::path m_folder;
     std::string m_controlDaemon;
     std::uint64_t m_seed;
-    std::vector<member> m_controls;
+    std::vector<member> m_controls; ///< With the spares, which come last.
+    std::uint32_t m_startedSpares { 0 };
     std::vector<member> m_entries;
     std::vector<member> m_sidecars;
+    std::vector<std::unique_ptr<loopback_proxy>> m_workerProxies; ///< By sidecar.
 };
 
 } // namespace poplardeal::soak
--- a/packages/soak/src/soak_main.cpp
+++ b/packages/soak/src/soak_main.cpp
@@ -12,6 +12,8 @@
     network, 30, "second number of the loopback addresses, 1 to 254; differs for soaks that run side by side");
 DEFINE_string(daemon, "", "path of poplardeald; by default the one beside this program");
 DEFINE_string(control_daemon, "", "path of poplardeald-recorded; by default the one beside this program");
+DEFINE_bool(extra, false,
+    "also replace controls, silence all connections at once, and lose the disks that may be lost at the end");
 DEFINE_bool(keep, false, "keep settings, data and logs also when every promise held");
 
 namespace poplardeal::soak {
@@ -22,7 +24,11 @@
         soak_options options;
         options.seed = seed;
         options.faults = std::chrono::seconds(FLAGS_seconds);
-        options.size = { FLAGS_controls, FLAGS_entries, FLAGS_sidecars, FLAGS_network };
+        options.hasExtraFaults = FLAGS_extra;
+        options.size.controls = FLAGS_controls;
+        options.size.entries = FLAGS_entries;
+        options.size.sidecars = FLAGS_sidecars;
+        options.size.network = FLAGS_network;
         options.daemon = daemon;
         options.controlDaemon = controlDaemon;
         auto pattern = (std::filesystem::temp_directory_path() / "poplardeal-soak-XXXXXX").string();
--- a/packages/soak/src/standin_worker.cpp
+++ b/packages/soak/src/standin_worker.cpp
@@ -39,7 +39,7 @@
 void standin_worker::crash(bool keepsId)
 {
     if (!m_id.empty())
-        m_promises.lifeEnded(life());
+        m_promises.lifeEnded(life(), m_loop.now());
     if (!keepsId)
         m_id = m_place.id + "-" + std::to_string(++m_boots);
     m_bornAt = m_loop.now();
@@ -58,9 +58,10 @@
 void standin_worker::announce()
 {
     http_request beat { "PUT", "/instances/" + m_id, "", { { "content-type", "application/json" } }, "" };
-    nlohmann::json body { { "service", "desk" }, { "addr", toString(m_place.own) }, { "zone", m_place.dataCentre },
-        { "version", "v1" }, { "slots", 8 }, { "state", m_isDraining ? "draining" : "ready" }, { "cold_left_ms", 0 },
-        { "seq", ++m_sequence }, { "born", m_bornMs }, { "clock_ms", clockMs() },
+    nlohmann::json body { { "service", "desk" }, { "addr", toString(m_place.announced) },
+        { "zone", m_place.dataCentre }, { "version", "v1" }, { "slots", 8 },
+        { "state", m_isDraining ? "draining" : "ready" }, { "cold_left_ms", 0 }, { "seq", ++m_sequence },
+        { "born", m_bornMs }, { "clock_ms", clockMs() },
         { "room", { { "cpu", 8000 }, { "mem_mb", 8000 }, { "gpu", maxTasks } } }, { "labels", { "a", m_place.rack } } };
     if (m_isDraining)
         body["drain_remaining_ms"] = 1000;
@@ -86,7 +87,7 @@
 {
     const auto found = m_running.find(task);
     m_ended.push_back({ ++m_lastEnd, task, found->second.run, how });
-    m_promises.ended(task, life(), how);
+    m_promises.ended(task, life(), how, m_loop.now());
     m_running.erase(found);
 }
 
--- a/packages/soak/src/standin_worker.h
+++ b/packages/soak/src/standin_worker.h
@@ -17,6 +17,7 @@
     std::string dataCentre;
     std::string rack;
     address own;
+    address announced; ///< Where the sidecar reaches it.
     address sidecar;
 };
 
--- a/packages/soak/tests/promises_test.cpp
+++ b/packages/soak/tests/promises_test.cpp
@@ -13,6 +13,7 @@
 const std::string job = "00000000000000aa";
 const std::string taskA = job + ".0.0.0";
 const std::string taskB = job + ".0.0.1";
+const std::string taskC = job + ".0.1.0"; ///< Of the second step.
 
 struct promise_row {
     std::string name;
@@ -30,20 +31,64 @@
 const std::vector<promise_row> rows {
     { "a job runs whole",
         [](promises& p) {
-            p.accepted(job);
+            p.accepted(job, at(0));
             start(p, taskA, "w1");
             start(p, taskB, "w1");
-            p.ended(taskA, "w1", "done");
-            p.ended(taskB, "w1", "done");
+            p.ended(taskA, "w1", "done", at(200));
+            p.ended(taskB, "w1", "done", at(200));
+            start(p, taskC, "w1");
+            p.ended(taskC, "w1", "done", at(300));
             p.acknowledged(taskA, "done");
             p.shown(job, 200, "completed");
+            p.checkIdleJobs(at(0), at(9000));
         },
         0 },
+    { "a step before its turn",
+        [](promises& p) {
+            start(p, taskA, "w1");
+            p.ended(taskA, "w1", "done", at(200));
+            start(p, taskC, "w1");
+        },
+        1 },
+    { "an accepted job that is not started",
+        [](promises& p) {
+            p.accepted(job, at(0));
+            p.checkIdleJobs(at(0), at(3000));
+            p.checkIdleJobs(at(0), at(3001));
+            p.checkIdleJobs(at(0), at(3002));
+        },
+        1 },
+    { "nothing running for long, and not calm for as long",
+        [](promises& p) {
+            p.accepted(job, at(0));
+            p.checkIdleJobs(at(1000), at(4000));
+        },
+        0 },
+    { "a task that goes on",
+        [](promises& p) {
+            p.accepted(job, at(0));
+            start(p, taskA, "w1");
+            start(p, taskB, "w1");
+            p.ended(taskB, "w1", "done", at(200));
+            p.checkIdleJobs(at(0), at(9000));
+        },
+        0 },
+    { "a step that does not follow",
+        [](promises& p) {
+            p.accepted(job, at(0));
+            start(p, taskA, "w1");
+            start(p, taskB, "w1");
+            p.ended(taskA, "w1", "done", at(200));
+            p.ended(taskB, "w1", "done", at(4000));
+            p.checkIdleJobs(at(0), at(7000));
+            p.checkIdleJobs(at(0), at(7001));
+        },
+        1 },
     { "completed too early",
         [](promises& p) {
-            p.accepted(job);
+            p.accepted(job, at(0));
             start(p, taskA, "w1");
-            p.ended(taskA, "w1", "done");
+            p.ended(taskA, "w1", "done", at(200));
             p.shown(job, 200, "completed");
         },
         1 },
@@ -56,14 +101,14 @@
     { "a second run after the first worker has crashed",
         [](promises& p) {
             start(p, taskA, "w1");
-            p.lifeEnded("w1");
+            p.lifeEnded("w1", at(200));
             start(p, taskA, "w2");
         },
         0 },
     { "started again after its end was noted",
         [](promises& p) {
             start(p, taskA, "w1");
-            p.ended(taskA, "w1", "done");
+            p.ended(taskA, "w1", "done", at(200));
             p.acknowledged(taskA, "done");
             start(p, taskA, "w2");
         },
@@ -83,7 +128,7 @@
         0 },
     { "unknown after acceptance",
         [](promises& p) {
-            p.accepted(job);
+            p.accepted(job, at(0));
             p.shown(job, 410, "");
         },
         1 },
@@ -115,7 +160,7 @@
 BOOST_DATA_TEST_CASE(breaches_are_found, boost::unit_test::data::make(rows), row)
 {
     promises seen;
-    seen.sent(job, "p", 2);
+    seen.sent(job, "p", { 2, 1 });
     row.events(seen);
     BOOST_TEST(seen.broken().size() == row.broken);
 }
