jobs: the word that a worker ends is confirmed by polls

Cause: a DELETE names an id and no life; the sidecar took it for the end of the boot that it follows, though that boot answers polls.

Change: a worker that says that it ends is gone when connections are refused, another boot answers, or nothing has answered for 1.5 s. One that still answers then goes on.

--- a/packages/emulator/src/fault_cluster.cpp
+++ b/packages/emulator/src/fault_cluster.cpp
@@ -357,8 +357,9 @@
     if (machine.process != call.process)
         return;
     if (!machine.worker || machine.worker->boot() != call.answering || call.answering.worker != call.boot.worker) {
-        return inProcess(machine, callTimeout, [this, &machine, call] {
-            machine.agent->applyPollFailure(call.boot, m_events.now());
+        const bool isRefused = !machine.worker || machine.worker->boot() != call.boot;
+        return inProcess(machine, isRefused ? callDelay : callTimeout, [this, &machine, call, isRefused] {
+            machine.agent->applyPollFailure(call.boot, isRefused, m_events.now());
             carryOut(machine);
         });
     }
@@ -387,9 +388,11 @@
         return;
     if (isAnnounced)
         announce(machine, networkDelay, true);
-    // An announcement of the boot that is gone may still be on its way.
+    // An announcement of the boot that is gone may still be on its way, or the word that it ends.
     if (draw() < 0.3)
         announce(machine, draw(1s, 5s));
+    if (m_scenario.hasLateDepartures)
+        announce(machine, draw(1s, 5s), true);
     for (const auto& [task, behaviour] : m_behaviours)
         m_failures[task] += machine.worker->failuresOf(task);
     machine.worker.reset();
--- a/packages/emulator/tests/fault_play_test.cpp
+++ b/packages/emulator/tests/fault_play_test.cpp
@@ -50,6 +50,13 @@
     return out;
 }
 
+fault_scenario makeLateDepartureScenario()
+{
+    auto out = makeScenario(3, 8, 10);
+    out.hasLateDepartures = true;
+    return out;
+}
+
 const range_row rangeRows[] = {
     { "one fault", makeScenario(3, 8, 1), 1 },
     { "some faults", makeScenario(3, 8, 6), 1 },
@@ -57,6 +64,7 @@
     { "one worker", makeScenario(1, 5, 5), 1 },
     { "more workers", makeScenario(8, 16, 10), 1 },
     { "lists of ends that are cut", makeCutListScenario(), 1 },
+    { "late word that a worker ends", makeLateDepartureScenario(), 1 },
 };
 
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
--- a/packages/fleet/src/queue_sidecar.cpp
+++ b/packages/fleet/src/queue_sidecar.cpp
@@ -19,8 +19,8 @@
     /// a retried start delays the whole gang.
     constexpr duration orderTimeout = std::chrono::milliseconds(200);
     constexpr unsigned workerConnections = 64;
-    /// Orders to the worker under way; others wait. Each takes milliseconds, and its timeout must not run while it waits
-    /// for a connection.
+    /// Orders to the worker under way; others wait. Each takes milliseconds, and its timeout must not run while it
+    /// waits for a connection.
     constexpr std::size_t maxOrdersInFlight = 16;
     constexpr std::size_t maxAnnouncementBytes = std::size_t { 64 } * 1024;
     constexpr duration refusalLogInterval = std::chrono::seconds(1);
@@ -125,8 +125,10 @@
         const int status = announced.error().code == failure_code::not_found ? 404 : 400;
         return respond({ status, {}, announced.error().message + "\n" });
     }
-    if (agent.applyAnnouncement(announced.value(), loop.now()) == agent_change::worker_gone)
-        logEvent(log_level::info, "worker_gone", { { "worker", announced.value().status.boot.worker.value() } });
+    const auto& status = announced.value().status;
+    if (status.isGone)
+        logEvent(log_level::info, "worker_says_it_ends", { { "worker", status.boot.worker.value() } });
+    agent.applyAnnouncement(announced.value(), loop.now());
     carryOut();
     respond({ 200, { { "content-type", "application/json" } }, "{}" });
 }
@@ -201,16 +203,24 @@
 
 void queue_sidecar::impl::handlePollResult(const http_result& result, const worker_boot& boot)
 {
-    const auto fail = [&](const char* event, const std::string& reason) {
-        agent.applyPollFailure(boot, loop.now());
+    const auto noteChange = [&boot](agent_change change) {
+        if (change == agent_change::worker_gone)
+            logEvent(log_level::info, "worker_gone", { { "worker", boot.worker.value() } });
+    };
+    const auto fail = [&](const char* event, const std::string& reason, bool isRefused = false) {
+        noteChange(agent.applyPollFailure(boot, isRefused, loop.now()));
         if (agent.pollFailures() == 1)
             logEvent(log_level::warning, event, { { "worker", boot.worker.value() }, { "reason", reason } });
         carryOut();
     };
-    if (result.has_error())
-        return fail("worker_lost", result.error().cause.message);
-    if (result.value().status != 200)
-        return fail("worker_lost", "status " + std::to_string(result.value().status));
+    if (result.has_error()) {
+        const bool isRefused
+            = result.error().verdict == run_verdict::not_run && result.error().cause.code == failure_code::unavailable;
+        return fail("worker_lost", result.error().cause.message, isRefused);
+    }
+    constexpr int misdirected = 421; // Another boot answers.
+    if (const auto status = result.value().status; status != 200)
+        return fail("worker_lost", "status " + std::to_string(status), status == misdirected);
     auto lists = platformAdapter.readPollResult(result.value());
     if (lists.has_error())
         return fail("lists_refused", lists.error().message);
@@ -221,7 +231,7 @@
             { { "worker", boot.worker.value() }, { "rows", odd }, { "complete", lists.value().isComplete },
                 { "left_out", *leftOut } });
     const bool wasLost = agent.pollFailures() > 0;
-    agent.applyPollResult(boot, std::move(lists.value()), loop.now());
+    noteChange(agent.applyPollResult(boot, std::move(lists.value()), loop.now()));
     if (wasLost && agent.pollFailures() == 0)
         logEvent(log_level::info, "worker_regained", { { "worker", boot.worker.value() } });
     carryOut();
--- a/packages/jobs/include/poplardeal/jobs/worker_agent.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_agent.h
@@ -84,11 +84,11 @@
     std::optional<bool> isAccepted;
 };
 
-/// What an announcement, or the answer to a probe, has changed.
+/// What an announcement, or the outcome of a probe or poll, has changed.
 enum class agent_change : std::uint8_t {
     none,
     new_worker, ///< Another worker, or another boot of it.
-    worker_gone, ///< The worker has said that it ends.
+    worker_gone, ///< The worker has said that it ends, and does not answer.
 };
 
 struct agent_options {
@@ -103,6 +103,8 @@
     duration progressReportInterval { std::chrono::milliseconds(700) };
     duration unrecordedEndsReportInterval { std::chrono::milliseconds(250) };
     duration goneReportPeriod { std::chrono::seconds(3) }; ///< Time for which a worker's exit is reported.
+    /// A worker that still answers this long after the word that it ends has not sent it: an earlier boot has.
+    duration departureDoubtTime { std::chrono::milliseconds(1500) };
     /// Of one order until the leader repeats it, at least four times a second.
     unsigned maxRetries { 5 };
     /// An order that an earlier process of this sidecar sent may be carried out for this long after it.
@@ -151,8 +153,9 @@
     /// leader that this process knows.
     poll_request beginPoll(std::uint64_t leaderTerm);
     bool isPollDue(instant now) const;
-    void applyPollResult(const worker_boot&, poll_result, instant now);
-    void applyPollFailure(const worker_boot&, instant now);
+    agent_change applyPollResult(const worker_boot&, poll_result, instant now);
+    /// `isRefused`: nothing listens at the worker's address, or another boot answers there.
+    agent_change applyPollFailure(const worker_boot&, bool isRefused, instant now);
 
     /// Call at least every 50 ms. Forgets a worker whose exit has been reported for long enough.
     void tick(instant now);
@@ -202,6 +205,12 @@
         bool isVoided { false }; ///< This boot has begun the run already, or refuses it.
     };
 
+    /// The word that the worker ends, not yet confirmed.
+    struct departure {
+        instant heardAt;
+        std::uint64_t firstPoll { 0 }; ///< Number of the first poll that begins after it.
+    };
+
     /// An announced boot that has not answered yet.
     struct candidate {
         worker_announcement announced;
@@ -214,6 +223,7 @@
     void addCandidate(const worker_announcement&, instant now);
     bool mayReplaceWorker(const worker_status&) const;
     agent_change follow(const worker_announcement&, instant now);
+    agent_change declareGone(instant now);
     void update(const worker_announcement&, instant now);
     bool isRepeated(std::uint64_t sequence, instant now);
     void clearRuns();
@@ -245,6 +255,7 @@
     instant m_sequenceAt; ///< When `m_sequence` was announced.
     std::uint64_t m_lowSequence { 0 }; ///< Of the last announcement below `m_sequence`.
     unsigned m_lowSequences { 0 }; ///< Announcements below `m_sequence`, in increasing order, since `m_sequenceAt`.
+    std::optional<departure> m_departure;
     instant m_goneAt;
     std::int64_t m_leaseUntilMs { 0 }; ///< Worker's clock; 0 until the leader has granted a lease.
     std::uint64_t m_acknowledged { 0 }; ///< Ends up to this number are recorded by the leader.
--- a/packages/jobs/src/worker_agent.cpp
+++ b/packages/jobs/src/worker_agent.cpp
@@ -22,6 +22,7 @@
 
 void worker_agent::clearRuns()
 {
+    m_departure.reset();
     m_leaseUntilMs = 0;
     m_acknowledged = 0;
     // An unanswered poll of the earlier boot does not delay the first poll of this one.
@@ -55,14 +56,13 @@
     noticePause(now);
     const auto& status = announced.status;
     if (status.isGone) {
-        std::erase_if(m_candidates, [&](const auto& item) { return item.first.first.worker == status.boot.worker; });
-        if (!m_worker || m_worker->boot.worker != status.boot.worker)
-            return agent_change::none;
-        m_worker->isGone = true;
-        m_worker->hasLists = false;
-        m_goneAt = now;
-        m_isReportWanted = true;
-        return agent_change::worker_gone;
+        // The word names no boot, and may be held up until a later one runs: polls have to show that nothing answers.
+        const bool isOwn = m_worker && m_worker->boot.worker == status.boot.worker && !m_worker->isGone;
+        if (isOwn && !m_departure) {
+            m_departure = { now, m_lastPollNumber + 1 };
+            m_nextPollAt = {};
+        }
+        return agent_change::none;
     }
     // Announcements may be held up on their way, or come twice.
     if (m_worker && status.boot.startedAtMs < m_worker->boot.startedAtMs)
@@ -74,6 +74,16 @@
     return agent_change::none;
 }
 
+agent_change worker_agent::declareGone(instant now)
+{
+    m_departure.reset();
+    m_worker->isGone = true;
+    m_worker->hasLists = false;
+    m_goneAt = now;
+    m_isReportWanted = true;
+    return agent_change::worker_gone;
+}
+
 /// One odd entry with a high number must not hide all later announcements of the boot.
 bool worker_agent::isRepeated(std::uint64_t sequence, instant now)
 {
@@ -359,7 +369,7 @@
         return out;
     out.leaseUntilMs = m_leaseUntilMs;
     out.acknowledged = m_acknowledged;
-    if (!hasUnconfirmedStops())
+    if (!hasUnconfirmedStops() && !m_departure)
         out.wait = isBusy ? m_options.busyPollWait : m_options.idlePollWait;
     return out;
 }
@@ -377,16 +387,19 @@
     return m_worker && !m_worker->isGone && !m_isPolling && now >= m_nextPollAt;
 }
 
-void worker_agent::applyPollFailure(const worker_boot& boot, instant now)
+agent_change worker_agent::applyPollFailure(const worker_boot& boot, bool isRefused, instant now)
 {
     noticePause(now);
     if (!m_worker || m_worker->boot != boot)
-        return;
+        return agent_change::none;
     m_isPolling = false;
     if (m_worker->isGone)
-        return;
+        return agent_change::none;
     m_nextPollAt = now + m_options.pollRetryDelay;
     ++m_pollFailures;
+    if (m_departure && (isRefused || now - m_departure->heardAt >= m_options.departureDoubtTime))
+        return declareGone(now);
+    return agent_change::none;
 }
 
 bool worker_agent::isListed(const run_key& run) const
@@ -478,23 +491,28 @@
     return false;
 }
 
-void worker_agent::applyPollResult(const worker_boot& boot, poll_result lists, instant now)
+agent_change worker_agent::applyPollResult(const worker_boot& boot, poll_result lists, instant now)
 {
     noticePause(now);
     const auto number = m_lastPollNumber;
     if (!m_worker || m_worker->boot != boot)
-        return;
+        return agent_change::none;
     m_isPolling = false;
     if (m_worker->isGone)
-        return;
+        return agent_change::none;
     const bool isOtherBoot = lists.startedAtMs && *lists.startedAtMs != boot.startedAtMs;
+    if (isOtherBoot && m_departure)
+        return declareGone(now);
     if (isOtherBoot || !isClockPlausible(lists.clockMs, now)) {
         // If another boot answered at this address, the sidecar waits for its announcement and leaves its ends alone.
         m_nextPollAt = now + m_options.pollRetryDelay;
         ++m_pollFailures;
-        return;
+        return agent_change::none;
     }
     m_pollFailures = 0;
+    // A worker that ends answers for a moment after it has said so.
+    if (m_departure && number >= m_departure->firstPoll && now - m_departure->heardAt >= m_options.departureDoubtTime)
+        m_departure.reset();
     keepUnreadableRuns(lists);
     const bool isComplete = lists.isComplete;
     const bool isFirstTimely = !m_isClockKnown;
@@ -518,6 +536,9 @@
         || hasUnrecordedEnds || now - m_reportedAt >= m_options.progressReportInterval;
     // The worker answers immediately while it has unacknowledged ends, so the next poll is delayed.
     m_nextPollAt = m_worker->ended.empty() ? now : now + m_options.unrecordedEndsPollDelay;
+    if (m_departure)
+        m_nextPollAt = now + m_options.pollRetryDelay;
+    return agent_change::none;
 }
 
 void worker_agent::tick(instant now)
--- a/packages/jobs/tests/worker_agent_test.cpp
+++ b/packages/jobs/tests/worker_agent_test.cpp
@@ -261,7 +261,7 @@
     if (isAnsweredByLaterBoot)
         agent.applyPollResult(boot, { 100, boot.startedAtMs + 1, {}, {} }, at(10400ms));
     else
-        agent.applyPollFailure(boot, at(10400ms));
+        agent.applyPollFailure(boot, false, at(10400ms));
     const auto neutral = agent.beginPoll(term);
     BOOST_TEST(neutral.acknowledged == 0u);
     BOOST_TEST(neutral.leaseUntilMs == 0);
@@ -380,7 +380,7 @@
     const poll_result answer { 100, later.startedAtMs, {}, {} };
     BOOST_TEST((agent.applyProbeResult(probe, answer, at(11s)) == agent_change::none));
     agent.beginPoll(term);
-    agent.applyPollFailure(boot, at(11100ms));
+    agent.applyPollFailure(boot, false, at(11100ms));
     BOOST_REQUIRE(agent.takeProbes(term, at(11200ms)).size() == 1u);
     BOOST_TEST((agent.applyProbeResult(probe, answer, at(11200ms)) == agent_change::new_worker));
     BOOST_TEST(agent.isPollDue(at(11200ms)));
@@ -416,6 +416,48 @@
         fresh.applyProbeResult(probe, { clockMs, boot.startedAtMs, {}, {} }, at(10200ms)) == agent_change::new_worker));
 }
 
+struct departure_row {
+    const char* name;
+    bool answers; ///< After the word that the worker ends.
+    bool isRefused; ///< What does not answer refuses connections.
+    duration goneAfter; ///< 0: it is not gone.
+};
+std::ostream& operator<<(std::ostream& out, const departure_row& row) { return out << row.name; }
+
+const departure_row departureRows[] = {
+    { "a worker that goes on: an earlier boot has sent the word", true, false, 0ms },
+    { "nothing listens", false, true, 150ms },
+    { "no answer", false, false, 1500ms },
+};
+
+// The word that a worker ends names no boot and may come late. Guards against giving up a later boot under its id,
+// whose runs go on, and against a worker that ends and is not given up.
+BOOST_DATA_TEST_CASE_F(agent_fixture, the_word_that_a_worker_ends_is_confirmed, departureRows, row)
+{
+    worker_announcement gone;
+    gone.status.boot.worker = boot.worker;
+    gone.status.isGone = true;
+    agent.applyAnnouncement(gone, at(10s));
+    BOOST_TEST(agent.isPollDue(at(10s)));
+    auto change = agent_change::none;
+    auto clock = clockMs;
+    duration elapsed { 0 };
+    for (; elapsed <= 3s && change == agent_change::none; elapsed += 150ms) {
+        BOOST_TEST(agent.beginPoll(term).wait.count() == (elapsed > 1500ms && row.answers ? 900 : 0));
+        clock += 150;
+        if (row.answers)
+            change = agent.applyPollResult(boot, { clock, boot.startedAtMs, {}, {} }, at(10s + elapsed));
+        else if (elapsed == 0ms)
+            change = agent.applyPollFailure(boot, false, at(10s));
+        else
+            change = agent.applyPollFailure(boot, row.isRefused, at(10s + elapsed));
+    }
+    BOOST_TEST((change == agent_change::worker_gone) == (row.goneAfter > 0ms));
+    BOOST_TEST(agent.worker()->isGone == (row.goneAfter > 0ms));
+    if (row.goneAfter > 0ms)
+        BOOST_TEST((elapsed - 150ms == row.goneAfter));
+}
+
 struct refusal_row {
     const char* name;
     bool isCutBefore; ///< The lists before the refusal.
