--- a/packages/consensus/src/raft_quorum.cpp
+++ b/packages/consensus/src/raft_quorum.cpp
@@ -15,8 +15,6 @@
 
 namespace poplardeal {
 
-using detail::raft_role;
-
 static bool mayBeHalved(const membership& set)
 {
     constexpr std::size_t fewest = 4;
