--- a/packages/wire/include/poplardeal/wire/http.h
+++ b/packages/wire/include/poplardeal/wire/http.h
@@ -78,8 +78,8 @@
 };
 
 /// An HTTP/1.1 client on libsoup that keeps connections. It never repeats a request and follows no redirect. Requests
-/// under way when it is destroyed end without a call of `done`. After a request without an answer in time, the next ones
-/// to that server use new connections.
+/// under way when it is destroyed end without a call of `done`. After a request without an answer in time, the next
+/// ones to that server use new connections.
 class http_client {
 public:
     /// `maxConnections` to one server at the same time.
