--- a/packages/fleet/tests/group_membership_test.cpp
+++ b/packages/fleet/tests/group_membership_test.cpp
@@ -185,21 +185,16 @@
     group.stop(second);
 }
 
-void killedFollower(control_group& group)
+void replaceAfterKill(control_group& group, std::uint32_t old)
 {
-    group.kill(group.follower());
+    group.kill(old);
     group.run(1s);
     group.start(11);
     group.run(catchUpTime);
 }
 
-void killedLeader(control_group& group)
-{
-    group.kill(group.leader());
-    group.run(1s);
-    group.start(11);
-    group.run(catchUpTime);
-}
+void killedFollower(control_group& group) { replaceAfterKill(group, group.follower()); }
+void killedLeader(control_group& group) { replaceAfterKill(group, group.leader()); }
 
 void killedWithHandOver(control_group& group)
 {
