jobs: a start under way when its worker restarts is refused by the next boot

Cause: the sidecar remembers starts without an answer, to have each later boot of the id refuse them. A start whose time for an answer was not over when the next boot answered was forgotten: its answer is for the earlier boot and is ignored.

Change: starts under way are remembered too when another boot is followed.

--- a/packages/jobs/include/poplardeal/jobs/worker_agent.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_agent.h
@@ -232,7 +232,7 @@
     void update(const worker_announcement&, instant now);
     bool isRepeated(std::uint64_t sequence, instant now);
     void clearRuns();
-    void beginBoot(bool isSameWorker);
+    void beginBoot(bool isSameWorker, instant now);
     void noticePause(instant now);
     /// False if the order came too late.
     bool startTask(const start_instruction&, instant now);
--- a/packages/jobs/src/worker_agent.cpp
+++ b/packages/jobs/src/worker_agent.cpp
@@ -38,8 +38,13 @@
 }
 
 /// A later boot of the worker refuses nothing of what its predecessor was told to refuse.
-void worker_agent::beginBoot(bool isSameWorker)
+void worker_agent::beginBoot(bool isSameWorker, instant now)
 {
+    // The answers to these are for the earlier boot and are ignored.
+    for (const auto& [run, state] : m_starts) {
+        if (state.isInFlight)
+            m_unansweredStarts[run] = { state.start.untilMs, now, true, false };
+    }
     clearRuns();
     if (!isSameWorker)
         m_unansweredStarts.clear();
@@ -184,7 +189,7 @@
     update(announced, now);
     m_isReportWanted = true;
     if (isNewBoot)
-        beginBoot(isSameId);
+        beginBoot(isSameId, now);
     std::erase_if(m_candidates, [&boot](const auto& item) {
         const auto& announcedBoot = item.first.first;
         return announcedBoot == boot || announcedBoot.startedAtMs < boot.startedAtMs;
--- a/packages/jobs/tests/worker_agent_test.cpp
+++ b/packages/jobs/tests/worker_agent_test.cpp
@@ -269,23 +269,49 @@
     BOOST_TEST(agent.beginPoll(term).acknowledged == 7u);
 }
 
+struct open_start_row {
+    const char* name;
+    bool isUnderWay; ///< The time for the answer to the start is not over when the later boot answers.
+    bool isForgotten; ///< The earlier boot has said that it ends, and its exit has been reported for long enough.
+};
+std::ostream& operator<<(std::ostream& out, const open_start_row& row) { return out << row.name; }
+
+const open_start_row openStartRows[] = {
+    { "a start without an answer", false, false },
+    { "a start under way", true, false },
+};
+
 // A repeated start may be carried out by a later boot of its worker. Guards against that boot being shown to the
 // leader, which starts the task elsewhere, before it refuses the run.
-BOOST_AUTO_TEST_CASE(a_later_boot_is_shown_once_it_refuses_starts_of_the_earlier_one)
+BOOST_DATA_TEST_CASE_F(
+    agent_fixture, a_later_boot_is_shown_once_it_refuses_starts_of_the_earlier_one, openStartRows, row)
 {
     instruct(at(10s), clockMs + 1500);
     agent.takeOrders();
-    agent.applyReply(start_reply { run, boot, std::nullopt, {}, true }, at(10200ms));
+    if (!row.isUnderWay)
+        agent.applyReply(start_reply { run, boot, std::nullopt, {}, true }, at(10200ms));
     agent.takeOrders();
+    auto now = at(10400ms);
+    if (row.isForgotten) {
+        worker_announcement gone;
+        gone.status.boot.worker = boot.worker;
+        gone.status.isGone = true;
+        agent.applyAnnouncement(gone, now);
+        agent.beginPoll(term);
+        agent.applyPollFailure(boot, poll_failure::boot_ended, now);
+        idleUntil(now, now + 4s);
+        now += 4s;
+        BOOST_REQUIRE(agent.worker() == nullptr);
+    }
     const worker_boot later { boot.worker, 2000 };
-    agent.applyAnnouncement(announce(later, 1), at(10400ms));
-    answerProbes(agent, later, at(10400ms));
+    agent.applyAnnouncement(announce(later, 1), now);
+    answerProbes(agent, later, now);
     BOOST_TEST(countStops(agent.takeOrders()) == 1u);
-    BOOST_TEST(!agent.report(at(10400ms)).has_value());
-    agent.applyReply(stop_reply { run, later, true }, at(10450ms));
+    BOOST_TEST(!agent.report(now).has_value());
+    agent.applyReply(stop_reply { run, later, true }, now + 50ms);
     agent.beginPoll(term);
-    agent.applyPollResult(later, { 100, later.startedAtMs, {}, {} }, at(10500ms));
-    BOOST_TEST(agent.report(at(10500ms)).has_value());
+    agent.applyPollResult(later, { 100, later.startedAtMs, {}, {} }, now + 100ms);
+    BOOST_TEST(agent.report(now + 100ms).has_value());
 }
 
 // Guards against a stop that a worker refuses for ever because no orders of the new leader have come yet.
