jobs: unanswered starts outlive a boot that is forgotten

In the emulator, with workers that come back up to 6 s later, tasks ran again after their ends were recorded.

Cause: a sidecar forgets a boot that is gone after 3 s, and with it the id, so that starts without an answer were dropped when the next boot of the id came. The platform carries out such starts up to 12 s late, also in that boot.

Change: the id of the last worker is kept.

--- a/packages/jobs/include/poplardeal/jobs/worker_agent.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_agent.h
@@ -255,6 +255,7 @@
     agent_options m_options;
     instant m_startedAt;
     std::optional<worker_status> m_worker;
+    worker_id m_followed; ///< The last worker.
     std::map<candidate_key, candidate> m_candidates;
     std::uint64_t m_sequence { 0 };
     instant m_sequenceAt; ///< When `m_sequence` was announced.
--- a/packages/jobs/src/worker_agent.cpp
+++ b/packages/jobs/src/worker_agent.cpp
@@ -182,7 +182,8 @@
 agent_change worker_agent::follow(const worker_announcement& announced, instant now)
 {
     const auto boot = announced.status.boot;
-    const bool isSameId = m_worker && m_worker->boot.worker == boot.worker;
+    // Also after the boot before was gone and forgotten: orders for it may still be on their way.
+    const bool isSameId = std::exchange(m_followed, boot.worker) == boot.worker;
     const bool isNewBoot = !m_worker || m_worker->boot != boot;
     if (isNewBoot)
         m_worker.emplace().isComplete = false; // No lists have been seen yet.
--- a/packages/jobs/tests/worker_agent_test.cpp
+++ b/packages/jobs/tests/worker_agent_test.cpp
@@ -279,6 +279,7 @@
 const open_start_row openStartRows[] = {
     { "a start without an answer", false, false },
     { "a start under way", true, false },
+    { "a start of a boot that is forgotten", false, true },
 };
 
 // A repeated start may be carried out by a later boot of its worker. Guards against that boot being shown to the
