jobs: a worker gets no lease while it may still carry out a start given up

In the emulator, tasks ran twice, or again after their ends were recorded.

Cause: the expiry of a lease was taken for the end of a run that the worker had never listed. Its start may only have been held up, is carried out once the worker has a lease again, and the sidecar that knew of it may have restarted.

Change: the leader remembers runs that it gave up and that their boot has never listed. The boot, or a later one of its id, gets a stop for each, and neither a lease nor new starts until it refuses or lists them, for 12 s at most, the longest delay of an order on the platform.

A new leader does not know what the one before it gave up.

--- a/packages/jobs/include/poplardeal/jobs/worker_registry.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -64,6 +64,8 @@
     duration silenceTimeout { std::chrono::milliseconds(700) };
     duration renewalInterval { std::chrono::milliseconds(1000) }; ///< Between renewals without other instructions.
     duration refusalPause { std::chrono::milliseconds(300) }; ///< After a refused start; two reports take as long.
+    /// The platform may carry out a start without an answer this much later.
+    duration longestOrderDelay { std::chrono::seconds(12) };
 };
 
 /// What a report asks the leader to record.
@@ -153,6 +155,11 @@
     std::int64_t estimatedClockMs(const session&, instant now) const;
     instant latestLeaseEnd(const session&) const;
     void eraseFinishedRuns(const job_table&);
+    void eraseLateStarts(instant now);
+    void eraseLateStart(const worker_boot&, const run_key&);
+    void awaitRefusals(const worker_boot&, const std::vector<released_run>&, instant now);
+    void inheritRefusals(const worker_boot& later);
+    bool mayStartLate(const worker_boot& boot) const { return m_lateStarts.contains(boot); }
 
     lease_options m_options;
     instant m_leadershipStartedAt;
@@ -163,6 +170,9 @@
     std::map<std::string, std::set<worker_id>> m_workersByAddress; ///< Of the sessions.
     std::set<run_key> m_stopping;
     std::set<run_key> m_givenUp; ///< Their leases are over; the release is about to be recorded.
+    /// Runs that were given up with their lease and were never listed: the start may be carried out once the worker has
+    /// a lease again. It gets none before it refuses them. With the time after which no start is carried out any more.
+    std::map<worker_boot, std::map<run_key, instant>> m_lateStarts;
     instant m_slownessUpdatedAt; ///< When the speeds of workers were last brought up to date.
 };
 
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -39,6 +39,7 @@
     m_departures.clear();
     m_stopping.clear();
     m_givenUp.clear();
+    m_lateStarts.clear();
 }
 
 std::int64_t worker_registry::estimatedClockMs(const session& workerSession, instant now) const
@@ -249,6 +250,36 @@
     return out;
 }
 
+/// Notes the given-up runs of a boot that it has never listed.
+void worker_registry::awaitRefusals(const worker_boot& boot, const std::vector<released_run>& released, instant now)
+{
+    for (const auto& each : released) {
+        const run_key run { each.task, each.run };
+        if (!hasListed(boot, run))
+            m_lateStarts[boot].emplace(run, now + m_options.longestOrderDelay);
+    }
+}
+
+void worker_registry::eraseLateStart(const worker_boot& boot, const run_key& run)
+{
+    const auto known = m_lateStarts.find(boot);
+    if (known == m_lateStarts.end())
+        return;
+    known->second.erase(run);
+    if (known->second.empty())
+        m_lateStarts.erase(known);
+}
+
+/// A worker cannot tell for which boot of its id a start was meant.
+void worker_registry::inheritRefusals(const worker_boot& later)
+{
+    for (auto known = m_lateStarts.lower_bound({ later.worker, 0 });
+         known != m_lateStarts.end() && known->first < later;) {
+        m_lateStarts[later].merge(known->second);
+        known = m_lateStarts.erase(known);
+    }
+}
+
 report_effects worker_registry::report(const worker_status& status, const job_table& table, instant now)
 {
     report_effects out;
@@ -266,6 +297,7 @@
         add(releaseSuperseded(boot, status, table, inheritedRuns));
     eraseSuperseded(status);
     if (status.isGone) {
+        awaitRefusals(status.boot, releaseRunsOf(status.boot, table), now);
         add(releaseRunsOf(status.boot, table));
         eraseWorker(status.boot.worker);
         recordDeparture(status, now);
@@ -276,10 +308,12 @@
     out.changesCapacity = known == m_views.end() || known->second.boot != status.boot || !known->second.isReachable
         || known->second.isSilent || known->second.isDraining != status.isDraining || !status.refused.empty();
     updateWorker(status, now);
+    inheritRefusals(status.boot);
     auto& view = m_views.at(status.boot.worker);
     auto& workerSession = m_sessions.at(status.boot.worker);
     workerSession.inheritedRuns.merge(inheritedRuns);
     for (const auto& refused : status.refused) {
+        eraseLateStart(status.boot, refused.run);
         const bool isOwn = table.runsOn(status.boot).contains(refused.run);
         if (!isOwn && !workerSession.inheritedRuns.contains(refused.run))
             continue;
@@ -307,6 +341,8 @@
     }
     for (const auto& end : out.ends.ends)
         workerSession.lastProposedEnd = std::max(workerSession.lastProposedEnd, end.number);
+    for (const auto& run : listed)
+        eraseLateStart(status.boot, run); // It has begun, and is stopped as one that the table does not know.
     countFailedEnds(out.ends, table, workerSession, view, now);
     for (const auto& run : table.runsOn(status.boot)) {
         const auto until = workerSession.startUntilMs.find(run);
@@ -369,7 +405,8 @@
 bool worker_registry::hasOrders(
     const worker_boot& boot, const session& workerSession, const job_table& table, instant now) const
 {
-    if (!workerSession.inheritedRuns.empty() || workerSession.acknowledged != workerSession.acknowledgedSent)
+    if (!workerSession.inheritedRuns.empty() || mayStartLate(boot)
+        || workerSession.acknowledged != workerSession.acknowledgedSent)
         return true;
     if (!strayRuns(boot, table).empty())
         return true;
@@ -402,8 +439,9 @@
     auto& workerSession = found->second;
     worker_instructions out;
     out.boot = boot;
-    workerSession.grantedUntilMs
-        = std::max(workerSession.grantedUntilMs, workerSession.clockMs + toMilliseconds(m_options.length));
+    if (!mayStartLate(boot))
+        workerSession.grantedUntilMs
+            = std::max(workerSession.grantedUntilMs, workerSession.clockMs + toMilliseconds(m_options.length));
     out.leaseUntilMs = workerSession.grantedUntilMs;
     out.acknowledged = workerSession.acknowledged;
     workerSession.acknowledgedSent = workerSession.acknowledged;
@@ -412,6 +450,12 @@
     out.stops.insert(out.stops.end(), workerSession.inheritedRuns.begin(), workerSession.inheritedRuns.end());
     const auto& running = m_views.at(boot.worker).running;
     const auto& runs = table.runsOn(boot);
+    if (const auto late = m_lateStarts.find(boot); late != m_lateStarts.end()) {
+        for (const auto& [run, until] : late->second) {
+            if (!runs.contains(run) && !workerSession.inheritedRuns.contains(run))
+                out.stops.push_back(run);
+        }
+    }
     for (const auto& run : runs) {
         if (m_stopping.contains(run) || m_givenUp.contains(run)) {
             out.stops.push_back(run);
@@ -432,6 +476,7 @@
 std::vector<released_run> worker_registry::expiredRuns(const job_table& table, instant now)
 {
     eraseFinishedRuns(table);
+    eraseLateStarts(now);
     std::vector<released_run> out;
     const auto longestLease = std::chrono::duration_cast<duration>(m_options.length / m_options.minimumClockRate);
     const auto inheritedLeaseEnd = m_leadershipStartedAt + longestLease + m_options.margin;
@@ -449,6 +494,7 @@
             std::erase_if(released, [&](const released_run& each) {
                 return found->second.inheritedRuns.contains({ each.task, each.run });
             });
+        awaitRefusals(boot, released, now);
         out.insert(out.end(), released.begin(), released.end());
     }
     for (const auto& each : out)
@@ -456,6 +502,13 @@
     return out;
 }
 
+void worker_registry::eraseLateStarts(instant now)
+{
+    for (auto& [boot, starts] : m_lateStarts)
+        std::erase_if(starts, [now](const auto& start) { return now > start.second; });
+    std::erase_if(m_lateStarts, [](const auto& item) { return item.second.empty(); });
+}
+
 void worker_registry::eraseFinishedRuns(const job_table& table)
 {
     const auto isOver = [&table](const run_key& run) {
@@ -500,8 +553,8 @@
     }
     for (auto& [id, view] : m_views) {
         const auto& workerSession = m_sessions.at(id);
-        view.isReachable
-            = workerSession.hasLists && now - workerSession.lastTimelyReportAt < m_options.reachableTimeout;
+        view.isReachable = workerSession.hasLists && now - workerSession.lastTimelyReportAt < m_options.reachableTimeout
+            && !mayStartLate(view.boot);
         view.isSilent = now - workerSession.lastContactAt >= m_options.silenceTimeout;
     }
     return m_views;
--- a/packages/jobs/tests/worker_registry_test.cpp
+++ b/packages/jobs/tests/worker_registry_test.cpp
@@ -81,6 +81,55 @@
         f.registry.expiredRuns(f.table, f.now + std::chrono::milliseconds(leaseMs * 100 / 98 + 500)).size() == 1U);
 }
 
+struct late_start_row {
+    const char* name;
+    std::function<void(worker_status&)> show; ///< What the worker shows when it answers again.
+    bool isOver; ///< The start cannot be carried out any more.
+};
+std::ostream& operator<<(std::ostream& out, const late_start_row& row) { return out << row.name; }
+
+const late_start_row lateStartRows[] = {
+    { "nothing", [](worker_status&) {}, false },
+    { "that it refuses the run",
+        [](worker_status& shown) {
+            shown.refused = { { { task("a"), run_number(1) }, "stopped before its start" } };
+        },
+        true },
+    { "that it has begun the run",
+        [](worker_status& shown) {
+            shown.running = { { task("a"), run_number(1), {}, 1 } };
+        },
+        true },
+};
+
+// A start got no answer, its worker was silent until its lease was over, and the sidecar that knew of the start is
+// gone. Guards against a lease with which the worker carries it out late, while the task runs elsewhere.
+BOOST_DATA_TEST_CASE(a_worker_has_no_lease_until_it_refuses_a_start_that_was_given_up, lateStartRows, row)
+{
+    registry_fixture f;
+    f.registry.report(f.status(boot("w"), 1000), f.table, f.now);
+    f.orderStart(boot("w"));
+    const auto before = f.registry.instructionsFor(boot("w"), f.table, f.now)->leaseUntilMs;
+    f.now += std::chrono::seconds(8);
+    BOOST_REQUIRE(f.registry.expiredRuns(f.table, f.now).size() == 1U);
+    f.apply(release_runs { { { task("a"), run_number(1), {} } } });
+    f.registry.report(f.status(boot("w"), 9000), f.table, f.now);
+    const auto orders = f.registry.instructionsFor(boot("w"), f.table, f.now);
+    BOOST_REQUIRE(orders.has_value());
+    BOOST_TEST((orders->stops == std::vector { run_key { task("a"), run_number(1) } }));
+    BOOST_TEST(orders->leaseUntilMs == before);
+    BOOST_TEST(!f.registry.workerViews(f.table, f.now).at(worker_id("w")).isReachable);
+    auto shown = f.status(boot("w"), 9100);
+    row.show(shown);
+    f.registry.report(shown, f.table, f.now);
+    BOOST_TEST((f.registry.instructionsFor(boot("w"), f.table, f.now)->leaseUntilMs > before) == row.isOver);
+    BOOST_TEST(f.registry.workerViews(f.table, f.now).at(worker_id("w")).isReachable == row.isOver);
+    f.now += lease_options().longestOrderDelay + std::chrono::milliseconds(1);
+    f.registry.expiredRuns(f.table, f.now);
+    f.registry.report(f.status(boot("w"), 22000), f.table, f.now);
+    BOOST_TEST(f.registry.workerViews(f.table, f.now).at(worker_id("w")).isReachable);
+}
+
 // A worker says that it ends; an earlier report of it, held up on another path, arrives afterwards. Guards against
 // starts on a worker that has left.
 BOOST_AUTO_TEST_CASE(a_worker_that_has_left_is_not_brought_back_by_a_late_report)
