emulator: workers that are silent, and come back later

Workers answer no calls for 0.5 to 8 s while their runs go on; calls wait in their sockets. The word that an earlier boot ends comes within that time in half of the plays. Boots come back under their ids up to 6 s later, after their sidecar has forgotten them.

--- a/packages/emulator/include/poplardeal/emulator/fault_play.h
+++ b/packages/emulator/include/poplardeal/emulator/fault_play.h
@@ -15,6 +15,7 @@
     std::size_t jobs { 8 };
     std::size_t faults { 6 };
     bool hasLateDepartures { false }; ///< Workers that crash have said that they end, and that comes late.
+    bool hasSilentWorkers { false }; ///< Workers that answer no calls for some time; their runs go on.
     duration faultTime { std::chrono::seconds(16) }; ///< In which jobs arrive and faults begin.
     duration settleTime { std::chrono::seconds(60) }; ///< Without faults, in which all jobs have to end.
 };
--- a/packages/emulator/src/fault_cluster.cpp
+++ b/packages/emulator/src/fault_cluster.cpp
@@ -156,7 +156,7 @@
 {
     auto& machine = m_machines[drawIndex(m_machines.size())];
     const auto now = m_events.now();
-    const std::array<std::pair<const char*, action>, 8> kinds { {
+    const std::array<std::pair<const char*, action>, 9> kinds { {
         { "leader lost", [&] { loseLeader(draw(500ms, 1500ms)); } },
         { "sidecar cut off", [&] { machine.cutUntil = now + draw(500ms, 10s); } },
         { "sidecar stands still", [&] { machine.frozenUntil = now + draw(500ms, 8s); } },
@@ -174,12 +174,23 @@
             } },
         { "worker crashes", [&] { loseWorker(machine, false); } },
         { "worker leaves", [&] { loseWorker(machine, true); } },
+        { "worker is silent", [&] { silence(machine); } },
     } };
-    const auto& [name, begin] = kinds[drawIndex(kinds.size())];
+    const auto& [name, begin] = kinds[drawIndex(m_scenario.hasSilentWorkers ? kinds.size() : kinds.size() - 1)];
     note(name, &machine);
     begin();
 }
 
+/// The worker is frozen, or cut off from its sidecar. The word that an earlier boot ends may arrive at any moment of
+/// it.
+void fault_cluster::silence(emulated_machine& machine)
+{
+    const auto length = draw(500ms, 8s);
+    machine.silentUntil = m_events.now() + length;
+    if (machine.worker && m_scenario.hasLateDepartures && draw() < 0.5)
+        announce(machine, draw(networkDelay, length), true);
+}
+
 void fault_cluster::elect()
 {
     m_leader = std::make_unique<leader_model>(m_events, m_table, m_options, m_leases, commitDelay, ++m_term);
@@ -252,7 +263,8 @@
     m_events.after(callDelay, [this, &machine, request, process = machine.process] {
         if (machine.process != process)
             return;
-        const bool isAnswered = machine.worker && machine.worker->boot().worker == request.boot.worker;
+        const bool isAnswered = machine.worker && m_events.now() >= machine.silentUntil
+            && machine.worker->boot().worker == request.boot.worker;
         const auto lists = isAnswered ? machine.worker->poll(request.poll, m_events.now()) : poll_result();
         inProcess(machine, isAnswered ? callDelay : callTimeout, [this, &machine, request, isAnswered, lists] {
             if (isAnswered)
@@ -299,22 +311,25 @@
     };
     const bool isLate = m_events.now() < machine.lateUntil && draw() < machine.lateShare;
     const bool isAnswerLost = m_events.now() < machine.lateUntil && draw() < machine.lateShare;
-    const auto wait = isLate ? draw(minimumLateness, maximumLateness) : callDelay;
-    m_events.after(
-        wait, [&machine, execute, answer, unanswered, process = machine.process, isSilent = isLate || isAnswerLost] {
-            if (!machine.worker || machine.worker->boot().worker != unanswered.boot.worker)
-                return;
-            const bool isForEarlierBoot = machine.worker->boot() != unanswered.boot;
-            const bool isKnownToSidecar = machine.process == process && machine.agent
-                && machine.agent->worker() != nullptr && machine.agent->worker()->boot == machine.worker->boot();
-            // Until the sidecar has heard of the later boot, nothing can keep such an order from it.
-            if (isForEarlierBoot && !isKnownToSidecar)
-                return;
-            const auto reply = execute();
-            if (!isSilent)
-                answer(callDelay, reply);
-        });
-    if (isLate || isAnswerLost || !machine.worker)
+    const bool isWorkerSilent = m_events.now() < machine.silentUntil;
+    auto wait = isLate ? draw(minimumLateness, maximumLateness) : callDelay;
+    if (isWorkerSilent) // Waits in the worker's socket.
+        wait += machine.silentUntil - m_events.now();
+    const bool isUnanswered = isLate || isAnswerLost || isWorkerSilent;
+    m_events.after(wait, [&machine, execute, answer, unanswered, process = machine.process, isSilent = isUnanswered] {
+        if (!machine.worker || machine.worker->boot().worker != unanswered.boot.worker)
+            return;
+        const bool isForEarlierBoot = machine.worker->boot() != unanswered.boot;
+        const bool isKnownToSidecar = machine.process == process && machine.agent && machine.agent->worker() != nullptr
+            && machine.agent->worker()->boot == machine.worker->boot();
+        // Until the sidecar has heard of the later boot, nothing can keep such an order from it.
+        if (isForEarlierBoot && !isKnownToSidecar)
+            return;
+        const auto reply = execute();
+        if (!isSilent)
+            answer(callDelay, reply);
+    });
+    if (isUnanswered || !machine.worker)
         answer(callTimeout, unanswered);
 }
 
@@ -356,10 +371,13 @@
     const auto now = m_events.now();
     if (machine.process != call.process)
         return;
-    if (!machine.worker || machine.worker->boot() != call.answering || call.answering.worker != call.boot.worker) {
-        const bool isRefused = !machine.worker || machine.worker->boot() != call.boot;
-        return inProcess(machine, isRefused ? callDelay : callTimeout, [this, &machine, call, isRefused] {
-            machine.agent->applyPollFailure(call.boot, isRefused, m_events.now());
+    const bool isSilent = now < machine.silentUntil;
+    if (isSilent || !machine.worker || machine.worker->boot() != call.answering
+        || call.answering.worker != call.boot.worker) {
+        const bool hasEnded = !isSilent && (!machine.worker || machine.worker->boot() != call.boot);
+        return inProcess(machine, hasEnded ? callDelay : callTimeout, [this, &machine, call, hasEnded] {
+            machine.agent->applyPollFailure(
+                call.boot, hasEnded ? poll_failure::boot_ended : poll_failure::silence, m_events.now());
             carryOut(machine);
         });
     }
@@ -377,6 +395,7 @@
 {
     machine.lastBootMs = std::max(machine.lastBootMs + 1, toMicros(m_events.now()) / 1000);
     machine.announcements = 0;
+    machine.silentUntil = {};
     machine.worker.emplace(worker_boot { machine.id, machine.lastBootMs }, machine.clockRate, m_scenario.slotsPerWorker,
         m_scenario.listedEnds, m_leases.length, m_events.now());
     announce(machine, networkDelay);
@@ -399,7 +418,9 @@
     // Only a worker that crashed comes back under its id.
     if (isAnnounced)
         machine.id = worker_id(machine.id.value() + "'");
-    m_events.after(draw(300ms, 3s), [this, &machine] { bootWorker(machine); });
+    // Also after its sidecar has forgotten a boot that is gone.
+    const auto longestAbsence = m_scenario.hasSilentWorkers ? 6s : 3s;
+    m_events.after(draw(300ms, longestAbsence), [this, &machine] { bootWorker(machine); });
 }
 
 void fault_cluster::announce(emulated_machine& machine, duration wait, bool isGone)
--- a/packages/emulator/src/fault_cluster.h
+++ b/packages/emulator/src/fault_cluster.h
@@ -24,6 +24,7 @@
     instant frozenUntil; ///< The sidecar stands still; what arrives waits.
     instant cutUntil; ///< From the leader.
     instant heldUpUntil; ///< Messages to and from the leader take long, overtake each other and come twice.
+    instant silentUntil; ///< The worker takes no calls.
     instant lateUntil; ///< Orders to the worker are carried out late or their answers are lost.
     double lateShare { 0 };
 };
@@ -45,6 +46,7 @@
     void scheduleJobs();
     void scheduleFaults();
     void beginFault();
+    void silence(emulated_machine&);
     void note(const std::string& fault, const emulated_machine* = nullptr);
     void violate(const std::string& what, const task_key&);
 
--- a/packages/emulator/tests/fault_play_test.cpp
+++ b/packages/emulator/tests/fault_play_test.cpp
@@ -57,6 +57,13 @@
     return out;
 }
 
+fault_scenario makeSilentWorkerScenario()
+{
+    auto out = makeLateDepartureScenario();
+    out.hasSilentWorkers = true;
+    return out;
+}
+
 const range_row rangeRows[] = {
     { "one fault", makeScenario(3, 8, 1), 1 },
     { "some faults", makeScenario(3, 8, 6), 1 },
@@ -65,6 +72,7 @@
     { "more workers", makeScenario(8, 16, 10), 1 },
     { "lists of ends that are cut", makeCutListScenario(), 1 },
     { "late word that a worker ends", makeLateDepartureScenario(), 1 },
+    { "late word that a worker ends, and workers that are silent", makeSilentWorkerScenario(), 1 },
 };
 
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
