consensus: a term that was only heard of does not make a replica used

A control that has lost its folder and is started with bootstrap set is at risk; on the platform it is not.

Cause: a bootstrapped replica with an empty log joins anew when it learns that the others have a log, as long as it is in term 0. A refused pre-vote of an outdated term carries a term and no last index, so that it took over the term, counted as a voter with all its data and voted for a leader that lacked entries of its lost folder.

Change: an unused replica takes over a term only with a vote or with entries. The refusal of a pre-vote of an outdated term carries the last index.

--- a/packages/consensus/src/raft_node.cpp
+++ b/packages/consensus/src/raft_node.cpp
@@ -48,6 +48,13 @@
         || kind == message_kind::data_lost;
 }
 
+/// Whether a replica takes part in the term of such a message by handling it. An unused replica takes over no term that
+/// it has only heard of: from then on it would count as one that has all its data.
+static bool entersTerm(message_kind kind)
+{
+    return kind == message_kind::vote || kind == message_kind::append || kind == message_kind::snapshot_chunk;
+}
+
 void raft_node::impl::receive(const raft_message& m, instant now)
 {
     if (m.to != options.self || m.from == options.self)
@@ -55,9 +62,12 @@
     if (m.kind == message_kind::data_replaced)
         return onDataReplaced(m, now);
     noteHistory(m);
+    const bool future = m.kind == message_kind::pre_vote || (m.kind == message_kind::pre_vote_answer && !m.rejected);
+    if (m.term > hard.term && !future && isUnused() && !entersTerm(m.kind)) {
+        noteDataLoss(m);
+        return;
+    }
     if (m.term > hard.term) {
-        const bool future
-            = m.kind == message_kind::pre_vote || (m.kind == message_kind::pre_vote_answer && !m.rejected);
         if (m.kind == message_kind::vote && !m.transfer && hasHeardFromLeader(now))
             return;
         if (!future && role == raft_role::leader)
@@ -65,11 +75,13 @@
         if (!future)
             becomeFollower(m.term, carriesLeader(m.kind) ? std::optional(m.from) : std::nullopt);
     } else if (m.term < hard.term) {
-        // The answer carries the newer term, which makes an outdated leader or candidate step down.
+        // The answer carries the newer term, which makes an outdated leader or candidate step down, and shows an unused
+        // replica that the group has a history.
         if (carriesLeader(m.kind) || m.kind == message_kind::pre_vote) {
             auto answer = messageTo(
                 m.from, m.kind == message_kind::pre_vote ? message_kind::pre_vote_answer : message_kind::append_answer);
             answer.rejected = true;
+            answer.logIndex = log.lastIndex();
             sendWhenDurable(std::move(answer));
         }
         return;
@@ -92,20 +104,30 @@
     case message_kind::time_out_now:
         return onTimeOutNow(m, now);
     case message_kind::data_lost:
-        dataLost = dataLost || m.startCount == options.startCount;
-        return;
+        return noteDataLoss(m);
     case message_kind::data_replaced: // Handled above, whatever its term.
         return;
     }
 }
 
-// A bootstrapped replica that has taken no part in any term while others have a log may have lost its folder. It joins
-// like a replica with an empty folder. One that is merely late joins the same way; these are fewer than half of the
-// voters, because the others have elected the first leader.
+void raft_node::impl::noteDataLoss(const raft_message& m)
+{
+    const bool isLost = m.kind == message_kind::data_lost && m.startCount == options.startCount;
+    dataLost = dataLost || isLost;
+}
+
+/// Whether this replica has been bootstrapped and has taken no part in any term: its folder is new, or was lost.
+bool raft_node::impl::isUnused() const
+{
+    return options.rejoinIncarnation != 0 && options.dataIncarnation == 0 && log.lastIndex() == 0 && hard.term == 0;
+}
+
+// An unused replica may have lost its folder if others have a log. It joins like a replica with an empty folder. One
+// that is merely late joins the same way; these are fewer than half of the voters, because the others have elected the
+// first leader.
 void raft_node::impl::noteHistory(const raft_message& m)
 {
-    const bool unused = options.dataIncarnation == 0 && log.lastIndex() == 0 && hard.term == 0;
-    if (!unused || options.rejoinIncarnation == 0)
+    if (!isUnused())
         return;
     const bool history = m.logIndex > 0 || m.commit > 0 || m.kind == message_kind::snapshot_chunk;
     if (!history)
--- a/packages/consensus/src/raft_node_impl.h
+++ b/packages/consensus/src/raft_node_impl.h
@@ -90,7 +90,9 @@
     raft_ready takeReady(instant now);
     void send(raft_message);
     void sendWhenDurable(raft_message);
+    bool isUnused() const;
     void noteHistory(const raft_message&);
+    void noteDataLoss(const raft_message&);
     void releaseDurable();
     raft_message messageTo(replica_id, message_kind) const;
     void appendOwn(entry_kind, std::string payload);
--- a/packages/consensus/tests/raft_node_test.cpp
+++ b/packages/consensus/tests/raft_node_test.cpp
@@ -324,6 +324,65 @@
     BOOST_TEST(brandNew.node.mayVote());
 }
 
+struct heard_term_row {
+    const char* name;
+    message_kind kind;
+};
+std::ostream& operator<<(std::ostream& out, const heard_term_row& row) { return out << row.name; }
+
+const heard_term_row heardTermRows[] = {
+    { "refused pre-vote", message_kind::pre_vote_answer },
+    { "refused vote", message_kind::vote_answer },
+    { "refused append", message_kind::append_answer },
+    { "refused snapshot", message_kind::snapshot_answer },
+    { "request to become a candidate", message_kind::time_out_now },
+    { "report of an old copy", message_kind::data_lost },
+};
+
+// A replica that has lost its folder hears of the term of the others before it hears of their log. Guards against
+// counting it as a voter with all its data from then on, so that a leader that lacks committed entries is elected.
+BOOST_DATA_TEST_CASE(a_lost_folder_is_noticed_after_a_term_was_heard_of, heardTermRows, row)
+{
+    raft_options options;
+    options.rejoinIncarnation = 9;
+    options.startCount = 2;
+    node_driver driver(1, {}, options);
+    auto heard = driver.message(row.kind, 2, 2);
+    heard.rejected = true;
+    driver.receive(heard);
+    driver.persistAll();
+    BOOST_TEST(driver.node.term() == 0U);
+    driver.advance(std::chrono::seconds(3));
+    auto vote = driver.message(message_kind::vote, 3, 3);
+    vote.logIndex = 3;
+    vote.logTerm = 2;
+    driver.receive(vote);
+    BOOST_TEST(isOnlyLossReport(driver.persistAll()));
+    BOOST_TEST(!driver.node.mayVote());
+}
+
+// Guards against a replica without data that is refused and does not learn why.
+BOOST_AUTO_TEST_CASE(a_refused_pre_vote_shows_that_there_is_a_history)
+{
+    node_driver driver(2);
+    driver.receive(driver.append(3, 2, {}, 5));
+    driver.persistAll();
+    const auto answers = driver.receive(driver.message(message_kind::pre_vote, 1, 1));
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST(answers.front().rejected);
+    BOOST_TEST(answers.front().logIndex == 5U);
+}
+
+// A schedule in which the only other holder of committed entries counted a lost folder among the voters with data.
+BOOST_AUTO_TEST_CASE(an_empty_replica_elects_no_leader_that_lacks_committed_entries)
+{
+    constexpr std::size_t oneLostFolder = 13;
+    for (const std::uint64_t seed : { 20261570U, 101239U }) {
+        raft_simulation<simulated_disk> simulation(scheduleRows[oneLostFolder].plan, seed);
+        BOOST_CHECK_NO_THROW(simulation.run());
+    }
+}
+
 // Guards against counting the acknowledgements of a lost folder, and against leaving its replica a voter.
 BOOST_AUTO_TEST_CASE(a_lost_folder_makes_its_replica_a_learner_until_it_has_caught_up)
 {
