http_server: a refused request is read for as long as it comes

Cause: callers, libsoup among them, send their whole request before they read. A refusal by the declared length was followed by 2 s of reading and a close, which resets the connection of a caller that still sends and takes the refusal away. 9 MiB take 38 s on the platform's slowest link.

Change: the server reads until nothing has come for 2 s, for 60 s at most.

Evidence: a_refusal_reaches_a_caller_that_sends_for_longer_than_the_server_waits fails before, with a connection that is reset, and passes.

--- a/packages/wire/src/closing_stream.cpp
+++ b/packages/wire/src/closing_stream.cpp
@@ -10,14 +10,16 @@
     class closing_stream : public std::enable_shared_from_this<closing_stream> {
     public:
         closing_stream(event_loop& loop, object_ptr<GIOStream> stream, object_ptr<GSocket> socket, std::string last)
-            : m_cancellable(g_cancellable_new())
+            : m_loop(loop)
+            , m_cancellable(g_cancellable_new())
             , m_shutdown(shareObject(loop_access::shutdown(loop)))
             , m_stream(std::move(stream))
             , m_socket(std::move(socket))
             , m_last(std::move(last))
         {
             auto* own = m_cancellable.get();
-            m_linger = loop.after(lingerTime, [own] { g_cancellable_cancel(own); });
+            m_limit = loop.after(maxLingerTime, [own] { g_cancellable_cancel(own); });
+            awaitBytes();
             m_shutdownHandler
                 = g_cancellable_connect(m_shutdown.get(), G_CALLBACK(cancel), g_object_ref(own), g_object_unref);
         }
@@ -55,6 +57,11 @@
 
         ref* share() { return new ref(shared_from_this()); }
 
+        void awaitBytes()
+        {
+            m_idle = m_loop.after(idleTime, [own = m_cancellable.get()] { g_cancellable_cancel(own); });
+        }
+
         void finishWrite()
         {
             g_socket_shutdown(m_socket.get(), FALSE, TRUE, nullptr);
@@ -65,15 +72,20 @@
         {
             const auto finish = [](GObject* input, GAsyncResult* result, gpointer data) {
                 const auto self = take(data);
-                if (g_input_stream_read_finish(G_INPUT_STREAM(input), result, nullptr) > 0)
+                if (g_input_stream_read_finish(G_INPUT_STREAM(input), result, nullptr) > 0) {
+                    self->awaitBytes();
                     self->discard();
+                }
             };
             g_input_stream_read_async(g_io_stream_get_input_stream(m_stream.get()), m_discarded.data(),
                 m_discarded.size(), G_PRIORITY_DEFAULT, m_cancellable.get(), finish, share());
         }
 
-        static constexpr duration lingerTime = std::chrono::seconds(2);
+        static constexpr duration idleTime = std::chrono::seconds(2);
+        /// 9 MiB take 38 s at 2 Mbit/s, the slowest link of the platform.
+        static constexpr duration maxLingerTime = std::chrono::seconds(60);
 
+        event_loop& m_loop;
         object_ptr<GCancellable> m_cancellable;
         object_ptr<GCancellable> m_shutdown;
         gulong m_shutdownHandler { 0 };
@@ -81,7 +93,8 @@
         object_ptr<GSocket> m_socket;
         std::string m_last;
         std::array<char, 16384> m_discarded {};
-        event_loop::timer m_linger;
+        event_loop::timer m_idle;
+        event_loop::timer m_limit;
     };
 
 } // namespace
--- a/packages/wire/src/closing_stream.h
+++ b/packages/wire/src/closing_stream.h
@@ -6,9 +6,9 @@
 
 namespace poplardeal::detail {
 
-/// Sends `last` on a stream over `socket`, shuts the sending half, discards what the peer still sends for at most 2 s,
-/// and closes. Closing a socket with unread bytes at once would reset the connection, and the peer might never see
-/// `last`.
+/// Sends `last` on a stream over `socket`, shuts the sending half, discards what the peer still sends until nothing has
+/// come for 2 s, for at most 60 s, and closes. A peer may send its whole request before it reads. Closing a socket with
+/// unread bytes at once would reset the connection, and the peer might never see `last`.
 void sendAndClose(event_loop&, object_ptr<GIOStream>, object_ptr<GSocket> socket, std::string last);
 
 } // namespace poplardeal::detail
--- a/packages/wire/tests/http_test.cpp
+++ b/packages/wire/tests/http_test.cpp
@@ -147,6 +147,22 @@
     BOOST_TEST(server->inFlight() == 0);
 }
 
+// A caller on a slow link sends all of its request before it reads. Guards against a reset that takes the refusal away,
+// so that the caller sends the same again.
+BOOST_AUTO_TEST_CASE(a_refusal_reaches_a_caller_that_sends_for_longer_than_the_server_waits)
+{
+    const auto peer = raw_socket::connectTo(server->local());
+    peer.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100001\r\n\r\n");
+    for (int sent = 0; sent < 30; ++sent) {
+        peer.send(std::string(3000, 'b'));
+        settle(std::chrono::milliseconds(100));
+    }
+    std::string answer;
+    peer.receiveNow(answer);
+    BOOST_TEST(answer.substr(0, 12) == "HTTP/1.1 413");
+    BOOST_TEST(seen.empty());
+}
+
 // Guards against a cut request that is run.
 BOOST_DATA_TEST_CASE_F(http_fixture, cut_request_never_reaches_the_handler,
     boost::unit_test::data::make({ "keep-alive", "close" }), connection)
