--- a/packages/soak/src/child_process.cpp
+++ b/packages/soak/src/child_process.cpp
@@ -1,17 +1,38 @@
 #include "child_process.h"
 #include <cerrno>
 #include <csignal>
+#include <ctime>
 #include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <system_error>
 #include <unistd.h>
+#include <utility>
 
 namespace poplardeal::soak {
 
-child_process::child_process(std::vector<std::string> command, std::string logFile)
+namespace {
+
+    constexpr duration sharePeriod = std::chrono::milliseconds(100);
+
+    /// Of all threads of the process; 0 if it has ended.
+    duration processorTime(pid_t id)
+    {
+        clockid_t clock {};
+        timespec used {};
+        if (::clock_getcpuclockid(id, &clock) != 0 || ::clock_gettime(clock, &used) != 0)
+            return duration(0);
+        return std::chrono::duration_cast<duration>(
+            std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec));
+    }
+
+} // namespace
+
+child_process::child_process(
+    std::vector<std::string> command, std::string logFile, std::vector<std::string> environment)
     : m_command(std::move(command))
     , m_logFile(std::move(logFile))
+    , m_environment(std::move(environment))
 {
 }
 
@@ -25,6 +46,12 @@
     for (auto& each : m_command)
         arguments.push_back(each.data());
     arguments.push_back(nullptr);
+    std::vector<char*> environment;
+    for (auto& each : m_environment)
+        environment.push_back(each.data());
+    for (char** inherited = environ; *inherited != nullptr; ++inherited)
+        environment.push_back(*inherited);
+    environment.push_back(nullptr);
     const int log = ::open(m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     const pid_t id = log < 0 ? -1 : ::fork();
     if (id < 0)
@@ -35,12 +62,15 @@
         // A connection of a proxy that a child holds too would stay open after the proxy has closed it.
         ::close_range(STDERR_FILENO + 1, ~0U, 0);
         ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Nothing goes on if the soak itself is ended.
-        ::execv(arguments.front(), arguments.data());
+        ::execve(arguments.front(), arguments.data(), environment.data());
         ::_exit(127);
     }
     ::close(log);
     m_id = id;
     m_isEndAsked = false;
+    m_isFrozen = false;
+    m_isThrottled = false;
+    m_periodEnd = {};
 }
 
 void child_process::signal(int number)
@@ -48,9 +78,26 @@
     if (!isRunning())
         return;
     m_isEndAsked = m_isEndAsked || number == SIGTERM || number == SIGKILL;
+    m_isFrozen = number == SIGSTOP || (m_isFrozen && number != SIGCONT);
     ::kill(m_id, number);
 }
 
+void child_process::enforceShare(double share, instant now)
+{
+    if (!isRunning() || m_isFrozen)
+        return;
+    const auto used = processorTime(m_id);
+    if (now >= m_periodEnd) {
+        m_periodEnd = now + sharePeriod;
+        m_usedBefore = used;
+        if (std::exchange(m_isThrottled, false))
+            ::kill(m_id, SIGCONT);
+    } else if (!m_isThrottled && used - m_usedBefore > sharePeriod * share) {
+        m_isThrottled = true;
+        ::kill(m_id, SIGSTOP);
+    }
+}
+
 void child_process::kill()
 {
     signal(SIGKILL);
--- a/packages/soak/src/loopback_proxy.cpp
+++ b/packages/soak/src/loopback_proxy.cpp
@@ -17,6 +17,21 @@
 
     tcp::endpoint endpointOf(const address& each) { return { asio::ip::make_address(each.ip), each.port }; }
 
+    /// Bytes of all connections in one direction, one after the other.
+    struct link_rate {
+        std::size_t bytesPerSecond { 0 }; ///< 0: no limit.
+        std::chrono::steady_clock::time_point freeAt;
+
+        /// Takes the link for so many bytes and returns how long they take.
+        std::chrono::milliseconds take(std::size_t bytes, std::chrono::steady_clock::time_point now)
+        {
+            if (bytesPerSecond == 0)
+                return std::chrono::milliseconds(0);
+            freeAt = std::max(freeAt, now) + std::chrono::microseconds(bytes * 1'000'000 / bytesPerSecond);
+            return std::chrono::duration_cast<std::chrono::milliseconds>(freeAt - now);
+        }
+    };
+
     /// One connection and its onward connection.
     struct session : std::enable_shared_from_this<session> {
         struct direction {
@@ -25,13 +40,15 @@
             asio::steady_timer timer;
             std::array<char, bufferSize> buffer {};
             bool isRequest;
+            link_rate& rate;
         };
 
-        session(asio::io_context& context, tcp::socket accepted, const std::atomic<link_mode>& current)
+        session(asio::io_context& context, tcp::socket accepted, const std::atomic<link_mode>& current,
+            std::array<link_rate, 2>& rates)
             : caller(std::move(accepted))
             , server(context)
-            , requests { caller, server, asio::steady_timer(context), {}, true }
-            , answers { server, caller, asio::steady_timer(context), {}, false }
+            , requests { caller, server, asio::steady_timer(context), {}, true, rates[0] }
+            , answers { server, caller, asio::steady_timer(context), {}, false, rates[1] }
             , mode(current)
         {
         }
@@ -50,7 +67,8 @@
                     if (error)
                         return self->close();
                     const bool isLate = self->mode.load() == link_mode::delay;
-                    self->pass(way, count, isLate ? delayTime : std::chrono::milliseconds(0));
+                    const auto taken = way.rate.take(count, std::chrono::steady_clock::now());
+                    self->pass(way, count, taken + (isLate ? delayTime : std::chrono::milliseconds(0)));
                 });
         }
 
@@ -58,7 +76,7 @@
         {
             if (wait.count() == 0 && !isHeld(way))
                 return write(way, count);
-            way.timer.expires_after(std::max(wait, holdPoll));
+            way.timer.expires_after(wait.count() > 0 ? wait : holdPoll);
             way.timer.async_wait([self = shared_from_this(), &way, count](const boost::system::error_code& error) {
                 if (!error)
                     self->pass(way, count, std::chrono::milliseconds(0));
@@ -116,7 +134,7 @@
         acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
             if (error)
                 return;
-            auto opened = std::make_shared<session>(context, std::move(socket), mode);
+            auto opened = std::make_shared<session>(context, std::move(socket), mode, rates);
             std::erase_if(sessions, [](const auto& each) { return each.expired(); });
             sessions.push_back(opened);
             opened->server.async_connect(target, [opened](const boost::system::error_code& failed) {
@@ -143,6 +161,7 @@
     tcp::acceptor acceptor;
     tcp::endpoint target;
     std::atomic<link_mode> mode { link_mode::pass };
+    std::array<link_rate, 2> rates; ///< Of requests and answers.
     std::vector<std::weak_ptr<session>> sessions;
     std::thread worker;
 };
@@ -160,6 +179,12 @@
 
 void loopback_proxy::setMode(link_mode mode) { m_impl->mode = mode; }
 
+void loopback_proxy::setRate(std::size_t bytesPerSecond)
+{
+    for (auto& each : m_impl->rates)
+        each.bytesPerSecond = bytesPerSecond;
+}
+
 void loopback_proxy::reset()
 {
     m_impl->forEach([](session& each) { each.reset(); });
--- a/packages/soak/src/loopback_proxy.h
+++ b/packages/soak/src/loopback_proxy.h
@@ -28,6 +28,9 @@
     loopback_proxy& operator=(const loopback_proxy&) = delete;
 
     void setMode(link_mode);
+    /// Bytes a second, in each direction, of all connections together; 0: no limit. Call it before the first
+    /// connection.
+    void setRate(std::size_t bytesPerSecond);
     /// Resets all connections.
     void reset();
     /// Open connections never pass anything again and are not closed; new ones work.
--- a/packages/soak/src/soak.cpp
+++ b/packages/soak/src/soak.cpp
@@ -20,7 +20,9 @@
     /// Far beyond the time that any job needs; only ends a soak in which one is stuck.
     constexpr duration finishLimit = std::chrono::seconds(120);
     constexpr int orderAttempts = 30;
+    constexpr duration shareInterval = std::chrono::milliseconds(5);
     constexpr std::size_t longestChain = 3; ///< Steps of a job.
+    constexpr std::uint64_t workerSeed = 0x9e3779b97f4a7c15U;
     // As on the platform.
     constexpr duration catchUpTime = std::chrono::seconds(4);
     constexpr duration graceTime = std::chrono::seconds(4);
@@ -43,6 +45,7 @@
     , m_options(options)
     , m_random(options.seed)
     , m_extraRandom(~options.seed)
+    , m_workerRandom(options.seed ^ workerSeed)
     , m_cluster(options.size, options.daemon, options.folder, options.controlDaemon, options.seed)
     , m_client(loop, 64)
     , m_begun(loop.now())
@@ -437,6 +440,48 @@
     later(std::chrono::milliseconds(extraBetween(1500, 6000)), [this] { injectExtra(); });
 }
 
+/// The word that a worker ends may be late, and a worker that answers nobody may go on or have ended.
+void soak::injectWorkerFault()
+{
+    if (m_isHealing)
+        return;
+    const auto index = m_workerRandom() % m_workers.size();
+    auto* worker = m_workers[index].get();
+    const auto name = "worker " + std::to_string(index);
+    const auto silence = workerTime(500, 2500);
+    const auto wait = workerTime(300, 3000);
+    const auto beSilent = [this, worker, silence] {
+        worker->setSilent(true);
+        later(silence, [worker] { worker->setSilent(false); });
+    };
+    switch (m_workerRandom() % 3) {
+    case 0:
+        note(name + " is silent");
+        beSilent();
+        break;
+    case 1: {
+        const bool isSilent = m_workerRandom() % 2 == 0;
+        note(name + " crashes, and its word that it ends comes late" + (isSilent ? ", before a silence" : ""));
+        worker->crash(true);
+        later(wait, [worker, id = worker->id(), isSilent, beSilent] {
+            worker->sendDeparture(id);
+            if (isSilent)
+                beSilent();
+        });
+        break;
+    }
+    default:
+        note(name + " drains and leaves for some time");
+        worker->setDraining(true);
+        later(std::chrono::milliseconds(1500), [this, worker, wait] {
+            worker->sendDeparture(worker->id());
+            worker->goDown();
+            later(wait, [worker] { worker->crash(false); });
+        });
+    }
+    later(workerTime(300, 2500), [this] { injectWorkerFault(); });
+}
+
 /// As the platform's days end: right after an acknowledged plan, as many controls as may be lost lose their disks, and
 /// perhaps all other machines lose power.
 void soak::loseAtTheEnd()
@@ -498,7 +543,10 @@
     default:
         note("worker " + std::to_string(index) + " drains and leaves");
         worker->setDraining(true);
-        later(std::chrono::milliseconds(1500), [worker] { worker->crash(false); });
+        later(std::chrono::milliseconds(1500), [worker] {
+            worker->sendDeparture(worker->id());
+            worker->crash(false);
+        });
     }
 }
 
@@ -533,8 +581,10 @@
         each->setMode(link_mode::pass);
         each->process->signal(SIGCONT);
     }
-    for (const auto& worker : m_workers)
+    for (const auto& worker : m_workers) {
         worker->loseOrders(0);
+        worker->setSilent(false);
+    }
 }
 
 void soak::wait(duration limit, const std::function<bool()>& until)
@@ -595,6 +645,9 @@
 soak_report soak::run()
 {
     m_cluster.start();
+    event_loop::timer shares;
+    if (m_options.size.isLimited)
+        shares = m_loop.every(shareInterval, [this] { m_cluster.enforceShares(m_loop.now()); });
     m_begun = m_loop.now();
     putPlan();
     wait(finishLimit, [this] { return m_plansAcknowledged > 0; });
@@ -603,8 +656,10 @@
     const auto reads = m_loop.every(readInterval, [this] { readPlan(); });
     const auto orders = m_loop.every(orderInterval, [this] { orderDataCentre(); });
     later(std::chrono::milliseconds(500), [this] { injectOne(); });
-    if (m_options.hasExtraFaults)
+    if (m_options.hasExtraFaults) {
         later(std::chrono::milliseconds(2000), [this] { injectExtra(); });
+        later(std::chrono::milliseconds(1000), [this] { injectWorkerFault(); });
+    }
     wait(m_options.faults, [] { return false; });
     heal();
     // Processes that were told to end restart by their own timers within this time.
--- a/packages/soak/src/soak.h
+++ b/packages/soak/src/soak.h
@@ -13,7 +13,8 @@
 struct soak_options {
     std::uint64_t seed { 1 };
     duration faults { std::chrono::seconds(12) }; ///< Time in which faults are injected.
-    /// Also replaced controls, all connections silent at the same time, and a loss of disks at the end.
+    /// Also replaced controls, all connections silent at the same time, workers that are silent, leave, or are said to
+    /// end by a word of an earlier boot, and a loss of disks at the end.
     bool hasExtraFaults { false };
     cluster_size size;
     std::string daemon;
@@ -67,6 +68,7 @@
     void failLink();
     void failWorker();
     void injectExtra();
+    void injectWorkerFault();
     void replaceControl();
     void endForGood(member& control, bool isTold, const std::function<void()>& then);
     void waitForEnd(member& control, instant deadline, const std::function<void()>& then);
@@ -85,6 +87,10 @@
     int between(int least, int most) { return std::uniform_int_distribution<int>(least, most)(m_random); }
     /// For the faults of `hasExtraFaults`, which leave the schedule of the others as it is.
     int extraBetween(int least, int most) { return std::uniform_int_distribution<int>(least, most)(m_extraRandom); }
+    duration workerTime(int leastMs, int mostMs)
+    {
+        return std::chrono::milliseconds(std::uniform_int_distribution<int>(leastMs, mostMs)(m_workerRandom));
+    }
     duration someTime(int leastMs, int mostMs) { return std::chrono::milliseconds(between(leastMs, mostMs)); }
     template <class T> T& oneOf(std::vector<T>& all)
     {
@@ -96,6 +102,7 @@
     soak_options m_options;
     std::mt19937_64 m_random;
     std::mt19937_64 m_extraRandom;
+    std::mt19937_64 m_workerRandom; ///< For `injectWorkerFault`, which leaves the other schedules as they are.
     promises m_promises;
     soak_cluster m_cluster;
     std::vector<std::unique_ptr<standin_worker>> m_workers;
--- a/packages/soak/src/soak_cluster.cpp
+++ b/packages/soak/src/soak_cluster.cpp
@@ -13,6 +13,10 @@
 constexpr int openChecks = 3000;
 /// In log entries. With the first ones, segments and snapshots are replaced and removed many times in a run.
 constexpr std::array snapshotIntervals { 10, 100, 4000 };
+constexpr double controlShare = 0.4;
+constexpr double entryShare = 0.12;
+constexpr double sidecarShare = 0.15;
+constexpr std::size_t entryBytesPerSecond = 250'000; // 2 Mbit/s
 
 void member::setMode(link_mode mode)
 {
@@ -102,15 +106,14 @@
     out.ownIp = network + "2." + std::to_string(host);
     const auto settings = (m_folder / (out.name + ".toml")).string();
     const bool isControl = role == "queue-control";
+    std::vector<std::string> environment;
     std::vector<std::string> command { isControl ? m_controlDaemon : m_daemon, "--settings", settings };
     if (isControl) {
         out.data = m_folder / out.name;
         const auto record = m_folder / (out.name + ".record");
         out.disk = std::make_unique<disk_image>(out.data, record);
-        command.insert(command.begin(),
-            { "/usr/bin/env", "POPLARDEAL_SOAK_FOLDER=" + out.data.string(),
-                "POPLARDEAL_SOAK_RECORD=" + record.string(),
-                "POPLARDEAL_SOAK_SEED=" + std::to_string(m_seed * 100 + number) });
+        environment = { "POPLARDEAL_SOAK_FOLDER=" + out.data.string(), "POPLARDEAL_SOAK_RECORD=" + record.string(),
+            "POPLARDEAL_SOAK_SEED=" + std::to_string(m_seed * 100 + number) };
     }
     std::vector<std::uint16_t> ports;
     if (role != "queue-sidecar")
@@ -118,8 +121,14 @@
     for (const auto port : ports)
         out.proxies.push_back(
             std::make_unique<loopback_proxy>(address { out.advertisedIp, port }, address { out.ownIp, port }));
+    if (m_size.isLimited) {
+        const bool isEntry = role == "queue-entry";
+        out.share = isControl ? controlShare : isEntry ? entryShare : sidecarShare;
+        for (const auto& proxy : out.proxies)
+            proxy->setRate(isEntry ? entryBytesPerSecond : 0);
+    }
     out.log = m_folder / (out.name + ".log");
-    out.process = std::make_unique<child_process>(std::move(command), out.log.string());
+    out.process = std::make_unique<child_process>(std::move(command), out.log.string(), std::move(environment));
     return out;
 }
 
@@ -190,6 +199,12 @@
     writeAllSettings(false);
 }
 
+void soak_cluster::enforceShares(instant now)
+{
+    for (const auto* each : all())
+        each->process->enforceShare(each->share, now);
+}
+
 void soak_cluster::silenceAll()
 {
     for (const auto* each : all()) {
--- a/packages/soak/src/soak_cluster.h
+++ b/packages/soak/src/soak_cluster.h
@@ -18,6 +18,8 @@
     std::uint32_t entries { 2 };
     std::uint32_t sidecars { 4 };
     std::uint32_t spares { 3 }; ///< Controls that may replace others.
+    /// Processes have the shares of a core, and entries the links, of the platform's grown deployments.
+    bool isLimited { false };
     std::uint32_t network { 30 }; ///< All addresses are in 127.NETWORK.0.0/16, so that soaks can run side by side.
 };
 
@@ -27,6 +29,7 @@
     std::string advertisedIp;
     std::string ownIp;
     std::filesystem::path data; ///< Of a control.
+    double share { 1 }; ///< Of a core.
     std::unique_ptr<child_process> process;
     std::vector<std::unique_ptr<loopback_proxy>> proxies;
     std::unique_ptr<disk_image> disk; ///< Of a control.
@@ -83,6 +86,8 @@
     {
         return { m_sidecars[sidecar].advertisedIp, workerPort };
     }
+    /// Call every few milliseconds if the size is limited.
+    void enforceShares(instant now);
     /// Open connections between all machines and to the workers never pass anything again; new ones work.
     void silenceAll();
     address sidecarAddress(std::size_t sidecar) const { return { m_sidecars[sidecar].ownIp, operatorPort }; }
--- a/packages/soak/src/soak_main.cpp
+++ b/packages/soak/src/soak_main.cpp
@@ -14,6 +14,8 @@
 DEFINE_string(control_daemon, "", "path of poplardeald-recorded; by default the one beside this program");
 DEFINE_bool(extra, false,
     "also replace controls, silence all connections at once, and lose the disks that may be lost at the end");
+DEFINE_bool(limited, false,
+    "processes have shares of a core, 0.4 (control), 0.12 (entry) and 0.15 (sidecar), and entries links of 2 Mbit/s");
 DEFINE_bool(keep, false, "keep settings, data and logs also when every promise held");
 
 namespace poplardeal::soak {
@@ -29,6 +31,7 @@
         options.size.entries = FLAGS_entries;
         options.size.sidecars = FLAGS_sidecars;
         options.size.network = FLAGS_network;
+        options.size.isLimited = FLAGS_limited;
         options.daemon = daemon;
         options.controlDaemon = controlDaemon;
         auto pattern = (std::filesystem::temp_directory_path() / "poplardeal-soak-XXXXXX").string();
--- a/packages/soak/src/standin_worker.cpp
+++ b/packages/soak/src/standin_worker.cpp
@@ -26,20 +26,58 @@
     , m_client(loop, 2)
 {
     crash(false);
-    m_server = std::move(http_server::open(
-        loop, m_place.own, maxBody, [this](const http_request& request, const http_responder& respond) {
-            serve(request, respond);
-        }).value());
+    listen();
     m_beat = loop.every(beatInterval, [this] { announce(); });
     m_ticks = loop.every(settleInterval, [this] { settle(); });
 }
 
+void standin_worker::listen()
+{
+    m_server = std::move(http_server::open(
+        m_loop, m_place.own, maxBody, [this](const http_request& request, const http_responder& respond) {
+            if (m_isSilent)
+                m_waiting.emplace_back(request, respond);
+            else
+                serve(request, respond);
+        }).value());
+}
+
+void standin_worker::setSilent(bool isSilent)
+{
+    m_isSilent = isSilent;
+    if (isSilent)
+        return;
+    for (const auto& [request, respond] : std::exchange(m_waiting, {}))
+        serve(request, respond);
+}
+
+void standin_worker::goDown()
+{
+    if (!m_isDown)
+        m_promises.lifeEnded(life(), m_loop.now());
+    m_isDown = true;
+    m_running.clear();
+    m_late.clear();
+    m_waiting.clear();
+    m_server.reset();
+}
+
+void standin_worker::sendDeparture(const std::string& id)
+{
+    m_client.send(
+        m_place.sidecar, { "DELETE", "/instances/" + id, "", {}, "" }, callTimeout, [](const http_result&) {});
+}
+
 std::int64_t standin_worker::clockMs() const { return 1 + toMs(m_loop.now() - m_bornAt); }
 
 void standin_worker::crash(bool keepsId)
 {
-    if (!m_id.empty())
+    if (!m_id.empty() && !m_isDown)
         m_promises.lifeEnded(life(), m_loop.now());
+    if (std::exchange(m_isDown, false))
+        listen();
+    m_isSilent = false;
+    m_waiting.clear();
     if (!keepsId)
         m_id = m_place.id + "-" + std::to_string(++m_boots);
     m_bornAt = m_loop.now();
@@ -57,6 +95,8 @@
 
 void standin_worker::announce()
 {
+    if (m_isDown)
+        return;
     http_request beat { "PUT", "/instances/" + m_id, "", { { "content-type", "application/json" } }, "" };
     nlohmann::json body { { "service", "desk" }, { "addr", toString(m_place.announced) },
         { "zone", m_place.dataCentre }, { "version", "v1" }, { "slots", 8 },
--- a/packages/soak/src/standin_worker.h
+++ b/packages/soak/src/standin_worker.h
@@ -22,7 +22,7 @@
 };
 
 /// A stand-in for the platform's worker: it guards its room, keeps leases and fences, ends its tasks by itself, lists
-/// ends until they are acknowledged, and can crash, leave calls unanswered and carry out starts late.
+/// ends until they are acknowledged, and can crash, leave, be silent, leave calls unanswered and carry out starts late.
 class standin_worker {
 public:
     standin_worker(event_loop&, worker_place, promises&, std::uint64_t seed);
@@ -32,6 +32,13 @@
     /// A share of the starts and stops gets no answer and is carried out up to 4 s later.
     void loseOrders(double share) { m_lostShare = share; }
     void setDraining(bool isDraining) { m_isDraining = isDraining; }
+    /// Calls wait until the end of the silence; what runs goes on.
+    void setSilent(bool isSilent);
+    /// Everything that runs is gone and nothing listens, until `crash` begins another boot.
+    void goDown();
+    /// Sends the word that the worker of an id ends.
+    void sendDeparture(const std::string& id);
+    const std::string& id() const { return m_id; }
 
     /// The platform's longest lease in the settings that the soak writes.
     static constexpr duration longestLease { std::chrono::milliseconds(3000) };
@@ -49,6 +56,7 @@
         std::string how;
     };
 
+    void listen();
     void announce();
     void settle();
     void end(const std::string& task, const std::string& how);
@@ -74,11 +82,14 @@
     std::uint64_t m_lastEnd { 0 };
     instant m_leaseEnd;
     bool m_isDraining { false };
+    bool m_isSilent { false };
+    bool m_isDown { false };
     double m_lostShare { 0 };
     std::map<std::string, running_task> m_running;
     std::map<std::string, std::uint32_t> m_over; ///< Highest run that was started, stopped or has ended, by task.
     std::vector<end_row> m_ended;
     std::vector<http_responder> m_unanswered;
+    std::vector<std::pair<http_request, http_responder>> m_waiting; ///< Until the silence ends.
     std::vector<event_loop::timer> m_late;
     std::unique_ptr<http_server> m_server;
     event_loop::timer m_beat;
