daemon: a process ends with its role

After SIGTERM processes were killed at the end of their grace time.

Change: the process ends as soon as its role has ended, with its data stored and its lines written.

--- a/packages/daemon/src/poplardeald_main.cpp
+++ b/packages/daemon/src/poplardeald_main.cpp
@@ -1,4 +1,5 @@
 #include <cstdio>
+#include <cstdlib>
 #include <gflags/gflags.h>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -127,6 +128,25 @@
         return exitFailed;
     }
 
+    /// Runs the role that the settings name and returns the exit code.
+    int runSettings(const std::string& path)
+    {
+        if (isFleetSettings(path))
+            return runQueueDaemon(path, FLAGS_check);
+        auto settings = readSettings(path);
+        if (settings.has_error()) {
+            std::fprintf(stderr, "poplardeald: %s\n", settings.error().message.c_str());
+            return exitBadInput;
+        }
+        if (FLAGS_check) {
+            std::printf("%s: valid settings of %s\n", path.c_str(), settings.value().name.c_str());
+            return exitDone;
+        }
+        if (FLAGS_bootstrap && settings.value().control)
+            settings.value().control->bootstrap = true;
+        return runDaemon(settings.value());
+    }
+
 } // namespace
 } // namespace poplardeal
 
@@ -142,18 +162,9 @@
         std::fprintf(stderr, "poplardeald: --settings FILE is missing; see poplardeald --help\n");
         return poplardeal::exitBadInput;
     }
-    if (poplardeal::isFleetSettings(FLAGS_settings))
-        return poplardeal::runQueueDaemon(FLAGS_settings, FLAGS_check);
-    auto settings = poplardeal::readSettings(FLAGS_settings);
-    if (settings.has_error()) {
-        std::fprintf(stderr, "poplardeald: %s\n", settings.error().message.c_str());
-        return poplardeal::exitBadInput;
-    }
-    if (FLAGS_check) {
-        std::printf("%s: valid settings of %s\n", FLAGS_settings.c_str(), settings.value().name.c_str());
-        return poplardeal::exitDone;
-    }
-    if (FLAGS_bootstrap && settings.value().control)
-        settings.value().control->bootstrap = true;
-    return poplardeal::runDaemon(settings.value());
+    const int code = poplardeal::runSettings(FLAGS_settings);
+    // The role has ended and its data is stored. The threads of log4cplus are not waited for: a thread that does not
+    // come back would keep the process, and with it its successor, from their work.
+    std::fflush(nullptr);
+    std::_Exit(code);
 }
