soak: a spare control is no voter before the group has taken it in

That is one loss more than the group bears: a machine that is removed counts until its successor has caught up. A spare counted as a voter because it had lost no disk.

--- a/packages/soak/src/soak_cluster.cpp
+++ b/packages/soak/src/soak_cluster.cpp
@@ -74,7 +74,7 @@
     return std::string(std::istreambuf_iterator<char>(in), {}).find(event) != std::string::npos;
 }
 
-bool member::mayVote() const { return logBytesAtLoss == 0 || hasLogged("replica_may_vote"); }
+bool member::mayVote() const { return (logBytesAtLoss == 0 && !hasToJoin) || hasLogged("replica_may_vote"); }
 
 soak_cluster::soak_cluster(const cluster_size& size, const std::string& daemon, std::filesystem::path folder,
     const std::string& controlDaemon, std::uint64_t seed)
@@ -189,6 +189,7 @@
 {
     auto& spare = m_controls.at(m_size.controls + m_startedSpares++);
     std::filesystem::create_directories(spare.data);
+    spare.hasToJoin = true;
     spare.start();
 }
 
--- a/packages/soak/src/soak_cluster.h
+++ b/packages/soak/src/soak_cluster.h
@@ -37,6 +37,7 @@
     std::uintmax_t logBytesAtLoss { 0 }; ///< When the disk was lost.
     std::string diskFault; ///< The folder of a control that had ended was not as recorded.
     bool isStarted { false };
+    bool hasToJoin { false }; ///< A spare control: no voter before the group has taken it in.
     bool isRetired { false }; ///< The machine is gone for good.
 
     bool isActive() const { return isStarted && !isRetired; }
@@ -53,7 +54,7 @@
     void loseDisk();
     /// Since it lost its disk or was first started.
     bool hasLogged(std::string_view event) const;
-    /// Whether a control has been brought up to date since it lost its disk.
+    /// Whether a control has been brought up to date since it lost its disk or, if it is a spare, was started.
     bool mayVote() const;
 };
 
