--- a/packages/soak/recorder/disk_recorder.cpp
+++ b/packages/soak/recorder/disk_recorder.cpp
@@ -1,7 +1,9 @@
 // Linked into a daemon whose data folder may lose power; its functions replace those of the C library. Records
 // creations, writes, truncations, renames, removals and syncs of files in POPLARDEAL_SOAK_FOLDER to
 // POPLARDEAL_SOAK_RECORD; disk_image.h describes the format. Syncs take a time drawn from POPLARDEAL_SOAK_SEED. Other
-// ways to change a file are not recorded, which disk_image::difference reports.
+// ways to change a file are not recorded, which disk_image::difference reports. While a file with the name of the
+// record and the ending ".full" exists, the disk is full: files of the folder are neither created nor written, but for
+// a part of the first write.
 
 #include <array>
 #include <cerrno>
@@ -21,6 +23,7 @@
 #include <sys/uio.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace {
 
@@ -69,6 +72,8 @@
     // The system calls are used because the functions are those of this file.
     int descriptor { static_cast<int>(::syscall(SYS_openat, AT_FDCWD, environmentValue("POPLARDEAL_SOAK_RECORD").data(),
         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644)) };
+    std::string fullMark { std::string(environmentValue("POPLARDEAL_SOAK_RECORD")) + ".full" };
+    bool hasRoomForPart { true }; ///< Since the disk was last seen with room; guarded by `mutex`.
 
     static recorder& instance()
     {
@@ -76,6 +81,8 @@
         return *one;
     }
 
+    bool isDiskFull() const { return ::syscall(SYS_faccessat, AT_FDCWD, fullMark.c_str(), F_OK) == 0; }
+
     /// Mostly short, as of a disk with a cache; some long enough for a process to be ended in between.
     void delaySync()
     {
@@ -118,6 +125,16 @@
         errno = error;
     }
 
+    /// How many bytes of a write the disk takes.
+    std::size_t roomFor(std::size_t size)
+    {
+        const int error = errno;
+        const bool isFull = m_recorder.isDiskFull();
+        errno = error;
+        const bool takesPart = std::exchange(m_recorder.hasRoomForPart, !isFull);
+        return !isFull ? size : takesPart ? size / 2 : 0;
+    }
+
 private:
     recorder& m_recorder { recorder::instance() };
     std::lock_guard<std::mutex> m_lock { m_recorder.mutex };
@@ -133,6 +150,10 @@
         return next(folder, path, flags, mode);
     operation one;
     const bool isNew = ::faccessat(folder, path, F_OK, 0) != 0;
+    if (isNew && tracked_name(folder).isFolder() && recorder::instance().isDiskFull()) {
+        errno = ENOSPC;
+        return -1;
+    }
     const int descriptor = next(folder, path, flags, mode);
     const tracked_name name(descriptor);
     if (isNew && descriptor >= 0 && name.isFile())
@@ -172,7 +193,12 @@
     if (!name.isFile())
         return next(descriptor, data, size);
     operation one;
-    const auto count = next(descriptor, data, size);
+    const auto room = one.roomFor(size);
+    if (room == 0 && size > 0) {
+        errno = ENOSPC;
+        return -1;
+    }
+    const auto count = next(descriptor, data, room);
     if (count > 0)
         one.record("w", name.value(), { static_cast<const char*>(data), static_cast<std::size_t>(count) });
     return count;
--- a/packages/soak/src/soak.cpp
+++ b/packages/soak/src/soak.cpp
@@ -23,6 +23,7 @@
     constexpr duration shareInterval = std::chrono::milliseconds(5);
     constexpr std::size_t longestChain = 3; ///< Steps of a job.
     constexpr std::uint64_t workerSeed = 0x9e3779b97f4a7c15U;
+    constexpr std::uint64_t diskSeed = 0xbf58476d1ce4e5b9U;
     // As on the platform.
     constexpr duration catchUpTime = std::chrono::seconds(4);
     constexpr duration graceTime = std::chrono::seconds(4);
@@ -45,6 +46,7 @@
     , m_options(options)
     , m_random(options.seed)
     , m_extraRandom(~options.seed)
+    , m_diskRandom(options.seed ^ diskSeed)
     , m_workerRandom(options.seed ^ workerSeed)
     , m_cluster(options.size, options.daemon, options.folder, options.controlDaemon, options.seed)
     , m_client(loop, 64)
@@ -427,6 +429,24 @@
     later(std::chrono::milliseconds(1000), [each] { each->start(); });
 }
 
+/// Fills one disk, some or all of them for up to 4 s. A disk may be full while its process starts.
+void soak::fillDisks()
+{
+    if (m_isHealing)
+        return;
+    const auto drawn
+        = [this](int least, int most) { return std::uniform_int_distribution<int>(least, most)(m_diskRandom); };
+    auto controls = m_cluster.controls();
+    std::shuffle(controls.begin(), controls.end(), m_diskRandom);
+    controls.resize(static_cast<std::size_t>(drawn(1, static_cast<int>(controls.size()))));
+    for (auto* each : controls) {
+        note("the disk of " + each->name + " is full");
+        each->setDiskFull(true);
+        later(std::chrono::milliseconds(drawn(200, 4000)), [each] { each->setDiskFull(false); });
+    }
+    later(std::chrono::milliseconds(drawn(1000, 6000)), [this] { fillDisks(); });
+}
+
 void soak::injectExtra()
 {
     if (m_isHealing)
@@ -585,6 +605,8 @@
         worker->loseOrders(0);
         worker->setSilent(false);
     }
+    for (auto* each : m_cluster.controls())
+        each->setDiskFull(false);
 }
 
 void soak::wait(duration limit, const std::function<bool()>& until)
@@ -656,6 +678,8 @@
     const auto reads = m_loop.every(readInterval, [this] { readPlan(); });
     const auto orders = m_loop.every(orderInterval, [this] { orderDataCentre(); });
     later(std::chrono::milliseconds(500), [this] { injectOne(); });
+    if (m_options.hasFullDisks)
+        later(std::chrono::milliseconds(1500), [this] { fillDisks(); });
     if (m_options.hasExtraFaults) {
         later(std::chrono::milliseconds(2000), [this] { injectExtra(); });
         later(std::chrono::milliseconds(1000), [this] { injectWorkerFault(); });
--- a/packages/soak/src/soak.h
+++ b/packages/soak/src/soak.h
@@ -16,6 +16,7 @@
     /// Also replaced controls, all connections silent at the same time, workers that are silent, leave, or are said to
     /// end by a word of an earlier boot, and a loss of disks at the end.
     bool hasExtraFaults { false };
+    bool hasFullDisks { false }; ///< Also disks of controls that take no more bytes for a while, up to all at once.
     cluster_size size;
     std::string daemon;
     std::string controlDaemon; ///< Path of the daemon of controls, which records what it does to its data folder.
@@ -69,6 +70,7 @@
     void failWorker();
     void injectExtra();
     void injectWorkerFault();
+    void fillDisks();
     void replaceControl();
     void endForGood(member& control, bool isTold, const std::function<void()>& then);
     void waitForEnd(member& control, instant deadline, const std::function<void()>& then);
@@ -102,6 +104,7 @@
     soak_options m_options;
     std::mt19937_64 m_random;
     std::mt19937_64 m_extraRandom;
+    std::mt19937_64 m_diskRandom; ///< For `fillDisks`.
     std::mt19937_64 m_workerRandom; ///< For `injectWorkerFault`, which leaves the other schedules as they are.
     promises m_promises;
     soak_cluster m_cluster;
--- a/packages/soak/src/soak_cluster.cpp
+++ b/packages/soak/src/soak_cluster.cpp
@@ -67,6 +67,14 @@
     logBytesAtLoss = std::filesystem::file_size(log);
 }
 
+void member::setDiskFull(bool isFull) const
+{
+    if (isFull)
+        std::ofstream mark(fullMark);
+    else
+        std::filesystem::remove(fullMark);
+}
+
 bool member::hasLogged(std::string_view event) const
 {
     std::ifstream in(log);
@@ -112,6 +120,7 @@
         out.data = m_folder / out.name;
         const auto record = m_folder / (out.name + ".record");
         out.disk = std::make_unique<disk_image>(out.data, record);
+        out.fullMark = record.string() + ".full";
         environment = { "POPLARDEAL_SOAK_FOLDER=" + out.data.string(), "POPLARDEAL_SOAK_RECORD=" + record.string(),
             "POPLARDEAL_SOAK_SEED=" + std::to_string(m_seed * 100 + number) };
     }
--- a/packages/soak/src/soak_cluster.h
+++ b/packages/soak/src/soak_cluster.h
@@ -33,6 +33,7 @@
     std::unique_ptr<child_process> process;
     std::vector<std::unique_ptr<loopback_proxy>> proxies;
     std::unique_ptr<disk_image> disk; ///< Of a control.
+    std::filesystem::path fullMark; ///< While it exists, the disk of a control takes no more bytes.
     std::filesystem::path log;
     std::uintmax_t logBytesAtLoss { 0 }; ///< When the disk was lost.
     std::string diskFault; ///< The folder of a control that had ended was not as recorded.
@@ -52,6 +53,8 @@
     void losePower(std::mt19937_64& random);
     /// Ends the process and empties its folder.
     void loseDisk();
+    /// The disk of a control takes no more bytes, or takes them again.
+    void setDiskFull(bool isFull) const;
     /// Since it lost its disk or was first started.
     bool hasLogged(std::string_view event) const;
     /// Whether a control has been brought up to date since it lost its disk or, if it is a spare, was started.
--- a/packages/soak/src/soak_main.cpp
+++ b/packages/soak/src/soak_main.cpp
@@ -14,6 +14,7 @@
 DEFINE_string(control_daemon, "", "path of poplardeald-recorded; by default the one beside this program");
 DEFINE_bool(extra, false,
     "also replace controls, silence all connections at once, and lose the disks that may be lost at the end");
+DEFINE_bool(full_disks, false, "also fill the disks of controls for up to 4 s, one or several at a time");
 DEFINE_bool(limited, false,
     "processes have shares of a core, 0.4 (control), 0.12 (entry) and 0.15 (sidecar), and entries links of 2 Mbit/s");
 DEFINE_bool(keep, false, "keep settings, data and logs also when every promise held");
@@ -27,6 +28,7 @@
         options.seed = seed;
         options.faults = std::chrono::seconds(FLAGS_seconds);
         options.hasExtraFaults = FLAGS_extra;
+        options.hasFullDisks = FLAGS_full_disks;
         options.size.controls = FLAGS_controls;
         options.size.entries = FLAGS_entries;
         options.size.sidecars = FLAGS_sidecars;
