consensus: a full disk stops a replica's writes and not the replica

Cause: the first write that found no space ended the disk thread and the process. The next start was refused for want of room, and the leader removed the silent voter meanwhile: two full disks cost two votes.

Change: no_space is a failure of its own (ENOSPC or EDQUOT of a write, an open, a rename; a failed sync stays fatal). The store cuts what was written of a record, syncs the cut, and takes the same batches again. The disk thread keeps what found no room and tries again every 250 ms of the replica's clock. The node is read-only meanwhile: a leader hands leadership over or steps down, proposals are answered not_leader, nobody is voted for, no election starts, up to 4 MiB of entries wait. A follower answers its leader at once, in a term that it may not have recorded, with the index that is durable, so that the leader does not remove it. A folder that cannot be opened for want of room is refused with no_space.

--- a/packages/base/include/poplardeal/base/failure.h
+++ b/packages/base/include/poplardeal/base/failure.h
@@ -22,6 +22,7 @@
     overloaded,
     corrupt,
     io_error,
+    no_space, ///< The disk or the quota is full: nothing was damaged, and a later attempt may succeed.
     locked,
     unknown_format, ///< Written by another version; intact as far as can be told.
     infeasible,
--- a/packages/base/src/text.cpp
+++ b/packages/base/src/text.cpp
@@ -32,6 +32,8 @@
         return "overloaded";
     case failure_code::corrupt:
         return "corrupt";
+    case failure_code::no_space:
+        return "no-space";
     case failure_code::io_error:
         return "io-error";
     case failure_code::unknown_format:
--- a/packages/consensus/include/poplardeal/consensus/disk.h
+++ b/packages/consensus/include/poplardeal/consensus/disk.h
@@ -10,7 +10,8 @@
 
 namespace poplardeal {
 
-/// File operations on one folder. Names are relative to it. Tests inject faults by another implementation.
+/// File operations on one folder. Names are relative to it. Tests inject faults by another implementation. An operation
+/// that takes room, other than a sync, fails with `no_space` if there is none.
 template <class D>
 concept disk_access = std::move_constructible<D> && requires(D disk, const std::string& name, std::string_view bytes)
 {
@@ -35,6 +36,10 @@
     {
         disk.syncFolder()
         } -> std::same_as<result<void>>;
+    /// Cuts an existing file to its first bytes. Needs no room.
+    {
+        disk.truncate(name, std::uint64_t {})
+        } -> std::same_as<result<void>>;
     /// Replaces a file of the second name.
     {
         disk.rename(name, name)
@@ -62,6 +67,7 @@
     result<std::size_t> append(const std::string& name, std::string_view bytes);
     result<void> sync(const std::string& name);
     result<void> syncFolder();
+    result<void> truncate(const std::string& name, std::uint64_t bytes);
     result<void> rename(const std::string& from, const std::string& to);
     result<void> remove(const std::string& name);
     std::string describe(const std::string& name) const;
--- a/packages/consensus/include/poplardeal/consensus/log_store.h
+++ b/packages/consensus/include/poplardeal/consensus/log_store.h
@@ -52,18 +52,22 @@
 /// A folder with files that were set aside counts as used: an empty log in it gets a new incarnation, also with
 /// `bootstrap`. The two latest sets are kept.
 ///
-/// After a failed write or sync the store refuses everything: the state of the page cache is unknown from then on.
-/// Functions block on the disk and are called from one thread.
+/// `no_space` from a write, a creation or a rename leaves the store usable: the part of a record that was written is
+/// cut off, and the cut synced, before anything else is written. After any other failure, and after a failed sync, the
+/// store refuses everything: the state of the page cache is unknown from then on. Functions block on the disk and are
+/// called from one thread.
 template <disk_access Disk> class basic_log_store {
 public:
-    /// `locked`, `corrupt` or `unknown_format` (file and offset in the message), or `io_error`. `corrupt` is returned
-    /// only if no file is of an unknown format. If given, `damage` is set with `corrupt` and `unknown_format`.
+    /// `locked`, `corrupt` or `unknown_format` (file and offset in the message), `no_space` (what the folder holds is
+    /// intact, and is opened by a later attempt), or `io_error`. `corrupt` is returned only if no file is of an unknown
+    /// format. If given, `damage` is set with `corrupt` and `unknown_format`.
     static result<basic_log_store> open(Disk, log_store_options, folder_damage* damage = nullptr);
 
     /// What `open` found. The entries are moved out: call it once.
     recovered_folder takeRecovered() { return std::move(m_recovered); }
 
-    /// Writes the batches in order and syncs once, or more often if they contain snapshots.
+    /// Writes the batches in order and syncs once, or more often if they contain snapshots. After `no_space`, call it
+    /// again with the same batches, which others may follow: those that are durable are not written again.
     result<void> write(const std::vector<persist_batch>&);
     /// Writes a snapshot of the own state machine and removes the segments that it makes superfluous.
     result<void> saveSnapshot(const log_snapshot&);
@@ -90,6 +94,7 @@
     result<void> setAside();
     result<void> moveAside(std::uint64_t number);
     result<void> recover();
+    result<void> removeTemporaries();
     result<void> recoverSnapshot(const std::vector<std::string>& names);
     result<void> recoverSegment(const std::string& name, bool last, replay&);
     result<void> finishRecovery(replay&);
@@ -99,7 +104,11 @@
     result<void> writeRecord(const std::string& body);
     result<void> appendAll(const std::string& name, std::string_view bytes);
     result<void> writeSnapshotFile(const log_snapshot&);
+    result<void> writeBatches(const std::vector<persist_batch>&);
+    result<void> writeReceivedSnapshot(const persist_batch&);
     result<void> writeGroup(std::vector<const persist_batch*>&);
+    result<void> saveOwnSnapshot(const log_snapshot&);
+    result<void> discardPartialWrite();
     result<void> prune(std::uint64_t snapshotIndex);
     result<void> remember(result<void>);
 
@@ -114,6 +123,9 @@
     std::uint64_t m_dataIncarnation { 0 };
     std::uint64_t m_startCount { 0 };
     hard_state m_hard;
+    std::size_t m_writtenBatches { 0 }; ///< Durable ones of the call of `write` that ended with `no_space`.
+    bool m_isSegmentDue { false }; ///< An own snapshot was saved without the segment that begins after it.
+    bool m_hasPartialWrite { false }; ///< Bytes that have to be cut off before the next write.
     std::optional<failure> m_failed;
 };
 
--- a/packages/consensus/include/poplardeal/consensus/raft_node.h
+++ b/packages/consensus/include/poplardeal/consensus/raft_node.h
@@ -26,6 +26,8 @@
     std::size_t maxInflightBytes { std::size_t(4) * 1024 * 1024 }; ///< Unanswered appends to one replica.
     std::size_t maxUncommittedBytes { std::size_t(32) * 1024
         * 1024 }; ///< Proposals beyond this are refused as `overloaded`.
+    std::size_t maxUnwrittenBytes { std::size_t(4) * 1024
+        * 1024 }; ///< Entries that a read-only replica takes from its leader and cannot write yet.
     std::size_t snapshotChunkBytes { std::size_t(256) * 1024 };
     /// Entries kept in memory before a snapshot, so that a member that lags a little needs no snapshot.
     std::uint64_t retainedEntries { 1000 };
@@ -97,6 +99,10 @@
     result<log_position> proposeMembership(membership, instant now);
     /// All batches up to this number are durable.
     void persisted(std::uint64_t number, instant now);
+    /// Whether the disk takes no writes for now, because it is full. A read-only replica leads, votes and campaigns no
+    /// more. A leader hands leadership over, or steps down. A follower answers its leader, also in a term that it
+    /// cannot record, but reports as durable only what is: the leader's lease and its commits do not rest on the term.
+    void setReadOnly(bool, instant now);
     /// Drops the log up to the snapshot, which the state machine took at an applied index.
     void compact(shared_snapshot);
     /// Hands leadership to the most advanced voter. False if this is not the leader or if there is no other voter.
--- a/packages/consensus/include/poplardeal/consensus/replica.h
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -57,6 +57,7 @@
     /// Sets the files of a damaged folder aside and starts as a replica that has lost its folder. Only while a leader
     /// has a quorum without this replica.
     bool setAsideDamage { false };
+    bool repeatsFullDisk { false }; ///< The attempt before this one ended with `no_space`, which has been logged.
 };
 
 /// What a replica found in its data folder when it opened it.
@@ -69,6 +70,9 @@
     std::uint64_t opens { 0 }; ///< How often the folder has been opened, this time included.
 };
 
+/// Between two attempts to write to a full disk.
+inline constexpr duration diskRetryInterval = std::chrono::milliseconds(250);
+
 /// One member of the control group: the Raft node joined to its store and to a state machine.
 ///
 ///     auto opened = replica::open(options, environment, machine, now);
@@ -76,7 +80,8 @@
 class replica {
 public:
     /// `locked` if another process holds the data folder, `corrupt` with file and offset if the log is damaged,
-    /// `unknown_format` if another version wrote it, `io_error`. Each is logged as `data_folder_refused`.
+    /// `unknown_format` if another version wrote it, `no_space` if the disk is full (a later attempt opens the folder
+    /// as it is), `io_error`. Each is logged as `data_folder_refused`, `no_space` unless the attempt is a repetition.
     static result<std::unique_ptr<replica>> open(replica_options, replica_environment, state_machine&, instant now);
     ~replica();
 
@@ -112,6 +117,10 @@
     std::size_t answeringVoters(instant now) const;
     std::uint64_t lastIndex() const;
     const recovery_facts& recovery() const;
+    /// True while something could not be written because the disk is full. It is tried again every `diskRetryInterval`.
+    /// Meanwhile a replica that cannot write its log takes part in nothing that it would have to record: it does not
+    /// lead, vote or campaign, and remains the voter that it is.
+    bool isDiskFull() const;
     /// Why this replica stopped, if it did: it no longer votes, answers or applies until the process restarts.
     std::optional<failure> failed() const;
 
--- a/packages/consensus/src/basic_log_store.h
+++ b/packages/consensus/src/basic_log_store.h
@@ -86,6 +86,10 @@
     const auto read = store.readFolder();
     if (read)
         return store;
+    if (read.error().code == failure_code::no_space) {
+        // The next attempt removes them in any case.
+        static_cast<void>(store.removeTemporaries());
+    }
     if (damage)
         *damage = store.m_damage;
     if (!options.setAsideDamage || read.error().code != failure_code::corrupt)
@@ -204,12 +208,8 @@
 {
     // An earlier process may have ended before the sync of names that are listed here, and what follows relies on them.
     BOOST_OUTCOME_TRYV(m_disk.syncFolder());
+    BOOST_OUTCOME_TRYV(removeTemporaries());
     BOOST_OUTCOME_TRY(names, m_disk.list());
-    for (const auto* temporary : { detail::temporarySnapshotName, detail::temporarySegmentName }) {
-        if (std::find(names.begin(), names.end(), temporary) != names.end()) {
-            BOOST_OUTCOME_TRYV(m_disk.remove(temporary));
-        }
-    }
     m_hasSetAside = !detail::namesWithPrefix(names, detail::damagedPrefix).empty();
     BOOST_OUTCOME_TRYV(recoverSnapshot(names));
     replay log;
@@ -220,6 +220,17 @@
     return finishRecovery(log);
 }
 
+template <disk_access Disk> result<void> basic_log_store<Disk>::removeTemporaries()
+{
+    BOOST_OUTCOME_TRY(names, m_disk.list());
+    for (const auto* temporary : { detail::temporarySnapshotName, detail::temporarySegmentName }) {
+        if (std::find(names.begin(), names.end(), temporary) != names.end()) {
+            BOOST_OUTCOME_TRYV(m_disk.remove(temporary));
+        }
+    }
+    return success();
+}
+
 template <disk_access Disk> result<void> basic_log_store<Disk>::recoverSnapshot(const std::vector<std::string>& names)
 {
     const auto snapshots = detail::namesWithPrefix(names, "snapshot-");
@@ -394,18 +405,34 @@
 {
     if (m_failed)
         return *m_failed;
+    BOOST_OUTCOME_TRYV(remember(discardPartialWrite()));
+    BOOST_OUTCOME_TRYV(remember(writeBatches(batches)));
+    m_writtenBatches = 0;
+    return success();
+}
+
+template <disk_access Disk> result<void> basic_log_store<Disk>::writeBatches(const std::vector<persist_batch>& batches)
+{
     std::vector<const persist_batch*> group;
-    for (const auto& batch : batches) {
+    for (auto place = m_writtenBatches; place < batches.size(); ++place) {
+        const auto& batch = batches[place];
         if (batch.snapshot) {
-            BOOST_OUTCOME_TRYV(remember(writeGroup(group)));
-            m_hard = batch.hard.value_or(m_hard);
-            BOOST_OUTCOME_TRYV(remember(writeSnapshotFile(*batch.snapshot)));
-            BOOST_OUTCOME_TRYV(remember(startSegment(batch.discardLog)));
-            BOOST_OUTCOME_TRYV(remember(prune(m_snapshotIndex)));
+            BOOST_OUTCOME_TRYV(writeGroup(group));
+            m_writtenBatches = place;
+            BOOST_OUTCOME_TRYV(writeReceivedSnapshot(batch));
         }
         group.push_back(&batch);
     }
-    return remember(writeGroup(group));
+    return writeGroup(group);
+}
+
+/// May be repeated after `no_space`.
+template <disk_access Disk> result<void> basic_log_store<Disk>::writeReceivedSnapshot(const persist_batch& batch)
+{
+    m_hard = batch.hard.value_or(m_hard);
+    BOOST_OUTCOME_TRYV(writeSnapshotFile(*batch.snapshot));
+    BOOST_OUTCOME_TRYV(startSegment(batch.discardLog));
+    return prune(m_snapshotIndex);
 }
 
 template <disk_access Disk> result<void> basic_log_store<Disk>::writeGroup(std::vector<const persist_batch*>& group)
@@ -436,11 +463,23 @@
 {
     if (m_failed)
         return *m_failed;
-    if (snapshot.index <= m_snapshotIndex)
+    BOOST_OUTCOME_TRYV(remember(discardPartialWrite()));
+    return remember(saveOwnSnapshot(snapshot));
+}
+
+template <disk_access Disk> result<void> basic_log_store<Disk>::saveOwnSnapshot(const log_snapshot& snapshot)
+{
+    if (snapshot.index < m_snapshotIndex || (snapshot.index == m_snapshotIndex && !m_isSegmentDue))
         return success();
-    BOOST_OUTCOME_TRYV(remember(writeSnapshotFile(snapshot)));
-    BOOST_OUTCOME_TRYV(remember(startSegment(false)));
-    return remember(prune(snapshot.index));
+    if (snapshot.index > m_snapshotIndex) {
+        BOOST_OUTCOME_TRYV(writeSnapshotFile(snapshot));
+    }
+    m_isSegmentDue = true;
+    // Makes room for the next segment.
+    BOOST_OUTCOME_TRYV(prune(snapshot.index));
+    BOOST_OUTCOME_TRYV(startSegment(false));
+    m_isSegmentDue = false;
+    return prune(snapshot.index);
 }
 
 template <disk_access Disk> result<void> basic_log_store<Disk>::writeSnapshotFile(const log_snapshot& snapshot)
@@ -470,9 +509,38 @@
     return success();
 }
 
+/// Cuts off what the write that found no space has left. Needs no room.
+template <disk_access Disk> result<void> basic_log_store<Disk>::discardPartialWrite()
+{
+    if (!m_hasPartialWrite)
+        return success();
+    BOOST_OUTCOME_TRYV(removeTemporaries());
+    auto& last = m_segments.back();
+    if (last.bytes != 0) {
+        BOOST_OUTCOME_TRYV(m_disk.truncate(last.name, last.bytes));
+        BOOST_OUTCOME_TRYV(m_disk.sync(last.name));
+    } else {
+        BOOST_OUTCOME_TRY(names, m_disk.list());
+        if (std::find(names.begin(), names.end(), last.name) != names.end()) {
+            BOOST_OUTCOME_TRYV(m_disk.remove(last.name));
+        }
+        m_segments.pop_back();
+    }
+    BOOST_OUTCOME_TRYV(m_disk.syncFolder());
+    m_hasPartialWrite = false;
+    return success();
+}
+
+/// Keeps a failure after which nothing may be written. Discards the partial write of one that may be repeated.
 template <disk_access Disk> result<void> basic_log_store<Disk>::remember(result<void> outcome)
 {
-    if (!outcome)
+    if (!outcome && outcome.error().code == failure_code::no_space) {
+        m_hasPartialWrite = true;
+        const auto discarded = discardPartialWrite();
+        if (!discarded && discarded.error().code != failure_code::no_space)
+            outcome = discarded.error();
+    }
+    if (!outcome && outcome.error().code != failure_code::no_space)
         m_failed = outcome.error();
     return outcome;
 }
--- a/packages/consensus/src/posix_disk.cpp
+++ b/packages/consensus/src/posix_disk.cpp
@@ -17,6 +17,25 @@
     return failure { failure_code::io_error, std::string(operation) + " " + path + ": " + reason };
 }
 
+/// Like `ioFailure` for an operation that takes room. A failed sync is none: it leaves the page cache unknown.
+static failure roomFailure(std::string_view operation, const std::string& path)
+{
+    const bool isFull = errno == ENOSPC || errno == EDQUOT;
+    auto out = ioFailure(operation, path);
+    out.code = isFull ? failure_code::no_space : out.code;
+    return out;
+}
+
+/// Creates the file only if it is missing: a full disk may refuse the flag for one that exists.
+static int openOrCreate(int folder, const char* name, int flags)
+{
+    constexpr mode_t mode = 0644;
+    const int descriptor = ::openat(folder, name, flags | O_CLOEXEC);
+    if (descriptor >= 0 || errno != ENOENT)
+        return descriptor;
+    return ::openat(folder, name, flags | O_CREAT | O_CLOEXEC, mode);
+}
+
 static void closeDescriptor(int& descriptor)
 {
     if (descriptor >= 0)
@@ -70,8 +89,10 @@
     BOOST_OUTCOME_TRYV(syncName(present));
     for (auto next = missing.rbegin(); next != missing.rend(); ++next) {
         std::filesystem::create_directory(*next, error);
-        if (error)
-            return failure { failure_code::io_error, "create folder " + next->string() + ": " + error.message() };
+        if (error) {
+            errno = error.value();
+            return roomFailure("create folder", next->string());
+        }
         BOOST_OUTCOME_TRYV(syncName(*next));
     }
     return success();
@@ -114,9 +135,9 @@
     m_folderDescriptor = ::open(m_folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (m_folderDescriptor < 0)
         return ioFailure("open folder", m_folder.string());
-    m_lockDescriptor = ::openat(m_folderDescriptor, lockName, O_RDWR | O_CREAT | O_CLOEXEC, 0644);
+    m_lockDescriptor = openOrCreate(m_folderDescriptor, lockName, O_RDWR);
     if (m_lockDescriptor < 0)
-        return ioFailure("open", describe(lockName));
+        return roomFailure("open", describe(lockName));
     if (::flock(m_lockDescriptor, LOCK_EX | LOCK_NB) == 0)
         return success();
     if (errno == EWOULDBLOCK)
@@ -174,9 +195,9 @@
     if (m_appendDescriptor >= 0 && m_appendName == name)
         return success();
     closeAppendFile();
-    m_appendDescriptor = ::openat(m_folderDescriptor, name.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
+    m_appendDescriptor = openOrCreate(m_folderDescriptor, name.c_str(), O_WRONLY | O_APPEND);
     if (m_appendDescriptor < 0)
-        return ioFailure("open", describe(name));
+        return roomFailure("open", describe(name));
     m_appendName = name;
     return success();
 }
@@ -195,7 +216,7 @@
         if (count >= 0)
             return static_cast<std::size_t>(count);
         if (errno != EINTR)
-            return ioFailure("write", describe(name));
+            return roomFailure("write", describe(name));
     }
 }
 
@@ -214,12 +235,20 @@
     return success();
 }
 
+result<void> posix_disk::truncate(const std::string& name, std::uint64_t bytes)
+{
+    BOOST_OUTCOME_TRYV(openForAppend(name));
+    if (::ftruncate(m_appendDescriptor, static_cast<off_t>(bytes)) != 0)
+        return roomFailure("truncate", describe(name));
+    return success();
+}
+
 result<void> posix_disk::rename(const std::string& from, const std::string& to)
 {
     if (m_appendName == from)
         closeAppendFile();
     if (::renameat(m_folderDescriptor, from.c_str(), m_folderDescriptor, to.c_str()) != 0)
-        return ioFailure("rename", describe(from));
+        return roomFailure("rename", describe(from));
     return success();
 }
 
--- a/packages/consensus/src/raft_election.cpp
+++ b/packages/consensus/src/raft_election.cpp
@@ -193,7 +193,7 @@
 
 bool raft_node::impl::holdsLeaderLease(instant now) const
 {
-    if (role != raft_role::leader || transferTarget || commit < termStartIndex)
+    if (role != raft_role::leader || readOnly || transferTarget || commit < termStartIndex)
         return false;
     const auto answered = quorumAnsweredSentAt(now);
     return answered && now - *answered < options.electionTimeout * 4 / 5;
--- a/packages/consensus/src/raft_node.cpp
+++ b/packages/consensus/src/raft_node.cpp
@@ -1,5 +1,6 @@
 #include "raft_node_impl.h"
 #include <algorithm>
+#include <numeric>
 
 namespace poplardeal {
 
@@ -27,7 +28,7 @@
         const auto answered = std::max(quorumAnsweredSentAt(now).value_or(leaderSince), leaderSince);
         const bool transferFailed = transferTarget && now >= transferDeadline;
         // A delayed time_out_now may still start an election in this term, which the lease does not exclude.
-        if (now - answered >= options.electionTimeout || (transferFailed && transferSent)) {
+        if (now - answered >= options.electionTimeout || (transferFailed && (transferSent || readOnly))) {
             becomeFollower(hard.term, std::nullopt);
             resetElectionTimer(now);
             return;
@@ -38,7 +39,7 @@
             sendHeartbeats(now);
         return;
     }
-    if (now >= electionDeadline)
+    if (now >= electionDeadline && !readOnly)
         startPreVote(now);
 }
 
@@ -61,6 +62,8 @@
         return;
     if (m.kind == message_kind::data_replaced)
         return onDataReplaced(m, now);
+    if (readOnly && !receiveReadOnly(m, now))
+        return;
     noteHistory(m);
     const bool future = m.kind == message_kind::pre_vote || (m.kind == message_kind::pre_vote_answer && !m.rejected);
     if (m.term > hard.term && !future && isUnused() && !entersTerm(m.kind)) {
@@ -110,6 +113,46 @@
     }
 }
 
+/// Whether a read-only replica handles a message as others do. It votes for nobody, and enters a term only with its
+/// leader.
+bool raft_node::impl::receiveReadOnly(const raft_message& m, instant now)
+{
+    if (m.term < hard.term)
+        return false;
+    switch (m.kind) {
+    case message_kind::append:
+    case message_kind::snapshot_chunk:
+    case message_kind::data_lost:
+        return true;
+    case message_kind::append_answer:
+    case message_kind::snapshot_answer:
+        if (m.term > hard.term && role == raft_role::leader) {
+            becomeFollower(hard.term, std::nullopt);
+            resetElectionTimer(now);
+        }
+        return m.term == hard.term;
+    default:
+        return false;
+    }
+}
+
+void raft_node::impl::setReadOnly(bool wanted, instant now)
+{
+    if (std::exchange(readOnly, wanted) == wanted)
+        return;
+    if (!readOnly) {
+        // Replicas whose disks have room again at the same time campaign one after the other.
+        if (role != raft_role::leader && now >= electionDeadline)
+            retrySoon(now);
+        return;
+    }
+    std::erase_if(deferred, [](const auto& each) { return each.message.kind == message_kind::vote; });
+    if (role == raft_role::follower || transferLeadership(now))
+        return;
+    becomeFollower(hard.term, std::nullopt);
+    resetElectionTimer(now);
+}
+
 void raft_node::impl::noteDataLoss(const raft_message& m)
 {
     const bool isLost = m.kind == message_kind::data_lost && m.startCount == options.startCount;
@@ -140,6 +183,8 @@
 {
     if (role != raft_role::leader || transferTarget)
         return failure { failure_code::not_leader, "this replica is not the leader" };
+    if (readOnly)
+        return failure { failure_code::not_leader, "the disk of this replica is full" };
     if (payload.size() > options.maxEntryBytes)
         return failure { failure_code::too_large,
             "log entry of " + std::to_string(payload.size()) + " bytes, at most "
@@ -184,6 +229,22 @@
     }
 }
 
+/// Answers a leader without waiting for the disk, in a term that may not be durable. Two promises rest on such an
+/// answer, and both outlive a restart without the term: to vote for nobody within the election timeout, which a
+/// restarted replica does not either, and to hold the entries up to the index named, which are durable. Entries of the
+/// leader's own term, by which it commits, are durable only behind the term.
+void raft_node::impl::sendReadOnly(raft_message m)
+{
+    if (!incarnationChanged && incarnationNumber <= durableNumber)
+        send(std::move(m));
+}
+
+std::size_t raft_node::impl::unwrittenBytes() const
+{
+    return std::accumulate(pendingBatches.begin(), pendingBatches.end(), unsentBytes,
+        [](std::size_t sum, const auto& batch) { return sum + batch.bytes; });
+}
+
 raft_ready raft_node::impl::takeReady(instant now)
 {
     if (role == raft_role::leader)
@@ -194,14 +255,17 @@
     batch.discardLog = std::exchange(discardLog, false);
     if (std::exchange(hardChanged, false))
         batch.hard = hard;
-    if (std::exchange(incarnationChanged, false))
+    if (std::exchange(incarnationChanged, false)) {
         batch.dataIncarnation = options.dataIncarnation;
+        incarnationNumber = batchNumber + 1;
+    }
     for (auto index = firstUnsent; index != 0 && index <= log.lastIndex(); ++index)
         batch.entries.push_back(log.at(index));
     firstUnsent = 0;
     if (!batch.empty()) {
         batch.number = ++batchNumber;
-        pendingBatches.push_back({ batch.number, hard.term, log.lastIndex(), std::exchange(ownVotePending, false) });
+        pendingBatches.push_back({ batch.number, hard.term, log.lastIndex(), std::exchange(ownVotePending, false),
+            std::exchange(unsentBytes, 0) });
     }
     releaseDurable();
     out.messages = std::exchange(outgoing, {});
@@ -250,6 +314,7 @@
     return m_impl->proposeMembership(std::move(members), now);
 }
 void raft_node::persisted(std::uint64_t number, instant now) { m_impl->persisted(number, now); }
+void raft_node::setReadOnly(bool readOnly, instant now) { m_impl->setReadOnly(readOnly, now); }
 void raft_node::compact(shared_snapshot snapshot) { m_impl->compact(std::move(snapshot)); }
 bool raft_node::transferLeadership(instant now) { return m_impl->transferLeadership(now); }
 raft_ready raft_node::takeReady(instant now) { return m_impl->takeReady(now); }
--- a/packages/consensus/src/raft_node_impl.h
+++ b/packages/consensus/src/raft_node_impl.h
@@ -63,6 +63,7 @@
         std::uint64_t term { 0 };
         std::uint64_t lastIndex { 0 };
         bool carriesOwnVote { false };
+        std::size_t bytes { 0 }; ///< Of its entries.
     };
 
     struct deferred_message {
@@ -87,6 +88,10 @@
     void receive(const raft_message&, instant now);
     result<log_position> propose(entry_kind, std::string payload);
     void persisted(std::uint64_t number, instant now);
+    void setReadOnly(bool, instant now);
+    bool receiveReadOnly(const raft_message&, instant now);
+    void sendReadOnly(raft_message);
+    std::size_t unwrittenBytes() const;
     raft_ready takeReady(instant now);
     void send(raft_message);
     void sendWhenDurable(raft_message);
@@ -134,7 +139,7 @@
 
     // raft_replication.cpp
     void onAppend(const raft_message&, instant now);
-    void storeEntries(const std::vector<log_entry>&);
+    std::size_t storeEntries(const std::vector<log_entry>&);
     void onAppendAnswer(const raft_message&, instant now);
     void onRejectedAppend(detail::progress&, const raft_message&);
     void sendAppends(instant now);
@@ -183,11 +188,14 @@
     bool incarnationChanged { false };
     bool ownVotePending { false };
     std::uint64_t firstUnsent { 0 }; ///< First entry not yet handed out to persist; 0 if there is none.
+    std::size_t unsentBytes { 0 }; ///< Of the entries from `firstUnsent` on.
+    bool readOnly { false };
     shared_snapshot snapshotToPersist;
     bool discardLog { false };
     shared_snapshot snapshotToInstall;
     std::uint64_t batchNumber { 0 };
     std::uint64_t durableNumber { 0 };
+    std::uint64_t incarnationNumber { 0 }; ///< Batch with the latest change of the incarnation; 0 if there is none.
     std::uint64_t stableIndex { 0 };
     std::uint64_t durableTerm { 0 };
     std::deque<detail::pending_batch> pendingBatches;
--- a/packages/consensus/src/raft_replication.cpp
+++ b/packages/consensus/src/raft_replication.cpp
@@ -7,6 +7,9 @@
 using detail::progress_state;
 using detail::raft_role;
 
+/// Upper bound of the encoding around one payload.
+constexpr std::size_t entryOverheadBytes = 64;
+
 void raft_node::impl::onAppend(const raft_message& m, instant now)
 {
     if (role == raft_role::leader)
@@ -31,13 +34,20 @@
         answer.rejected = true;
         answer.matchIndex = hint;
         answer.logTerm = log.termAt(hint);
+        // Of a read-only replica, only heartbeats are refused: the leader repeats a refused append at once.
+        if (readOnly)
+            return m.entries.empty() ? sendReadOnly(std::move(answer)) : void();
         return sendWhenDurable(std::move(answer));
     }
-    storeEntries(m.entries);
-    const auto matched = m.logIndex + m.entries.size();
+    const auto held = storeEntries(m.entries);
+    const auto matched = m.logIndex + held;
     adoptCommit(std::min(m.commit, matched));
     answer.logIndex = matched;
     answer.matchIndex = matched;
+    if (readOnly) {
+        answer.matchIndex = std::min(matched, stableIndex);
+        return held == m.entries.size() ? sendReadOnly(std::move(answer)) : void();
+    }
     if (m.entries.empty() && durableTerm == hard.term && !hardChanged && !incarnationChanged) {
         // A heartbeat is answered at once, so that a slow disk does not look like a lost replica.
         answer.matchIndex = std::min(matched, stableIndex);
@@ -46,21 +56,33 @@
     sendWhenDurable(std::move(answer));
 }
 
-void raft_node::impl::storeEntries(const std::vector<log_entry>& entries)
+/// Returns how many of the entries the log holds. A read-only replica takes them up to a limit.
+std::size_t raft_node::impl::storeEntries(const std::vector<log_entry>& entries)
 {
+    std::size_t held = 0;
+    auto unwritten = readOnly ? unwrittenBytes() : 0;
     for (const auto& entry : entries) {
         if (entry.index <= log.lastIndex()) {
-            if (log.termAt(entry.index) == entry.term)
+            if (log.termAt(entry.index) == entry.term) {
+                ++held;
                 continue;
+            }
             log.truncateFrom(entry.index);
             stableIndex = std::min(stableIndex, entry.index - 1);
             for (auto& batch : pendingBatches)
                 batch.lastIndex = std::min(batch.lastIndex, entry.index - 1);
         }
+        const auto bytes = entry.payload.size() + entryOverheadBytes;
+        if (readOnly && unwritten + bytes > options.maxUnwrittenBytes)
+            break;
+        unwritten += bytes;
+        unsentBytes += bytes;
+        ++held;
         log.append(entry);
         if (firstUnsent == 0 || entry.index < firstUnsent)
             firstUnsent = entry.index;
     }
+    return held;
 }
 
 void raft_node::impl::adoptCommit(std::uint64_t index) { commit = std::max(commit, std::min(index, log.lastIndex())); }
@@ -148,10 +170,9 @@
     std::size_t bytes = 0;
     for (auto index = peer.nextIndex; !heartbeat && index <= log.lastIndex(); ++index) {
         const auto& entry = log.at(index);
-        constexpr std::size_t entryOverhead = 64; // Upper bound of the encoding around one payload.
-        if (!m.entries.empty() && bytes + entry.payload.size() + entryOverhead > options.maxMessageBytes)
+        if (!m.entries.empty() && bytes + entry.payload.size() + entryOverheadBytes > options.maxMessageBytes)
             break;
-        bytes += entry.payload.size() + entryOverhead;
+        bytes += entry.payload.size() + entryOverheadBytes;
         m.entries.push_back(entry);
     }
     if (peer.state == progress_state::replicate && !m.entries.empty()) {
--- a/packages/consensus/src/raft_snapshot.cpp
+++ b/packages/consensus/src/raft_snapshot.cpp
@@ -61,6 +61,8 @@
     leader = m.from;
     lastHeard = now;
     resetElectionTimer(now);
+    if (readOnly)
+        return;
 
     if (m.snapshotIndex <= commit) {
         auto answer = messageTo(m.from, message_kind::append_answer);
--- a/packages/consensus/src/replica.cpp
+++ b/packages/consensus/src/replica.cpp
@@ -27,6 +27,8 @@
 
     void startDisk(log_store);
     void onDiskReport(const detail::disk_report&);
+    void noteRoom(const std::optional<failure>& before);
+    void retryDisk();
     void scheduleFlush();
     void flush();
     void carryOut(raft_ready);
@@ -49,6 +51,8 @@
     std::uint64_t requestedNumber { 0 }; ///< Last batch given to the disk thread.
     std::uint64_t requestedSnapshot { 0 }; ///< Last own snapshot given to the disk thread.
     detail::disk_report lastReport;
+    instant diskTriedAt; ///< When the disk was last found to be full.
+    bool isDiskRetried { false }; ///< The disk thread tries again what found no room.
     bool flushScheduled { false };
     bool flushing { false };
     bool wasLeader { false };
@@ -105,7 +109,8 @@
     folder_damage damage;
     auto opened = log_store::open(posix_disk(options.dataFolder), storeOptions, &damage);
     if (!opened) {
-        logRefusal(options, opened.error(), damage);
+        if (!options.repeatsFullDisk || opened.error().code != failure_code::no_space)
+            logRefusal(options, opened.error(), damage);
         return opened.error();
     }
     auto store = std::move(opened).value();
@@ -159,13 +164,37 @@
         return;
     if (report.failed)
         return stop(*report.failed);
-    lastReport = report;
-    if (environment.written)
+    const auto before = std::exchange(lastReport, report);
+    const bool isWritten = report.durableNumber != before.durableNumber || report.snapshotIndex != before.snapshotIndex;
+    if (isWritten && environment.written)
         environment.written(report.took);
     node.persisted(report.durableNumber, latest);
+    noteRoom(before.noSpace);
     flush();
 }
 
+void replica::impl::noteRoom(const std::optional<failure>& before)
+{
+    isDiskRetried = false;
+    diskTriedAt = latest;
+    node.setReadOnly(lastReport.batchesWait, latest);
+    const auto& present = lastReport.noSpace;
+    if (present && !before)
+        logEvent(log_level::error, "replica_disk_full",
+            { { "replica", options.self.value() }, { "term", node.term() }, { "reason", present->message } });
+    else if (!present && before)
+        logEvent(
+            log_level::info, "replica_disk_writable", { { "replica", options.self.value() }, { "term", node.term() } });
+}
+
+void replica::impl::retryDisk()
+{
+    if (!lastReport.noSpace || isDiskRetried || latest - diskTriedAt < diskRetryInterval)
+        return;
+    isDiskRetried = true;
+    disk->retry();
+}
+
 /// Proposals of one turn of the loop share one append message and one sync.
 void replica::impl::scheduleFlush()
 {
@@ -322,6 +351,7 @@
     m_impl->observe(now);
     if (m_impl->stopReason)
         return;
+    m_impl->retryDisk();
     m_impl->node.tick(m_impl->latest);
     m_impl->flush();
 }
@@ -374,11 +404,13 @@
 bool replica::isPersisting() const
 {
     const auto& reported = m_impl->lastReport;
-    const bool done
-        = reported.durableNumber == m_impl->requestedNumber && reported.snapshotIndex == m_impl->requestedSnapshot;
-    return !m_impl->stopReason && !done;
+    const bool batchesDone = reported.durableNumber == m_impl->requestedNumber || reported.batchesWait;
+    const bool snapshotDone = reported.snapshotIndex == m_impl->requestedSnapshot || reported.noSpace;
+    return !m_impl->stopReason && (m_impl->isDiskRetried || !batchesDone || !snapshotDone);
 }
 
+bool replica::isDiskFull() const { return m_impl->lastReport.noSpace.has_value(); }
+
 std::optional<failure> replica::failed() const { return m_impl->stopReason; }
 
 bool replica::transferLeadership(instant now)
--- a/packages/consensus/tests/fault_plan.h
+++ b/packages/consensus/tests/fault_plan.h
@@ -27,6 +27,7 @@
     double faultsPerSecond { 0 }; ///< Partitions, one-way cuts and heals.
     double changesPerSecond { 0 }; ///< Membership changes.
     double transfersPerSecond { 0 };
+    double fullDisksPerSecond { 0 }; ///< Of one host, of two or of all, for some seconds.
     int folderLosses { 0 };
     double clockDrift { 0.1 }; ///< Rates of the clocks are drawn from 1 - drift to 1 + drift.
     milliseconds length { 4000 };
--- a/packages/consensus/tests/replica_test.cpp
+++ b/packages/consensus/tests/replica_test.cpp
@@ -1,3 +1,4 @@
+#include "full_folders.h"
 #include "replica_group.h"
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -291,6 +292,80 @@
     BOOST_TEST(group.propose("s").has_value());
 }
 
+/// Folders of a group that are full until the end of the test.
+struct full_disks {
+    explicit full_disks(replica_group& given)
+        : group(given)
+    {
+    }
+    full_disks(const full_disks&) = delete;
+    full_disks& operator=(const full_disks&) = delete;
+    ~full_disks() { empty(); }
+
+    /// The leader first, then others.
+    void fill(std::size_t count, std::size_t room)
+    {
+        for (auto number = group.leader(); numbers.size() < count; number = number % 5 + 1) {
+            numbers.push_back(number);
+            full_folders::fill(group.folderOf(number), room);
+        }
+    }
+    void empty()
+    {
+        for (const auto number : numbers)
+            full_folders::empty(group.folderOf(number));
+    }
+
+    replica_group& group;
+    std::vector<std::uint32_t> numbers;
+};
+
+static bool run(replica_group& group, duration time)
+{
+    return group.runUntil([] { return false; }, time);
+}
+
+static const duration fullTime = std::chrono::milliseconds(3500);
+
+// Guards against replicas that end because their disks are full, that acknowledge or lead meanwhile, that are not the
+// same voters afterwards, and against a group that stands still because a minority of its disks is full.
+BOOST_DATA_TEST_CASE(replicas_outlast_full_disks,
+    boost::unit_test::data::make({ 1U, 2U, 5U }) * boost::unit_test::data::make({ 0U, 150U }), count, room)
+{
+    replica_group group(5, 4);
+    full_disks full(group);
+    group.startAll(true);
+    std::size_t proposed = 0;
+    for (; proposed < 6; ++proposed)
+        BOOST_REQUIRE(group.propose("p" + std::to_string(proposed)).has_value());
+    BOOST_REQUIRE(group.waitUntilEqual(proposed));
+    full.fill(count, room);
+    const auto first = full.numbers.front();
+    const std::string large(300, 'x'); // One that is not acknowledged may be in the log all the same.
+    std::optional<result<std::string>> answer;
+    group.replicas[first]->propose(large, group.now, [&](result<std::string> given) { answer = std::move(given); });
+    BOOST_REQUIRE(group.runUntil([&] { return answer && group.leader() != first; }, std::chrono::seconds(3)));
+    for (int i = 0; i < 6 && count < 5; ++i, ++proposed) {
+        BOOST_REQUIRE(group.propose("q" + std::to_string(i)).has_value());
+        BOOST_TEST(std::count(full.numbers.begin(), full.numbers.end(), group.leader()) == 0);
+    }
+    run(group, fullTime);
+    BOOST_TEST((count == 5) == (group.leader() == 0));
+    for (const auto& [number, each] : group.replicas) {
+        BOOST_TEST(!each->failed().has_value());
+        BOOST_TEST(each->mayVote());
+    }
+    full.empty();
+    BOOST_REQUIRE(group.propose("last").has_value());
+    const auto applied = group.machines[group.leader()]->applied;
+    BOOST_REQUIRE(group.waitUntilEqual(applied.size()));
+    for (std::uint32_t number = 1; number <= 5; ++number)
+        BOOST_TEST((group.machines[number]->applied == applied));
+    BOOST_TEST(static_cast<std::size_t>(std::count_if(applied.begin(), applied.end(), [&](const std::string& each) {
+        return each != large;
+    })) == proposed + 1);
+}
+
 // Guards against malformed messages that end the process or change state.
 BOOST_AUTO_TEST_CASE(malformed_messages_are_refused)
 {
--- a/packages/consensus/tests/simulated_disk.h
+++ b/packages/consensus/tests/simulated_disk.h
@@ -55,6 +55,8 @@
     {
         if (m_recordIsMissing)
             return failure { failure_code::corrupt, "a record is missing" };
+        if (m_isFull)
+            return failure { failure_code::no_space, "no room for the record of a start" };
         ++m_durable.starts;
         auto contents = m_durable;
         for (auto& written : m_records) {
@@ -70,9 +72,13 @@
     void write(persist_batch batch) { m_records.push_back({ std::move(batch), nullptr, false }); }
     void writeOwnSnapshot(shared_snapshot taken) { m_records.push_back({ {}, std::move(taken), false }); }
 
-    /// Syncs what the present process has written.
+    void setFull(bool full) { m_isFull = full; }
+
+    /// Syncs what the present process has written. May be repeated after `no_space`.
     result<void> sync()
     {
+        if (m_isFull)
+            return failure { failure_code::no_space, "no room for a record" };
         for (auto place = m_firstOwn; place < m_records.size(); ++place)
             m_records[place].synced = true;
         const auto unsynced = std::find_if(m_records.begin(), m_records.end(), [](const auto& r) { return !r.synced; });
@@ -117,6 +123,7 @@
     std::vector<record> m_records; ///< Written after `m_durable`.
     std::size_t m_firstOwn { 0 }; ///< First record of the present process.
     bool m_recordIsMissing { false };
+    bool m_isFull { false };
     std::mt19937_64 m_random;
 };
 
