consensus: tests of what a read-only node answers

Each guards a rule of raft_node::setReadOnly: a follower answers only its leader and only with what is durable, it takes a limited number of entries, a leader hands over or steps down.

--- a/packages/consensus/tests/raft_node_test.cpp
+++ b/packages/consensus/tests/raft_node_test.cpp
@@ -196,6 +196,71 @@
     BOOST_TEST(driver.node.isLeader());
 }
 
+// Guards against a replica with a full disk that votes, campaigns, takes over a term from a candidate, or reports entries
+// that are not durable, and against one that looks lost to its leader.
+BOOST_AUTO_TEST_CASE(a_read_only_follower_answers_only_its_leader)
+{
+    node_driver driver(1, savedLog(1, 3));
+    driver.node.setReadOnly(true, driver.now);
+    const auto answers = driver.receive(driver.append(3, 2, { 3, 1 }, 2));
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST(answers[0].matchIndex == 3U);
+    BOOST_TEST(answers[0].logIndex == 5U);
+    const auto refused = driver.receive(driver.append(3, 2, { 9, 2 }, 0));
+    BOOST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST(refused[0].rejected);
+    driver.advance(std::chrono::seconds(3));
+    driver.node.tick(driver.now);
+    BOOST_TEST(driver.take().empty());
+    for (const auto kind : { message_kind::pre_vote, message_kind::vote, message_kind::time_out_now }) {
+        for (const std::uint64_t term : { 2, 3 })
+            BOOST_TEST(driver.receive(driver.message(kind, 2, term)).empty());
+    }
+    BOOST_TEST(driver.node.term() == 2U);
+    driver.node.setReadOnly(false, driver.now);
+    driver.persistAll();
+    const auto late = driver.receive(driver.append(3, 2, { 5, 2 }, 0));
+    BOOST_REQUIRE(late.size() == 1U);
+    BOOST_TEST(late[0].matchIndex == 5U);
+}
+
+// Guards against a full disk that fills the memory, too.
+BOOST_AUTO_TEST_CASE(a_read_only_follower_takes_a_limited_number_of_entries)
+{
+    raft_options options;
+    options.maxUnwrittenBytes = 1000;
+    node_driver driver(1, savedLog(1, 3), options);
+    driver.node.setReadOnly(true, driver.now);
+    for (int i = 0; i < 100; ++i)
+        driver.receive(driver.append(2, 1, { driver.node.lastIndex(), 1 }, 2));
+    BOOST_TEST(driver.node.lastIndex() > 10U);
+    BOOST_TEST(driver.node.lastIndex() < 20U);
+    BOOST_TEST(driver.receive(driver.append(2, 1, { driver.node.lastIndex(), 1 }, 2)).empty());
+    driver.node.setReadOnly(false, driver.now);
+    driver.persistAll();
+    driver.receive(driver.append(2, 1, { driver.node.lastIndex(), 1 }, 20));
+    BOOST_TEST(driver.node.lastIndex() > 30U);
+}
+
+// Guards against a leader that keeps its lease, or takes proposals, while it cannot write, also if nobody takes over.
+BOOST_DATA_TEST_CASE(a_read_only_leader_hands_over_or_steps_down, boost::unit_test::data::make({ false, true }), hasHeir)
+{
+    node_driver driver(1);
+    driver.lead();
+    if (hasHeir)
+        driver.receive(driver.acknowledgement(2, driver.node.lastIndex()));
+    BOOST_REQUIRE(driver.node.isLeader());
+    driver.node.setReadOnly(true, driver.now);
+    BOOST_TEST(contains(driver.take(), message_kind::time_out_now) == hasHeir);
+    BOOST_TEST(!driver.node.holdsLeaderLease(driver.now));
+    const auto refused = driver.node.propose("p", driver.now);
+    BOOST_REQUIRE(refused.has_error());
+    BOOST_TEST((refused.error().code == failure_code::not_leader));
+    driver.advance(std::chrono::milliseconds(700));
+    driver.node.tick(driver.now);
+    BOOST_TEST(!driver.node.isLeader());
+}
+
 // Guards against an acknowledgement to a deposed leader of entries that a newer leader has replaced meanwhile: both
 // writes may become durable with one sync.
 BOOST_AUTO_TEST_CASE(answers_to_an_older_term_are_dropped)
