fleet: a control that finds no room to open its folder waits for it

It tries again every 500 ms, before the others remove it as silent, logs the refusal once, and sets nothing aside. poplardeal_disk_full shows a disk without room, at the start and later.

--- a/packages/fleet/src/control_metrics.cpp
+++ b/packages/fleet/src/control_metrics.cpp
@@ -17,6 +17,7 @@
     , m_term(metrics.getGauge("poplardeal_control_term", "Raft term"))
     , m_lastIndex(metrics.getGauge("poplardeal_control_last_index", "Last entry of the log"))
     , m_commitIndex(metrics.getGauge("poplardeal_control_commit_index", "Last entry known to be committed"))
+    , m_diskFull(metrics.getGauge("poplardeal_disk_full", "1 while the disk of this control has no room for a write"))
     , m_writeTime(metrics.getTiming("poplardeal_control_log_write_seconds", "Time to write to the log and sync it"))
 {
     m_answering.set(unknown);
@@ -36,6 +37,8 @@
     set("poplardeal_control_folder_opens", "How often the data folder has been opened", facts.opens);
 }
 
+void control_metrics::recordDiskFull(bool full) { m_diskFull.set(full ? 1 : 0); }
+
 void control_metrics::recordWrite(duration time) { m_writeTime.observe(time); }
 
 void control_metrics::update(const replica& self, instant now)
@@ -49,6 +52,7 @@
     m_term.set(static_cast<double>(self.term()));
     m_lastIndex.set(static_cast<double>(self.lastIndex()));
     m_commitIndex.set(static_cast<double>(self.commitIndex()));
+    recordDiskFull(self.isDiskFull());
     const std::size_t quorum = voters / 2 + 1;
     const auto answering = static_cast<double>(self.answeringVoters(now));
     m_answering.set(self.isLeader() ? answering : unknown);
--- a/packages/fleet/src/control_metrics.h
+++ b/packages/fleet/src/control_metrics.h
@@ -13,6 +13,8 @@
 
     /// The data folder has been opened.
     void recordRecovery(const recovery_facts&);
+    /// The disk has, or has not, room for what this control has to write.
+    void recordDiskFull(bool);
     /// A write to the log and its sync have ended.
     void recordWrite(duration);
     void update(const replica&, instant now);
@@ -38,6 +40,7 @@
     gauge& m_term;
     gauge& m_lastIndex;
     gauge& m_commitIndex;
+    gauge& m_diskFull;
     timing& m_writeTime;
     std::map<replica_id, member_gauges> m_members;
 };
--- a/packages/fleet/src/folder_refusal.cpp
+++ b/packages/fleet/src/folder_refusal.cpp
@@ -21,6 +21,7 @@
     , m_self(self)
     , m_gauges { { { failure_code::corrupt, &refusalGauge(metrics, failure_code::corrupt) },
           { failure_code::unknown_format, &refusalGauge(metrics, failure_code::unknown_format) },
+          { failure_code::no_space, &refusalGauge(metrics, failure_code::no_space) },
           { failure_code::io_error, &refusalGauge(metrics, failure_code::io_error) } } }
 {
 }
@@ -45,7 +46,10 @@
 
 bool folder_refusal::maySetAside() const { return m_code == failure_code::corrupt && m_otherLeads; }
 
-bool folder_refusal::isAttemptDue(instant now) const { return maySetAside() || now - m_attemptedAt >= attemptInterval; }
+bool folder_refusal::isAttemptDue(instant now) const
+{
+    return maySetAside() || now - m_attemptedAt >= (isDiskFull() ? fullDiskAttemptInterval : attemptInterval);
+}
 
 std::vector<replica_id> folder_refusal::nextProbes(instant now)
 {
--- a/packages/fleet/src/folder_refusal.h
+++ b/packages/fleet/src/folder_refusal.h
@@ -24,6 +24,8 @@
     void ended();
 
     bool isAttemptDue(instant now) const;
+    /// True if the last attempt found no room to open the folder. It is intact, and is never set aside for this.
+    bool isDiskFull() const { return m_code == failure_code::no_space; }
     /// True if the folder is damaged and another control leads, by a lease that began after this control was refused:
     /// what the folder holds is not needed, and the control may join with an empty one.
     bool maySetAside() const;
@@ -35,6 +37,8 @@
     static http_response answer();
 
     static constexpr duration attemptInterval = std::chrono::seconds(5);
+    /// Shorter than the silence after which a leader removes a voter.
+    static constexpr duration fullDiskAttemptInterval = std::chrono::milliseconds(500);
     /// Longer than a leader's lease and the loss of its connections: a leader whose lease is newer has a quorum without
     /// this control.
     static constexpr duration holdOff = std::chrono::seconds(2);
@@ -50,7 +54,7 @@
 
     const fleet_settings& m_settings;
     replica_id m_self;
-    std::array<code_gauge, 3> m_gauges;
+    std::array<code_gauge, 4> m_gauges;
     std::optional<failure_code> m_code;
     instant m_refusedSince;
     instant m_attemptedAt;
--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -72,6 +72,7 @@
     result<void> join();
     void tick();
     void tickRefused(instant now);
+    void noteRefusal(const failure&);
 
     void accept(std::unique_ptr<channel>);
     void handle(connection_number, const frame&);
@@ -172,7 +173,7 @@
     BOOST_OUTCOME_TRY(exposed, detail::serveMetrics(loop, settings, metrics));
     metricsHttp = std::move(exposed);
     if (opened.has_error()) {
-        refusal.refused(opened.error(), loop.now());
+        noteRefusal(opened.error());
     } else {
         BOOST_OUTCOME_TRYV(join());
     }
@@ -195,6 +196,7 @@
     const bool isSeed = std::find(options.voters.begin(), options.voters.end(), self) != options.voters.end();
     options.bootstrap = settings.bootstrap && isSeed;
     options.setAsideDamage = setAsideDamage;
+    options.repeatsFullDisk = refusal.isDiskFull();
     replica_environment environment;
     environment.send = [this](replica_id to, std::string message) {
         mesh.send(to, frame { frame_kind::raft, 0, std::move(message) }, loop.now());
@@ -219,6 +221,12 @@
     return success();
 }
 
+void queue_control::impl::noteRefusal(const failure& reason)
+{
+    refusal.refused(reason, loop.now());
+    controlMetrics.recordDiskFull(refusal.isDiskFull());
+}
+
 void queue_control::impl::tickRefused(instant now)
 {
     for (const auto to : refusal.nextProbes(now))
@@ -228,7 +236,7 @@
         return;
     const auto opened = openReplica(refusal.maySetAside());
     if (opened.has_error() && opened.error().code != failure_code::locked)
-        return refusal.refused(opened.error(), now);
+        return noteRefusal(opened.error());
     const auto joined = opened.has_error() ? opened : join();
     if (joined.has_value())
         return;
--- a/packages/fleet/tests/folder_refusal_test.cpp
+++ b/packages/fleet/tests/folder_refusal_test.cpp
@@ -28,14 +28,15 @@
     instant now { instantFromMicros(1'000'000) };
 };
 
-const failure_code refusalCodes[] { failure_code::corrupt, failure_code::unknown_format, failure_code::io_error };
+const failure_code refusalCodes[] { failure_code::corrupt, failure_code::unknown_format, failure_code::io_error,
+    failure_code::no_space };
 
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(folder_refusal_suite)
 
 // Guards against a refused folder that no metric shows, and against one that is shown after it opened.
-BOOST_DATA_TEST_CASE(the_code_of_a_refusal_is_a_metric, boost::unit_test::data::xrange(3), row)
+BOOST_DATA_TEST_CASE(the_code_of_a_refusal_is_a_metric, boost::unit_test::data::xrange(4), row)
 {
     const auto code = refusalCodes[row];
     refusal_fixture test;
@@ -64,9 +65,20 @@
     BOOST_TEST(test.refusal->isAttemptDue(test.now + folder_refusal::attemptInterval));
 }
 
+// Guards against a control that stays away long after its disk has room, until it is removed as a voter.
+BOOST_AUTO_TEST_CASE(a_full_disk_is_tried_again_soon)
+{
+    refusal_fixture test;
+    test.refusal->refused({ failure_code::no_space, "" }, test.now);
+    BOOST_TEST(!test.refusal->isAttemptDue(test.now));
+    BOOST_TEST(test.refusal->isAttemptDue(test.now + folder_refusal::fullDiskAttemptInterval));
+    test.refusal->refused({ failure_code::io_error, "" }, test.now);
+    BOOST_TEST(!test.refusal->isAttemptDue(test.now + folder_refusal::fullDiskAttemptInterval));
+}
+
 // Guards against a folder that is set aside although its entries may be needed, and against one of another version.
 BOOST_DATA_TEST_CASE(
-    only_damage_is_set_aside_and_only_while_another_control_leads, boost::unit_test::data::xrange(3), row)
+    only_damage_is_set_aside_and_only_while_another_control_leads, boost::unit_test::data::xrange(4), row)
 {
     const failure reason { refusalCodes[row], "" };
     refusal_fixture test;
