--- a/packages/consensus/tests/raft_node_test.cpp
+++ b/packages/consensus/tests/raft_node_test.cpp
@@ -196,8 +196,8 @@
     BOOST_TEST(driver.node.isLeader());
 }
 
-// Guards against a replica with a full disk that votes, campaigns, takes over a term from a candidate, or reports entries
-// that are not durable, and against one that looks lost to its leader.
+// Guards against a replica with a full disk that votes, campaigns, takes over a term from a candidate, or reports
+// entries that are not durable, and against one that looks lost to its leader.
 BOOST_AUTO_TEST_CASE(a_read_only_follower_answers_only_its_leader)
 {
     node_driver driver(1, savedLog(1, 3));
@@ -243,7 +243,8 @@
 }
 
 // Guards against a leader that keeps its lease, or takes proposals, while it cannot write, also if nobody takes over.
-BOOST_DATA_TEST_CASE(a_read_only_leader_hands_over_or_steps_down, boost::unit_test::data::make({ false, true }), hasHeir)
+BOOST_DATA_TEST_CASE(
+    a_read_only_leader_hands_over_or_steps_down, boost::unit_test::data::make({ false, true }), hasHeir)
 {
     node_driver driver(1);
     driver.lead();
