--- a/packages/consensus/src/replica.cpp
+++ b/packages/consensus/src/replica.cpp
@@ -1,146 +1,10 @@
-#include "disk_worker.h"
 #include "message_codec.h"
-#include <limits>
-#include <map>
+#include "replica_impl.h"
 #include <nlohmann/json.hpp>
 #include <poplardeal/base/log.h>
-#include <poplardeal/consensus/replica.h>
-#include <random>
 
 namespace poplardeal {
 
-using proposal_callback = std::function<void(result<std::string>)>;
-
-struct pending_proposal {
-    std::uint64_t term { 0 };
-    proposal_callback done;
-};
-
-struct replica::impl : std::enable_shared_from_this<replica::impl> {
-    impl(replica_options given, replica_environment environmentGiven, state_machine& machineGiven, raft_node nodeGiven)
-        : options(std::move(given))
-        , environment(std::move(environmentGiven))
-        , machine(machineGiven)
-        , node(std::move(nodeGiven))
-    {
-    }
-
-    void startDisk(log_store);
-    void onDiskReport(const detail::disk_report&);
-    void scheduleFlush();
-    void flush();
-    void carryOut(raft_ready);
-    void applyCommitted(const log_entry&);
-    void snapshotIfDue();
-    void appended(result<log_position>, proposal_callback);
-    void abandonProposals(const std::string& reason, std::uint64_t beforeTerm);
-    void noteRoleChange();
-    void stop(failure);
-    void observe(instant now) { latest = std::max(latest, now); }
-
-    replica_options options;
-    replica_environment environment;
-    state_machine& machine;
-    raft_node node;
-    instant latest; ///< The largest `now` seen.
-    std::uint64_t applied { 0 };
-    std::uint64_t snapshotIndex { 0 };
-    std::map<std::uint64_t, pending_proposal> proposals; ///< By index.
-    std::uint64_t requestedNumber { 0 }; ///< Last batch given to the disk thread.
-    std::uint64_t requestedSnapshot { 0 }; ///< Last own snapshot given to the disk thread.
-    detail::disk_report lastReport;
-    bool flushScheduled { false };
-    bool flushing { false };
-    bool wasLeader { false };
-    bool wasVoter { false };
-    std::uint64_t leaderTerm { 0 };
-    std::optional<failure> stopReason;
-    recovery_facts recovery;
-    std::unique_ptr<detail::disk_worker<log_store>> disk;
-};
-
-static std::uint64_t randomNumber()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
-static raft_options nodeOptions(const replica_options& options, const recovered_folder& folder)
-{
-    raft_options out;
-    out.self = options.self;
-    out.initialMembers = membershipOfVoters(options.voters);
-    out.dataIncarnation = folder.dataIncarnation;
-    out.rejoinIncarnation = randomNumber() | 1;
-    out.startCount = folder.startCount;
-    out.heartbeatInterval = options.heartbeatInterval;
-    out.electionTimeout = options.electionTimeout;
-    out.seed = options.seed;
-    return out;
-}
-
-static void logRefusal(const replica_options& options, const failure& reason, const folder_damage& damage)
-{
-    nlohmann::json fields { { "replica", options.self.value() }, { "code", toString(reason.code) },
-        { "folder", options.dataFolder.string() }, { "reason", reason.message } };
-    if (!damage.file.empty()) {
-        fields["file"] = damage.file;
-        fields["offset"] = damage.offset;
-    }
-    if (damage.expectedSequence) {
-        fields["expected_sequence"] = *damage.expectedSequence;
-        fields["found_sequence"] = *damage.foundSequence;
-    }
-    logEvent(log_level::error, "data_folder_refused", fields);
-}
-
-result<std::unique_ptr<replica>> replica::open(
-    replica_options options, replica_environment environment, state_machine& machine, instant now)
-{
-    log_store_options storeOptions;
-    storeOptions.bootstrap = options.bootstrap;
-    storeOptions.setAsideDamage = options.setAsideDamage;
-    storeOptions.newIncarnation = randomNumber() | 1;
-    storeOptions.startTag = randomNumber();
-    folder_damage damage;
-    auto opened = log_store::open(posix_disk(options.dataFolder), storeOptions, &damage);
-    if (!opened) {
-        logRefusal(options, opened.error(), damage);
-        return opened.error();
-    }
-    auto store = std::move(opened).value();
-    auto folder = store.takeRecovered();
-    if (!folder.setAside.empty())
-        logEvent(log_level::warning, "data_folder_set_aside",
-            { { "replica", options.self.value() }, { "folder", options.dataFolder.string() },
-                { "reason", folder.setAside } });
-    const auto snapshot = folder.state.snapshot;
-    if (snapshot) {
-        // Its checksum matched, so another version has written it.
-        if (const auto installed = machine.installSnapshot(snapshot->data); !installed) {
-            const failure reason { failure_code::unknown_format, installed.error().message };
-            logRefusal(options, reason, {});
-            return reason;
-        }
-    }
-    logEvent(log_level::info, "replica_opened",
-        { { "replica", options.self.value() }, { "term", folder.state.hard.term }, { "fresh", folder.fresh },
-            { "snapshot_index", snapshot ? snapshot->index : 0 }, { "entries", folder.state.entries.size() },
-            { "cut_bytes", folder.cutBytes }, { "last_sequence", folder.lastSequence }, { "segments", folder.segments },
-            { "last_segment_bytes", folder.lastSegmentBytes } });
-    constexpr int startTagBits = 16; // Of the start count; see `log_store_options::startTag`.
-    const recovery_facts recovery { folder.fresh, folder.state.entries.size(), folder.cutBytes, folder.lastSequence,
-        !folder.setAside.empty(), folder.startCount >> startTagBits };
-    raft_node node(nodeOptions(options, folder), std::move(folder.state), now);
-    auto made = std::make_shared<impl>(std::move(options), std::move(environment), machine, std::move(node));
-    made->observe(now);
-    made->recovery = recovery;
-    made->applied = snapshot ? snapshot->index : 0;
-    made->snapshotIndex = made->applied;
-    made->startDisk(std::move(store));
-    return std::unique_ptr<replica>(new replica(std::move(made)));
-}
-
 void replica::impl::startDisk(log_store store)
 {
     // A report may be delivered after the replica is gone.
@@ -159,13 +23,37 @@
         return;
     if (report.failed)
         return stop(*report.failed);
-    lastReport = report;
-    if (environment.written)
+    const auto before = std::exchange(lastReport, report);
+    const bool isWritten = report.durableNumber != before.durableNumber || report.snapshotIndex != before.snapshotIndex;
+    if (isWritten && environment.written)
         environment.written(report.took);
     node.persisted(report.durableNumber, latest);
+    noteRoom(before.noSpace);
     flush();
 }
 
+void replica::impl::noteRoom(const std::optional<failure>& before)
+{
+    isDiskRetried = false;
+    diskTriedAt = latest;
+    node.setReadOnly(lastReport.batchesWait, latest);
+    const auto& present = lastReport.noSpace;
+    if (present && !before)
+        logEvent(log_level::error, "replica_disk_full",
+            { { "replica", options.self.value() }, { "term", node.term() }, { "reason", present->message } });
+    else if (!present && before)
+        logEvent(
+            log_level::info, "replica_disk_writable", { { "replica", options.self.value() }, { "term", node.term() } });
+}
+
+void replica::impl::retryDisk()
+{
+    if (!lastReport.noSpace || isDiskRetried || latest - diskTriedAt < diskRetryInterval)
+        return;
+    isDiskRetried = true;
+    disk->retry();
+}
+
 /// Proposals of one turn of the loop share one append message and one sync.
 void replica::impl::scheduleFlush()
 {
@@ -322,6 +210,7 @@
     m_impl->observe(now);
     if (m_impl->stopReason)
         return;
+    m_impl->retryDisk();
     m_impl->node.tick(m_impl->latest);
     m_impl->flush();
 }
@@ -374,11 +263,13 @@
 bool replica::isPersisting() const
 {
     const auto& reported = m_impl->lastReport;
-    const bool done
-        = reported.durableNumber == m_impl->requestedNumber && reported.snapshotIndex == m_impl->requestedSnapshot;
-    return !m_impl->stopReason && !done;
+    const bool batchesDone = reported.durableNumber == m_impl->requestedNumber || reported.batchesWait;
+    const bool snapshotDone = reported.snapshotIndex == m_impl->requestedSnapshot || reported.noSpace;
+    return !m_impl->stopReason && (m_impl->isDiskRetried || !batchesDone || !snapshotDone);
 }
 
+bool replica::isDiskFull() const { return m_impl->lastReport.noSpace.has_value(); }
+
 std::optional<failure> replica::failed() const { return m_impl->stopReason; }
 
 bool replica::transferLeadership(instant now)
