--- a/packages/consensus/tests/replica_test.cpp
+++ b/packages/consensus/tests/replica_test.cpp
@@ -366,6 +366,37 @@
     })) == proposed + 1);
 }
 
+// Guards against a replica that finds a full disk at its start, after its process ended on it, and counts as one that
+// lost its data.
+BOOST_AUTO_TEST_CASE(a_replica_starts_as_the_same_voter_once_its_disk_has_room)
+{
+    replica_group group(5, 4);
+    full_disks full(group);
+    group.startAll(true);
+    for (int i = 0; i < 6; ++i)
+        BOOST_REQUIRE(group.propose("p" + std::to_string(i)).has_value());
+    full.fill(2, 150);
+    group.replicas[full.numbers[0]]->propose(std::string(300, 'x'), group.now, [](const result<std::string>&) {});
+    run(group, fullTime);
+    for (const auto number : full.numbers) {
+        group.kill(number);
+        for (const bool setAsideDamage : { false, true }) {
+            const auto refused = group.start(number, false, setAsideDamage);
+            BOOST_REQUIRE(refused.has_error());
+            BOOST_TEST((refused.error().code == failure_code::no_space));
+        }
+    }
+    BOOST_REQUIRE(group.propose("without the two").has_value());
+    full.empty();
+    for (const auto number : full.numbers) {
+        BOOST_REQUIRE(group.start(number, false, true).has_value());
+        BOOST_TEST(group.replicas[number]->mayVote());
+        BOOST_TEST(!group.replicas[number]->recovery().setAside);
+    }
+    BOOST_REQUIRE(group.propose("with the two").has_value());
+    BOOST_REQUIRE(group.waitUntilEqual(group.machines[group.leader()]->applied.size()));
+}
+
 // Guards against malformed messages that end the process or change state.
 BOOST_AUTO_TEST_CASE(malformed_messages_are_refused)
 {
