--- a/packages/consensus/include/poplardeal/consensus/replica.h
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -72,6 +72,8 @@
 
 /// Between two attempts to write to a full disk.
 inline constexpr duration diskRetryInterval = std::chrono::milliseconds(250);
+/// The same while only a snapshot waits: each attempt writes as much of it as there is room for.
+inline constexpr duration snapshotRetryInterval = std::chrono::seconds(5);
 
 /// One member of the control group: the Raft node joined to its store and to a state machine.
 ///
@@ -117,9 +119,9 @@
     std::size_t answeringVoters(instant now) const;
     std::uint64_t lastIndex() const;
     const recovery_facts& recovery() const;
-    /// True while something could not be written because the disk is full. It is tried again every `diskRetryInterval`.
-    /// Meanwhile a replica that cannot write its log takes part in nothing that it would have to record: it does not
-    /// lead, vote or campaign, and remains the voter that it is.
+    /// True while something could not be written because the disk is full. It is tried again every `diskRetryInterval`,
+    /// a snapshot alone every `snapshotRetryInterval`. Meanwhile a replica that cannot write its log takes part in
+    /// nothing that it would have to record: it does not lead, vote or campaign, and remains the voter that it is.
     bool isDiskFull() const;
     /// Why this replica stopped, if it did: it no longer votes, answers or applies until the process restarts.
     std::optional<failure> failed() const;
--- a/packages/consensus/src/replica.cpp
+++ b/packages/consensus/src/replica.cpp
@@ -34,8 +34,10 @@
 
 void replica::impl::noteRoom(const std::optional<failure>& before)
 {
+    // A batch may be written while a snapshot waits.
+    if (isDiskRetried || !before || lastReport.batchesWait)
+        diskTriedAt = latest;
     isDiskRetried = false;
-    diskTriedAt = latest;
     node.setReadOnly(lastReport.batchesWait, latest);
     const auto& present = lastReport.noSpace;
     if (present && !before)
@@ -48,7 +50,8 @@
 
 void replica::impl::retryDisk()
 {
-    if (!lastReport.noSpace || isDiskRetried || latest - diskTriedAt < diskRetryInterval)
+    const auto interval = lastReport.batchesWait ? diskRetryInterval : snapshotRetryInterval;
+    if (!lastReport.noSpace || isDiskRetried || latest - diskTriedAt < interval)
         return;
     isDiskRetried = true;
     disk->retry();
