--- a/packages/fleet/tests/control_metrics_test.cpp
+++ b/packages/fleet/tests/control_metrics_test.cpp
@@ -1,4 +1,5 @@
 #include "control_metrics.h"
+#include "full_folders.h"
 #include "replica_group.h"
 #include <boost/test/unit_test.hpp>
 
@@ -32,3 +33,28 @@
     BOOST_REQUIRE(group.propose("another").has_value());
     BOOST_TEST(shows(leader, "member_lag_entries" + member + " 1"));
 }
+
+// Guards against a full disk that no metric shows, at the start and later, and against one that is shown for ever.
+BOOST_AUTO_TEST_CASE(a_full_disk_is_a_metric)
+{
+    replica_group group(1);
+    group.startAll(true);
+    BOOST_REQUIRE(group.waitForLeader());
+    metrics_registry metrics;
+    detail::control_metrics shown(metrics);
+    const auto shows = [&](int value) {
+        return metrics.exposition().find("\npoplardeal_disk_full " + std::to_string(value) + "\n") != std::string::npos;
+    };
+    shown.recordDiskFull(true);
+    BOOST_TEST(shows(1));
+    const auto showsNext = [&](int value) {
+        shown.update(*group.replicas[1], group.now);
+        return shows(value);
+    };
+    BOOST_TEST(showsNext(0));
+    full_folders::fill(group.folderOf(1));
+    group.replicas[1]->propose("entry", group.now, [](const result<std::string>&) {});
+    BOOST_TEST(group.runUntil([&] { return showsNext(1); }));
+    full_folders::empty(group.folderOf(1));
+    BOOST_TEST(group.runUntil([&] { return showsNext(0); }));
+}
