emulator: clusters of uneven workers and tasks that take long

The heaviest users' clusters have workers whose speeds differ by a factor of up to 2.5; no scenario had them. Three scenarios now do (uneven, uneven-long, uneven-mild). The loads of the other scenarios are unchanged.

--- a/packages/emulator/include/poplardeal/emulator/scenario.h
+++ b/packages/emulator/include/poplardeal/emulator/scenario.h
@@ -14,6 +14,9 @@
     demand capacity { millicores(128000), mebibytes(524288), accelerators(8) };
     double slowShare { 1.0 / 3 };
     double slowness { 1.3 }; ///< Run time on a slow worker relative to the others.
+    /// If not empty, each worker's factor on run times is drawn from these with equal chances; the two values above
+    /// then do not count.
+    std::vector<double> speedFactors;
     duration commitDelay { std::chrono::milliseconds(9) }; ///< From a proposal to its answer.
     duration networkDelay { std::chrono::milliseconds(1) }; ///< One way, between control and a worker.
     duration busyReportInterval { std::chrono::milliseconds(800) };
@@ -36,6 +39,8 @@
     double runTimeSpread { 0.3 };
     duration maxRunTime { std::chrono::seconds(11) };
     double taskSpread { 0.3 }; ///< Of the tasks of one job.
+    double longTaskShare { 0 }; ///< Of tasks that take `longTaskFactor` times as long as the others.
+    double longTaskFactor { 7 };
     double estimateError { 0.2 }; ///< Spread of declared by true run time.
     double meanWidth { 5 };
     double widthSpread { 0.8 };
@@ -87,7 +92,10 @@
 /// - `urgent-burst`: twice as many urgent gangs of whole workers for 6 s;
 /// - `cut-off`: workers are silent for a while, three times;
 /// - `short-notice`: workers leave at short notice in the middle of a burst;
-/// - `bulk-burst`: three times as many bulk tasks for 6 s before an urgent burst.
+/// - `bulk-burst`: three times as many bulk tasks for 6 s before an urgent burst;
+/// - `uneven`: smaller workers of speeds that differ by a factor of up to 2.5, under moderate load;
+/// - `uneven-long`: the same with bursts, and with some tasks that take 7 times as long as the others;
+/// - `uneven-mild`: the same bursts on workers whose speeds differ by a factor of up to 1.6.
 std::vector<scenario> standardScenarios(std::size_t workers);
 
 } // namespace poplardeal::emulator
--- a/packages/emulator/src/emulation.cpp
+++ b/packages/emulator/src/emulation.cpp
@@ -22,6 +22,14 @@
 
     run_key keyOf(const task_key& task, const simulated_run& run) { return { task, run.run }; }
 
+    double drawSlowness(const cluster_shape& shape, std::mt19937_64& random)
+    {
+        const double draw = drawUniform(random);
+        if (shape.speedFactors.empty())
+            return draw < shape.slowShare ? shape.slowness : 1;
+        return shape.speedFactors[static_cast<std::size_t>(draw * static_cast<double>(shape.speedFactors.size()))];
+    }
+
 } // namespace
 
 emulation::emulation(const scenario& load, const planner_options& options, std::uint64_t seed)
@@ -91,7 +99,7 @@
         worker.address = "10.0.0." + std::to_string(i) + ":80";
         worker.rack = rack_name("r" + std::to_string(i / m_load.cluster.workersPerRack));
         worker.capacity = m_load.cluster.capacity;
-        worker.slowness = drawUniform(m_random) < m_load.cluster.slowShare ? m_load.cluster.slowness : 1;
+        worker.slowness = drawSlowness(m_load.cluster, m_random);
         m_workerIndex[worker.boot.worker] = i;
         m_workers.push_back(std::move(worker));
         scheduleReport(i, scaled(m_load.cluster.busyReportInterval, drawUniform(m_random)));
--- a/packages/emulator/src/job_source.cpp
+++ b/packages/emulator/src/job_source.cpp
@@ -62,6 +62,8 @@
         duration longest { 0 };
         for (std::uint32_t i = 0; i < step.count; ++i) {
             out.runTimes.push_back(std::min(scaled(runTime, drawFactor(kind.taskSpread, random)), kind.maxRunTime));
+            if (kind.longTaskShare > 0 && drawUniform(random) < kind.longTaskShare)
+                out.runTimes.back() = scaled(out.runTimes.back(), kind.longTaskFactor);
             longest = std::max(longest, out.runTimes.back());
             out.work += coreWeight(step.need) * std::chrono::duration<double>(out.runTimes.back()).count();
         }
--- a/packages/emulator/src/scenario.cpp
+++ b/packages/emulator/src/scenario.cpp
@@ -86,6 +86,47 @@
         return out;
     }
 
+    /// Smaller workers of uneven speed. The rates are those of a cluster of `unevenReferenceWorkers`.
+    scenario uneven(const char* name, std::size_t workers, std::vector<double> speedFactors)
+    {
+        constexpr double unevenReferenceWorkers = 74;
+        scenario out;
+        out.name = name;
+        out.cluster.workers = workers;
+        out.cluster.workersPerRack = 9;
+        out.cluster.capacity = { millicores(64000), mebibytes(262144), accelerators(8) };
+        out.cluster.speedFactors = std::move(speedFactors);
+        const double scale = static_cast<double>(workers) / unevenReferenceWorkers;
+        auto urgent = urgentGangs(1);
+        urgent.jobsPerSecond = 1.4 * scale;
+        urgent.meanRunTime = milliseconds(2100);
+        urgent.meanWidth = 5.4;
+        urgent.memory = mebibytes(30000);
+        urgent.allowance = milliseconds(300);
+        auto audit = audits(1);
+        audit.jobsPerSecond = 0.8 * scale;
+        audit.meanRunTime = milliseconds(5800);
+        audit.meanWidth = 7.7;
+        audit.cpu = millicores(26000);
+        audit.memory = mebibytes(100000);
+        auto bulk = bulkTasks(1);
+        bulk.jobsPerSecond = 0.35 * scale;
+        bulk.meanRunTime = milliseconds(8100);
+        bulk.meanWidth = 39;
+        bulk.cpu = millicores(7000);
+        bulk.memory = mebibytes(23000);
+        out.kinds = { urgent, audit, bulk };
+        return out;
+    }
+
+    scenario unevenBursts(const char* name, std::size_t workers, std::vector<double> speedFactors)
+    {
+        auto out = uneven(name, workers, std::move(speedFactors));
+        out.disturbances = { { disturbance_kind::burst, seconds(5), seconds(6), "bulk", 3, 0 },
+            { disturbance_kind::burst, seconds(14), seconds(6), "urgent", 2, 0 } };
+        return out;
+    }
+
 } // namespace
 
 std::vector<scenario> standardScenarios(std::size_t workers)
@@ -113,6 +154,15 @@
     bulk.disturbances = { { disturbance_kind::burst, seconds(3), seconds(6), "bulk", 3, 0 },
         { disturbance_kind::burst, seconds(12), seconds(6), "urgent", 2, 0 } };
     out.push_back(bulk);
+
+    out.push_back(uneven("uneven", workers, { 0.7, 0.7, 1.7 }));
+
+    auto longTasks = unevenBursts("uneven-long", workers, { 0.7, 0.7, 1.7 });
+    for (auto& kind : longTasks.kinds)
+        kind.longTaskShare = kind.gang ? 0 : 0.03;
+    out.push_back(longTasks);
+
+    out.push_back(unevenBursts("uneven-mild", workers, { 0.8, 1.0, 1.25 }));
     return out;
 }
 
