--- a/packages/emulator/src/scenario.cpp
+++ b/packages/emulator/src/scenario.cpp
@@ -160,6 +160,7 @@
     auto longTasks = unevenBursts("uneven-long", workers, { 0.7, 0.7, 1.7 });
     for (auto& kind : longTasks.kinds)
         kind.longTaskShare = kind.gang ? 0 : 0.03;
+    longTasks.settleTime = seconds(130);
     out.push_back(longTasks);
 
     out.push_back(unevenBursts("uneven-mild", workers, { 0.8, 1.0, 1.25 }));
