--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -6,6 +6,7 @@
 #include <poplardeal/jobs/model.h>
 #include <poplardeal/jobs/plan_index.h>
 #include <poplardeal/jobs/run_time_model.h>
+#include <poplardeal/jobs/speed_model.h>
 #include <poplardeal/jobs/worker_speeds.h>
 #include <set>
 #include <string>
@@ -143,6 +144,9 @@
     }
     const run_time_model& runTimes() const { return m_runTimes; }
     const worker_speeds& speeds() const { return m_speeds; }
+    const speed_history& speedHistory() const { return m_speedHistory; }
+    /// The same as `expectedRunTime`, but on ordinary workers instead of those that the queue has had so far.
+    duration ordinaryRunTime(const submission& job, const step_spec& step) const;
 
     /// The unit of a task; null if there is no such task.
     const unit* findUnit(const task_key&) const;
@@ -194,6 +198,7 @@
     std::set<data_centre_name> m_outOfService;
     run_time_model m_runTimes;
     worker_speeds m_speeds;
+    speed_history m_speedHistory;
     std::map<submission_id, submission> m_jobs;
     std::set<submission_id> m_open;
     std::map<worker_boot, std::set<run_key>> m_runs; ///< Runs that may exist; derived from `m_jobs`.
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -36,6 +36,7 @@
     std::vector<worker_label> labels;
     demand capacity;
     double slowness { 1 }; ///< Ratio of run times on this worker to those on an ordinary one.
+    speed_estimate speed; ///< The same from gangs too; used with `planner_options::usesExpectedTimes`.
     bool isReachable { false }; ///< Its sidecar has reported recently.
     bool isSilent { false }; ///< Its sidecar has just not been heard; a start might not arrive.
     bool isDraining { false };
@@ -87,6 +88,8 @@
     duration stopLatency { std::chrono::milliseconds(400) };
     /// Largest cost of a preemption without a guarantee, in multiples of the work of the unit that it is for.
     double maxPreemptionCost { 3 };
+    /// Chooses workers by the expected end of a unit on the very set of them, from `worker_view::speed`.
+    bool usesExpectedTimes { false };
     std::size_t maxReservations { 16 }; ///< Blocked units that reserve workers; bounds the run time of a plan.
 };
 
--- a/packages/jobs/include/poplardeal/jobs/run_time_model.h
+++ b/packages/jobs/include/poplardeal/jobs/run_time_model.h
@@ -28,6 +28,9 @@
     /// Predicted run time; `declared`, but at least `minRunTime`, if nothing has been measured for the queue.
     duration expected(const queue_name&, duration declared) const;
 
+    /// Standard deviation of the logarithm of the true run time about the prediction.
+    double spread(const queue_name&) const;
+
     const std::map<queue_name, run_time_record>& records() const { return m_records; }
     void restore(std::map<queue_name, run_time_record> records) { m_records = std::move(records); }
 
--- a/packages/jobs/include/poplardeal/jobs/worker_registry.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <poplardeal/jobs/job_table.h>
 #include <poplardeal/jobs/planner.h>
+#include <poplardeal/jobs/progress_speeds.h>
 #include <set>
 #include <string>
 #include <vector>
@@ -101,7 +102,7 @@
     /// Runs whose leases are certain to have expired.
     std::vector<released_run> expiredRuns(const job_table&, instant now);
 
-    /// Refreshes `isReachable`, `isSilent` and `slowness`; call before planning.
+    /// Refreshes `isReachable`, `isSilent`, `slowness` and `speed`; call before planning.
     const std::map<worker_id, worker_view>& workerViews(const job_table&, instant now);
     const std::set<run_key>& stoppingRuns() const { return m_stopping; }
 
@@ -150,6 +151,7 @@
     released_run makeRelease(const run_key&, const worker_boot&, const job_table&) const;
     void updateRunning(const worker_status&, worker_view&, instant now) const;
     void updateSlowness(const job_table&);
+    void updateSpeeds(const job_table&);
     void countFailedEnds(const record_ends&, const job_table&, session&, worker_view&, instant now);
     void countFailure(session&, worker_view&, instant now);
     std::int64_t estimatedClockMs(const session&, instant now) const;
@@ -173,6 +175,7 @@
     /// Runs that were given up with their lease and were never listed: the start may be carried out once the worker has
     /// a lease again. It gets none before it refuses them. With the time after which no start is carried out any more.
     std::map<worker_boot, std::map<run_key, instant>> m_lateStarts;
+    progress_speeds m_progressSpeeds;
     instant m_slownessUpdatedAt; ///< When the speeds of workers were last brought up to date.
 };
 
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <poplardeal/base/compression.h>
 #include <poplardeal/jobs/codec.h>
@@ -14,6 +15,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
     unit, phase, lastRun, failures, runFailed, saved, waitingSince, startedAt, isResumed, members)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(speed_sample, worker, task, runTime)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(speed_record, startedAtMs, mean, variance, surprise, updated)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(log_mean, count, mean)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(speed_history::step_record, step, time)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(run_time_record, count, meanLog, spreadLog, meanBias, spreadBias)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_state, units, doneUnits)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_occurrence, steps)
@@ -227,6 +231,10 @@
     const auto runTime = at - done.startedAt;
     if (!done.isActive() || done.isResumed)
         return;
+    unit_sample sample { task, job.queue, {}, runTime, expectedRunTime(job, spec), m_runTimes.spread(job.queue) };
+    for (const auto& member : done.members)
+        sample.members.push_back(member.worker);
+    m_speedHistory.observe(sample);
     // One measurement per step, when half of its units are done: the units that finish first are the short ones.
     if (step.doneUnits == (step.units.size() + 1) / 2)
         m_runTimes.observe(job.queue, spec.estimate, runTime);
@@ -234,6 +242,12 @@
         m_speeds.observe({ done.members.front().worker, task, runTime });
 }
 
+duration job_table::ordinaryRunTime(const submission& job, const step_spec& step) const
+{
+    const double factor = std::exp(m_speedHistory.ordinaryLogRatio(job.queue));
+    return duration(static_cast<duration::rep>(static_cast<double>(expectedRunTime(job, step).count()) * factor));
+}
+
 void job_table::endRun(submission& job, const task_key& task, unit& ended, bool isDone, instant at)
 {
     removeRunsOfUnit(task, job.spec.steps[task.step], ended);
@@ -382,6 +396,9 @@
     out["plan"] = m_plan;
     out["out_of_service"] = m_outOfService;
     out["speeds"] = m_speeds.samples();
+    out["speed_model"] = m_speedHistory.model().records();
+    out["speed_steps"] = m_speedHistory.steps();
+    out["speed_queues"] = m_speedHistory.queues();
     out["run_times"] = m_runTimes.records();
     out["sequence"] = m_sequence;
     out["pruned_at"] = m_prunedAt;
@@ -408,6 +425,11 @@
         read.m_planIndex = plan_index(read.m_plan);
         read.m_outOfService = in.at("out_of_service").get<std::set<data_centre_name>>();
         read.m_speeds.restore(in.at("speeds").get<std::deque<speed_sample>>());
+        // Snapshots of earlier versions have no model.
+        if (in.contains("speed_model"))
+            read.m_speedHistory.restore(in.at("speed_model").get<std::map<worker_id, speed_record>>(),
+                in.at("speed_steps").get<std::deque<speed_history::step_record>>(),
+                in.at("speed_queues").get<std::map<queue_name, log_mean>>());
         read.m_runTimes.restore(in.at("run_times").get<std::map<queue_name, run_time_record>>());
         read.m_sequence = in.at("sequence").get<std::uint64_t>();
         read.m_prunedAt = in.at("pruned_at").get<instant>();
--- a/packages/jobs/src/run_time_model.cpp
+++ b/packages/jobs/src/run_time_model.cpp
@@ -58,4 +58,13 @@
     return std::clamp(std::chrono::duration_cast<duration>(milliseconds), minRunTime, maxRunTime);
 }
 
+double run_time_model::spread(const queue_name& queue) const
+{
+    const auto found = m_records.find(queue);
+    const auto record = found == m_records.end() ? run_time_record() : found->second;
+    const double precision = 1 / variance(record.spreadBias, record.count, priorBiasVariance)
+        + record.count / (record.count + priorWeight) / variance(record.spreadLog, record.count, priorQueueVariance);
+    return 1 / std::sqrt(precision);
+}
+
 } // namespace poplardeal
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <poplardeal/jobs/worker_registry.h>
 
 namespace poplardeal {
@@ -33,6 +34,7 @@
 {
     m_leadershipStartedAt = now;
     m_slownessUpdatedAt = {};
+    m_progressSpeeds = {};
     m_views.clear();
     m_sessions.clear();
     m_workersByAddress.clear();
@@ -545,11 +547,29 @@
     }
 }
 
+void worker_registry::updateSpeeds(const job_table& table)
+{
+    const auto& history = table.speedHistory();
+    m_progressSpeeds.update(table, m_views);
+    double weightedLogs = 0;
+    double weights = 0;
+    for (auto& [id, view] : m_views) {
+        view.speed = combine(history.model().find(view.boot), m_progressSpeeds.model().find(view.boot));
+        weightedLogs += view.speed.certainty * std::log(view.speed.slowness);
+        weights += view.speed.certainty;
+    }
+    // Samples tell only relative speeds: the mean of all workers counts as ordinary.
+    const double factor = weights > 0 ? std::exp(-weightedLogs / weights) : 1;
+    for (auto& [id, view] : m_views)
+        view.speed.slowness = 1 + (view.speed.slowness * factor - 1) * (view.speed.certainty > 0 ? 1 : 0);
+}
+
 const std::map<worker_id, worker_view>& worker_registry::workerViews(const job_table& table, instant now)
 {
     if (now - m_slownessUpdatedAt >= slownessUpdateInterval) {
         m_slownessUpdatedAt = now;
         updateSlowness(table);
+        updateSpeeds(table);
     }
     for (auto& [id, view] : m_views) {
         const auto& workerSession = m_sessions.at(id);
