jobs: placement by the expected end on the very set of workers

The planner knew one bit of a worker, slow or not. With planner_options::usesExpectedTimes (off by default; plans are then as before) urgent units and gangs get the set that ends first, patient gangs the slowest set of one speed within their objective, patient tasks the slowest worker or one that is unmeasured, and an urgent unit that would be late waits for faster workers or preempts there.

--- a/packages/emulator/src/emulate_main.cpp
+++ b/packages/emulator/src/emulate_main.cpp
@@ -12,6 +12,7 @@
 DEFINE_double(load, 1, "factor of the arrival rates of all queues");
 DEFINE_int64(stop_latency_ms, 400, "planner_options::stopLatency");
 DEFINE_double(max_preemption_cost, 3, "planner_options::maxPreemptionCost");
+DEFINE_bool(uses_expected_times, false, "planner_options::usesExpectedTimes");
 DEFINE_uint64(faults, 0, "instead of load patterns, plays this many seeds of random faults");
 DEFINE_uint64(fault_workers, 3, "fault_scenario::workers");
 DEFINE_uint64(fault_jobs, 8, "fault_scenario::jobs");
@@ -94,6 +95,7 @@
     planner_options options;
     options.stopLatency = std::chrono::milliseconds(FLAGS_stop_latency_ms);
     options.maxPreemptionCost = FLAGS_max_preemption_cost;
+    options.usesExpectedTimes = FLAGS_uses_expected_times;
     summary all;
     std::size_t count = 0;
     for (auto load : standardScenarios(FLAGS_workers)) {
--- a/packages/emulator/tests/load_patterns_test.cpp
+++ b/packages/emulator/tests/load_patterns_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 #include <poplardeal/emulator/emulator.h>
 
+using poplardeal::planner_options;
 using namespace poplardeal::emulator;
 
 namespace {
@@ -26,6 +27,15 @@
     { "bulk-burst", 1 },
 };
 
+const pattern_row expectedTimesRows[] = {
+    { "steady", 1 },
+    { "short-notice", 1 },
+    { "bulk-burst", 1 },
+    { "uneven", 1 },
+    { "uneven-long", 1 },
+    { "uneven-mild", 1 },
+};
+
 scenario find(const std::string& name)
 {
     for (auto& each : standardScenarios(workers)) {
@@ -47,6 +57,16 @@
     BOOST_TEST(result.worth() >= targetWorth);
 }
 
+// The same with workers chosen by expected times, and on workers of uneven speed. Guards against the same faults.
+BOOST_DATA_TEST_CASE(expected_times_serve_heavy_loads_within_the_target, expectedTimesRows, row)
+{
+    planner_options options;
+    options.usesExpectedTimes = true;
+    const auto result = emulate(find(row.scenario), options, row.seed);
+    BOOST_TEST(result.doubleRuns == 0U);
+    BOOST_TEST(result.worth() >= targetWorth);
+}
+
 // Guards against a play that cannot be repeated.
 BOOST_AUTO_TEST_CASE(plays_repeat)
 {
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -15,7 +15,6 @@
     /// Slowness from which a worker counts as slow. Estimates for ordinary workers vary by less than this; slow workers
     /// take 1.2 to 1.4 times as long.
     constexpr double slowWorkerThreshold = 1.09;
-    constexpr double slowWorkerBonus = 0.5; // In units of `freeShare`, where one free accelerator of eight counts 0.25.
 
     double seconds(duration d) { return std::chrono::duration<double>(d).count(); }
 
@@ -67,6 +66,7 @@
         worker.rack = rack_number(
             static_cast<std::size_t>(std::lower_bound(m_racks.begin(), m_racks.end(), view.rack) - m_racks.begin()));
         worker.isSlow = view.slowness >= slowWorkerThreshold;
+        worker.slowness = m_options.usesExpectedTimes ? view.speed.slowness : 1;
         worker.free = view.capacity;
         m_workers.push_back(std::move(worker));
     }
@@ -88,10 +88,10 @@
             const auto* seen = findRunView({ job.id, occurrence, step, u }, spec, units[u], m);
             const auto measured = seen != nullptr ? measuredRunTime(*seen) : std::nullopt;
             if (measured)
-                return *measured;
+                return scaled(*measured, 1 / slownessOf(units[u].members[m].worker));
         }
     }
-    return m_input.table.expectedRunTime(job, spec);
+    return expectedRunTime(job, spec);
 }
 
 template <class Action> void placement_round::forEachActiveUnit(Action action) const
@@ -137,7 +137,7 @@
     duration longest { 0 };
     for (std::uint32_t m = 0; m < active.members.size(); ++m) {
         const auto* seen = findRunView(key, step, active, m);
-        auto left = estimatedRunTime;
+        auto left = scaled(estimatedRunTime, slownessOf(active.members[m].worker));
         const auto measured = seen != nullptr ? measuredRunTime(*seen) : std::nullopt;
         if (measured)
             left = scaled(*measured, (100 - seen->percent) / 100) - (m_input.now - seen->reportedAt);
@@ -276,7 +276,7 @@
     occurrence_times out;
     out.criticalPaths.resize(steps.size());
     for (const auto& step : steps)
-        out.expectedRunTimes.push_back(m_input.table.expectedRunTime(job, step));
+        out.expectedRunTimes.push_back(expectedRunTime(job, step));
     for (std::uint32_t s = static_cast<std::uint32_t>(steps.size()); s-- > 0;) {
         out.criticalPaths[s] += estimateRunTime(job, occurrence, s);
         for (const auto earlier : steps[s].after)
@@ -391,7 +391,9 @@
     const auto& eligible = eligibleWorkers(item);
     auto out = rack ? eligible.byRack[rack->value()] : eligible.all;
     if (filter == worker_filter::fast)
-        std::erase_if(out, [this](worker_number number) { return at(number).isSlow; });
+        std::erase_if(out, [&](worker_number number) {
+            return m_options.usesExpectedTimes ? !isFastEnough(item, number) : at(number).isSlow;
+        });
     return out;
 }
 
@@ -460,7 +462,7 @@
     options.reserve(usable.size());
     for (const auto number : usable) {
         const auto& worker = at(number);
-        if (respectReservations && worker.reservedFrom < m_input.now + item.estimatedRunTime)
+        if (respectReservations && worker.reservedFrom < m_input.now + scaled(item.estimatedRunTime, worker.slowness))
             continue;
         if (need.fitsIn(worker.free))
             options.push_back({ number, worker.free });
@@ -479,8 +481,7 @@
             auto rest = each.free;
             rest -= need;
             const auto& worker = at(each.worker);
-            const double score
-                = freeShare(rest, worker.view->capacity) - (worker.isSlow && prefersSlow ? slowWorkerBonus : 0);
+            const double score = freeShare(rest, worker.view->capacity) - (prefersSlow ? patientBonus(worker) : 0);
             if (best == nullptr || score < bestScore) {
                 best = &each;
                 bestScore = score;
@@ -502,8 +503,13 @@
     const auto fillOn = [&](std::optional<rack_number> rack, worker_filter filter) {
         return packMembers(item, eligibleWorkers(item, rack, filter), !item.isGuaranteed);
     };
+    const bool usesSets = m_options.usesExpectedTimes && prefersFastWorkers(item);
+    if (usesSets) {
+        if (auto found = findExpectedPlacement(item))
+            return found;
+    }
     for (const auto filter : { worker_filter::fast, worker_filter::all }) {
-        if (filter == worker_filter::fast && !prefersFastWorkers(item))
+        if (usesSets || (filter == worker_filter::fast && !m_options.usesExpectedTimes && !prefersFastWorkers(item)))
             continue;
         for (const auto& rack : scopes) {
             if (auto found = fillOn(rack, filter))
@@ -603,8 +609,10 @@
     // A late unit gains little by an earlier start, and the work that it would stop is lost.
     const bool mayPreempt
         = item.isGuaranteed || (item.job->priority == 0 && item.deadlineStatus == deadline_status::on_time);
+    if (placement && waitsForFasterWorkers(item, *placement, mayPreempt))
+        return;
     if (!placement && mayPreempt && !isHopeless)
-        placement = preemptFor(item);
+        placement = preemptFor(item, worker_filter::all);
     if (placement)
         return commitPlacement(item, *placement);
     if (m_decisions.claims.contains(item.key))
@@ -613,7 +621,7 @@
     m_blockedOccurrence = item.key.occurrence;
     m_blockedMayLeaveRack = mayLeaveRack;
     if (m_reservations++ < m_options.maxReservations)
-        reserveWorkers(earliestStarts(item));
+        reserveWorkers(earliestStarts(item, worker_filter::all));
 }
 
 void placement_round::placeWaitingUnits()
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -37,6 +37,7 @@
     const worker_view* view { nullptr };
     rack_number rack;
     bool isSlow { false };
+    double slowness { 1 }; ///< With `planner_options::usesExpectedTimes`: run time relative to an ordinary worker.
     demand free; ///< Capacity less all runs that may exist there and all claims.
     std::vector<placed_run> placedRuns; ///< In order of `endsAt`.
     instant reservedFrom { instant::max() }; ///< Reserved for a blocked unit from this time on.
@@ -65,7 +66,13 @@
 
 enum class worker_filter : std::uint8_t {
     all,
-    fast, ///< Excludes workers known to be slow.
+    fast, ///< Excludes workers known to be slow; with expected times, those on which the unit would end late.
+};
+
+/// Workers by their slowness, both ends included.
+struct slowness_range {
+    double fastest { 0 };
+    double slowest { 0 };
 };
 
 /// The worker of each member of a unit, by member number.
@@ -142,19 +149,32 @@
     std::optional<member_placement> findPlacement(const candidate&) const;
     std::optional<member_placement> packMembers(
         const candidate&, const std::vector<worker_number>&, bool respectReservations) const;
+
+    // With `planner_options::usesExpectedTimes`.
+    double slownessOf(const worker_boot&) const;
+    double slownessOfSet(const member_placement&) const;
+    double slownessLimit(const candidate&) const;
+    bool isFastEnough(const candidate&, worker_number) const;
+    double patientBonus(const round_worker&) const;
+    duration expectedRunTime(const submission&, const step_spec&) const;
+    std::vector<worker_number> workersWithin(const candidate&, std::optional<rack_number>, const slowness_range&) const;
+    std::optional<member_placement> findExpectedPlacement(const candidate&) const;
+    /// Whether an urgent unit would end late on these workers and gets faster ones in time.
+    bool waitsForFasterWorkers(const candidate&, const member_placement&, bool mayPreempt);
+
     std::vector<rack_number> preferredRacks(const candidate&) const;
     std::vector<std::optional<rack_number>> placementScopes(const candidate&) const;
     std::optional<victim_set> cheapestVictims(const candidate&, const std::vector<worker_number>&) const;
     std::optional<victim_set> chooseVictims(
         const candidate&, const std::vector<worker_number>&, gang_cost memberCost) const;
-    std::optional<member_placement> preemptFor(const candidate&);
+    std::optional<member_placement> preemptFor(const candidate&, worker_filter widest);
     void stopVictims(const candidate&, const victim_set&);
     /// Stops the runs on a unit's claimed workers that were expected to end by themselves and have not.
     void stopOverdueRuns(const candidate&);
     /// Units placed later in this round see all members of these units as ending.
     void markStopping(const std::set<const unit*>&);
     /// The earliest start time and worker of each member if no other unit starts; empty if the unit doesn't fit.
-    std::vector<start_slot> earliestStarts(const candidate&) const;
+    std::vector<start_slot> earliestStarts(const candidate&, worker_filter) const;
     void reserveWorkers(const std::vector<start_slot>&);
     void applyClaims();
     void adjustFreeCapacity(const capacity_claim&, const demand& need, bool isClaimed);
--- a/packages/jobs/src/preemption.cpp
+++ b/packages/jobs/src/preemption.cpp
@@ -71,14 +71,14 @@
     return out;
 }
 
-std::vector<start_slot> placement_round::earliestStarts(const candidate& item) const
+std::vector<start_slot> placement_round::earliestStarts(const candidate& item, worker_filter filter) const
 {
     const auto need = reservedDemand(*item.step);
     const std::size_t members = memberCount(*item.step);
     std::vector<start_slot> best;
     for (const auto& rack : placementScopes(item)) {
         std::vector<start_slot> slots;
-        for (const auto number : eligibleWorkers(item, rack, worker_filter::all)) {
+        for (const auto number : eligibleWorkers(item, rack, filter)) {
             if (at(number).reservedFrom == instant::max())
                 appendStartSlots(slots, number, at(number), need, m_input.now, members);
         }
@@ -238,11 +238,13 @@
 
 /// Stops runs of lower rank for an urgent unit. Returns a placement only if a guaranteed unit fits into free capacity
 /// off its preferred racks. After a preemption the unit starts in a later round, once its victims have ended.
-std::optional<member_placement> placement_round::preemptFor(const candidate& item)
+std::optional<member_placement> placement_round::preemptFor(const candidate& item, worker_filter widest)
 {
     std::optional<victim_set> best;
     const double unitWork = resourceWeight(item.step->need) * memberCount(*item.step) * seconds(item.estimatedRunTime);
     for (const auto filter : { worker_filter::fast, worker_filter::all }) {
+        if (filter == worker_filter::all && widest == worker_filter::fast)
+            break;
         const double penalty = filter == worker_filter::all ? slowWorkerPenalty * unitWork : 0;
         for (const auto& rack : placementScopes(item)) {
             auto found = cheapestVictims(item, eligibleWorkers(item, rack, filter));
@@ -253,7 +255,7 @@
         }
     }
     const auto& allEligible = eligibleWorkers(item).all;
-    if (!best && item.isGuaranteed) {
+    if (!best && item.isGuaranteed && widest == worker_filter::all) {
         if (auto placement = packMembers(item, allEligible, false))
             return placement;
         best = cheapestVictims(item, allEligible);
