fleet: setting uses_expected_times, and metrics of workers' speeds

The platform's settings switch placement by expected times on. Gauges poplardeal_workers_measured and poplardeal_worker_slowness (fastest, slowest) let an operator see the estimates. The default stays false.

--- a/packages/fleet/include/poplardeal/fleet/settings.h
+++ b/packages/fleet/include/poplardeal/fleet/settings.h
@@ -37,6 +37,7 @@
     duration leaseLength { std::chrono::seconds(6) }; ///< Longest lease that workers accept.
     duration stopGrace { std::chrono::seconds(6) }; ///< Time from SIGTERM to SIGKILL.
     double distanceFactor { 3 }; ///< Factor on the run time of a task that runs away from its step's data.
+    bool usesExpectedTimes { false }; ///< Control only: `planner_options::usesExpectedTimes`.
     log_level logLevel { log_level::info };
 };
 
--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -81,8 +81,14 @@
     , m_stops(metrics.getCounter("poplardeal_task_stops_total", "Task stops ordered"))
     , m_released(metrics.getCounter("poplardeal_runs_released_total", "Runs given up without a listed end"))
     , m_planTime(metrics.getTiming("poplardeal_plan_seconds", "Time to make one plan"))
+    , m_measuredWorkers(metrics.getGauge("poplardeal_workers_measured", "Workers of which the speed is estimated"))
+    , m_leastSlowness(metrics.getGauge(
+          "poplardeal_worker_slowness", "Run time relative to an ordinary worker", { { "worker", "fastest" } }))
+    , m_mostSlowness(metrics.getGauge(
+          "poplardeal_worker_slowness", "Run time relative to an ordinary worker", { { "worker", "slowest" } }))
 {
     m_plannerOptions.distanceFactor = settings.distanceFactor;
+    m_plannerOptions.usesExpectedTimes = settings.usesExpectedTimes;
 }
 
 void job_leader::attach(replica& member) { m_replica = &member; }
@@ -146,9 +152,27 @@
         { m_stateMachine.table(), workerViews, m_workers.stoppingRuns(), m_claims, now, m_loop.wallClock() });
     m_claims = std::move(decisions.claims);
     m_planTime.observe(m_loop.now() - now);
+    showSpeeds(workerViews);
     applyDecisions(decisions);
 }
 
+void job_leader::showSpeeds(const std::map<worker_id, worker_view>& workers)
+{
+    std::size_t measured = 0;
+    double fastest = 1;
+    double slowest = 1;
+    for (const auto& [id, worker] : workers) {
+        if (worker.speed.certainty <= 0)
+            continue;
+        fastest = measured == 0 ? worker.speed.slowness : std::min(fastest, worker.speed.slowness);
+        slowest = measured == 0 ? worker.speed.slowness : std::max(slowest, worker.speed.slowness);
+        ++measured;
+    }
+    m_measuredWorkers.set(static_cast<double>(measured));
+    m_leastSlowness.set(fastest);
+    m_mostSlowness.set(slowest);
+}
+
 void job_leader::applyDecisions(const job_decisions& decisions)
 {
     std::set<worker_boot> affected;
--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -64,6 +64,8 @@
     void plan();
     /// Plans after a short delay, so that events close to each other share a plan.
     void schedulePlan();
+    /// Updates the metrics of the workers' speeds.
+    void showSpeeds(const std::map<worker_id, worker_view>&);
     void applyDecisions(const job_decisions&);
     void proposeStarts(const start_tasks&);
     void recordEnds(const record_ends&);
@@ -101,6 +103,9 @@
     counter& m_stops;
     counter& m_released;
     timing& m_planTime;
+    gauge& m_measuredWorkers;
+    gauge& m_leastSlowness;
+    gauge& m_mostSlowness;
 };
 
 } // namespace poplardeal::detail
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -169,6 +169,7 @@
     constexpr double longestLeaseMs = 600000;
     out.leaseLength = reader.readMilliseconds("lease_ms", out.leaseLength, 1000, longestLeaseMs);
     out.stopGrace = reader.readSeconds("stop_grace_s", out.stopGrace, 0.5, 600);
+    out.usesExpectedTimes = reader.readBool("uses_expected_times");
     out.distanceFactor = reader.readNumber("distance_factor", out.distanceFactor, 1, 1000);
     if (reader.has("log_level")) {
         constexpr std::array<std::string_view, 4> levels { "debug", "info", "warning", "error" };
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -32,6 +32,8 @@
     { "string as lease", "6000", "\"6000\"", "x:8: lease_ms" },
     { "no data folder", "data_folder = \"/data\"\n", "", "data_folder" },
     { "no entries between snapshots", "bootstrap = true", "snapshot_every = 0", "x:7: snapshot_every" },
+    { "expected times", "bootstrap = true", "uses_expected_times = true", "" },
+    { "text as expected times", "bootstrap = true", "uses_expected_times = \"yes\"", "x:7: uses_expected_times" },
     { "not TOML", "role = ", "role ", "x:1" },
 };
 
