--- a/packages/emulator/include/poplardeal/emulator/scenario.h
+++ b/packages/emulator/include/poplardeal/emulator/scenario.h
@@ -25,6 +25,7 @@
     duration maxStopTime { std::chrono::milliseconds(200) };
     duration restoreTime { std::chrono::milliseconds(600) }; ///< Of a checkpoint.
     duration checkpointInterval { std::chrono::seconds(1) };
+    bool savesOnStop { true }; ///< A stop makes a checkpoint; otherwise the last periodic one is what remains.
 };
 
 /// Jobs of one queue. Times and widths are log-normal with the given mean; `spread` is the standard deviation of the
@@ -96,6 +97,7 @@
 /// - `uneven`: smaller workers of speeds that differ by a factor of up to 2.5, under moderate load;
 /// - `uneven-long`: the same with bursts, and with some tasks that take 7 times as long as the others;
 /// - `uneven-mild`: the same bursts on workers whose speeds differ by a factor of up to 1.6.
+/// - `hard-burst`: bulk and urgent bursts while workers of 32 cores leave at short notice. Stops save nothing.
 std::vector<scenario> standardScenarios(std::size_t workers);
 
 } // namespace poplardeal::emulator
