--- a/packages/soak/src/child_process.h
+++ b/packages/soak/src/child_process.h
@@ -24,6 +24,8 @@
     void kill();
     /// Collects the exit status if the process has ended since.
     bool isRunning();
+    /// 0 if it does not run.
+    pid_t id() const { return m_id; }
     /// Call every few milliseconds. The process runs until it has used its share of a core in a tenth of a second, and
     /// then not at all for the rest of that time.
     void enforceShare(double share, instant now);
