wire, fleet: clients outside the limits are borne within a budget of memory and connections

libsoup's server read whole heads and bodies by itself, with 4,096 connections per door. A crowd that stops just short of the end of its requests took an entry from 11 MB to 407 MB, and requests sent ahead kept others waiting.

client_connection holds each request back until it is whole, checks its framing and counts its bytes as they arrive; libsoup gets it as a stream in memory. A process has one budget for its doors and one for ready and metrics, from memory_mb and max_fds. Over it, the connection that has held most for longest without completing its request is answered 503 as not run. The next request of a connection is read after the answer is written. The acceptor takes up to 64 connections a turn. First frames have at most 64 KiB, and few connections may be without one. Memory goes back to the system after a crowd. Refused calls are logged with a limited rate.

--- a/packages/fleet/include/poplardeal/fleet/settings.h
+++ b/packages/fleet/include/poplardeal/fleet/settings.h
@@ -5,6 +5,7 @@
 #include <poplardeal/base/log.h>
 #include <poplardeal/base/time.h>
 #include <poplardeal/wire/address.h>
+#include <poplardeal/wire/http.h>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,10 @@
     duration stopGrace { std::chrono::seconds(6) }; ///< Time from SIGTERM to SIGKILL.
     double distanceFactor { 3 }; ///< Factor on the run time of a task that runs away from its step's data.
     log_level logLevel { log_level::info };
+    std::size_t memoryMegabytes { 120 }; ///< Of the machine; the default is that of the smallest one.
+    std::size_t maxDescriptors { 1024 }; ///< Of the process; the default is the usual limit of a system.
+    std::size_t maxConnections { 0 }; ///< Of clients; 0: a share of the descriptors.
+    http_limits clientLimits; ///< For each connection of a client; `maxBodyBytes` is that of the server.
 };
 
 /// Reads and checks the TOML settings. A failure is `io_error` if the file cannot be read and `invalid_argument`
--- a/packages/fleet/src/leader_link.h
+++ b/packages/fleet/src/leader_link.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "line_limiter.h"
 #include <array>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <poplardeal/base/line_limiter.h>
 #include <poplardeal/fleet/settings.h>
 #include <poplardeal/wire/channel.h>
 #include <poplardeal/wire/event_loop.h>
--- a/packages/fleet/src/metrics_server.h
+++ b/packages/fleet/src/metrics_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "client_budgets.h"
 #include <memory>
 #include <poplardeal/base/metrics.h>
 #include <poplardeal/fleet/settings.h>
@@ -7,8 +8,9 @@
 
 namespace poplardeal::detail {
 
-/// Serves `GET /metrics` on the `ip` and `metricsPort` of the settings; null if the port is 0. The registry must
-/// outlive the server.
-result<std::unique_ptr<http_server>> serveMetrics(event_loop&, const fleet_settings&, const metrics_registry&);
+/// Serves `GET /metrics` on the `ip` and `metricsPort` of the settings; null if the port is 0. Registry and budgets
+/// must outlive the server.
+result<std::unique_ptr<http_server>> serveMetrics(
+    event_loop&, const fleet_settings&, const metrics_registry&, client_budgets&);
 
 } // namespace poplardeal::detail
--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -1,3 +1,4 @@
+#include "client_budgets.h"
 #include "control_metrics.h"
 #include "folder_refusal.h"
 #include "group_membership.h"
@@ -6,7 +7,9 @@
 #include "peer_mesh.h"
 #include "replica_address.h"
 #include "status_messages.h"
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <poplardeal/base/line_limiter.h>
 #include <poplardeal/base/log.h>
 #include <poplardeal/consensus/raft_node.h>
 #include <poplardeal/fleet/queue_control.h>
@@ -25,6 +28,8 @@
     /// service is unavailable for about twice this timeout when a leader fails.
     constexpr duration electionTimeout = std::chrono::milliseconds(500);
     constexpr duration hintInterval = std::chrono::milliseconds(1000);
+    constexpr duration refusalLogInterval = std::chrono::seconds(1);
+    constexpr std::size_t maxLoggedPath = 200; ///< Bytes of the path of a refused call.
     constexpr duration metricsInterval = std::chrono::milliseconds(250);
     constexpr duration stopPollInterval = std::chrono::milliseconds(20);
     constexpr duration stopReserve = std::chrono::milliseconds(1500); ///< Left of the grace period after stopping.
@@ -33,7 +38,9 @@
     /// What surrounds a log entry or an operator's body in a frame.
     constexpr std::size_t maxFrameOverhead = std::size_t { 64 } * 1024;
     static_assert(maxLogEntryBytes + maxFrameOverhead <= maxRequestBody);
-    constexpr std::size_t maxConnections = 4096;
+    constexpr std::size_t maxHelloBytes = std::size_t { 64 } * 1024;
+    /// Share of the connections that may be without a hello, which is sent at once.
+    constexpr std::size_t helloFraction = 4;
     constexpr std::size_t maxAdvertisedRelays = 4; ///< Per control_hint; a process tries them in turn.
     /// Operators' clients try another control after 1 s without an answer.
     constexpr duration forwardTimeout = std::chrono::milliseconds(900);
@@ -102,6 +109,7 @@
     fleet_settings settings;
     any_platform_adapter adapter;
     metrics_registry metrics;
+    detail::client_budgets budgets;
     replica_id self;
     detail::job_state_machine stateMachine;
     detail::job_leader jobLeader;
@@ -128,12 +136,14 @@
     bool stopping { false };
     bool hasFailed { false };
     std::function<void()> stopped;
+    detail::line_limiter refusalLines { refusalLogInterval };
 };
 
 queue_control::impl::impl(event_loop& eventLoop, fleet_settings given, any_platform_adapter functions)
     : loop(eventLoop)
     , settings(std::move(given))
     , adapter(std::move(functions))
+    , budgets(settings, metrics)
     , self(detail::replicaIdFromIp(settings.ip))
     , jobLeader(eventLoop, settings, stateMachine, metrics)
     , mesh(eventLoop, settings, self)
@@ -162,14 +172,14 @@
     if (opened.has_error() && opened.error().code == failure_code::locked)
         return opened.error();
     BOOST_OUTCOME_TRY(serving,
-        http_server::open(
-            loop, settings.http, maxOperatorBody, [this](const http_request& request, const http_responder& respond) {
+        http_server::open(loop, settings.http, budgets.limits(maxOperatorBody), budgets.doors(),
+            [this](const http_request& request, const http_responder& respond) {
                 if (!raftReplica)
                     return respond(detail::folder_refusal::answer());
                 handleOperatorCall(request, respond);
             }));
     http = std::move(serving);
-    BOOST_OUTCOME_TRY(exposed, detail::serveMetrics(loop, settings, metrics));
+    BOOST_OUTCOME_TRY(exposed, detail::serveMetrics(loop, settings, metrics, budgets));
     metricsHttp = std::move(exposed);
     if (opened.has_error()) {
         refusal.refused(opened.error(), loop.now());
@@ -309,11 +319,16 @@
 
 void queue_control::impl::accept(std::unique_ptr<channel> link)
 {
-    if (connections.size() >= maxConnections)
+    const auto hasNoHello = [](const auto& item) { return !item.second.hello; };
+    const auto silent = std::count_if(connections.begin(), connections.end(), hasNoHello);
+    if (static_cast<std::size_t>(silent) >= budgets.maxFrameConnections() / helloFraction)
+        connections.erase(std::find_if(connections.begin(), connections.end(), hasNoHello));
+    if (connections.size() >= budgets.maxFrameConnections())
         return;
     const auto number = ++lastConnection;
     auto& each = connections[number];
     each.link = std::move(link);
+    each.link->limitBody(maxHelloBytes);
     each.link->onFrame([this, number](const frame& received) { handle(number, received); });
     each.link->onClosed([this, number](const failure&) {
         std::erase_if(sidecars, [number](const auto& item) { return item.second == number; });
@@ -331,6 +346,7 @@
         return;
     }
     open.hello = std::move(hello).value();
+    open.link->limitBody(maxRequestBody);
     if (open.hello->role != message::process_role::control)
         open.link->send(packMessage(frame_kind::control_hint, 0, hint()));
 }
@@ -441,8 +457,10 @@
 {
     const auto parsed = adapter.readOperatorRequest(request);
     if (parsed.has_error()) {
-        logEvent(log_level::warning, "operator_call_refused",
-            { { "method", request.method }, { "path", request.path }, { "reason", parsed.error().message } });
+        if (const auto leftOut = refusalLines.admit(loop.now()))
+            logEvent(log_level::warning, "operator_call_refused",
+                { { "method", request.method }, { "path", request.path.substr(0, maxLoggedPath) },
+                    { "reason", parsed.error().message }, { "left_out", *leftOut } });
         const int status = parsed.error().code == failure_code::not_found ? 404 : 400;
         return respond({ status, {}, parsed.error().message + "\n" });
     }
--- a/packages/fleet/src/queue_entry.cpp
+++ b/packages/fleet/src/queue_entry.cpp
@@ -1,8 +1,10 @@
 #include "call_verdict.h"
+#include "client_budgets.h"
 #include "leader_link.h"
 #include "metrics_server.h"
 #include "relay_host.h"
 #include <nlohmann/json.hpp>
+#include <poplardeal/base/line_limiter.h>
 #include <poplardeal/base/log.h>
 #include <poplardeal/fleet/queue_entry.h>
 #include <poplardeal/jobs/codec.h>
@@ -22,6 +24,9 @@
     constexpr duration leaderGracePeriod = std::chrono::seconds(5); ///< Stays ready this long without a leader.
     constexpr std::size_t maxBodyBytes = std::size_t { 1024 } * 1024;
     constexpr std::size_t maxReadyBodyBytes = 1024;
+    constexpr duration answerLogInterval = std::chrono::milliseconds(10);
+    constexpr duration refusalLogInterval = std::chrono::seconds(1);
+    constexpr std::size_t maxLoggedPath = 200; ///< Bytes of the path of a refused call.
     constexpr std::size_t maxCallsInFlight = 2048; ///< Further calls are refused; far above the load of one entry.
 
     /// A call that waits for the leader's answer.
@@ -52,6 +57,7 @@
     fleet_settings settings;
     any_platform_adapter platformAdapter;
     metrics_registry metrics;
+    detail::client_budgets budgets;
     detail::leader_link leaderLink;
     detail::relay_host relays;
     std::map<std::uint64_t, pending_call> calls;
@@ -67,15 +73,20 @@
     bool hasStoppedListening { false };
     std::function<void()> onStopped;
     timing& callTime;
+    detail::line_limiter refusalLines { refusalLogInterval };
+    detail::line_limiter answerLines { answerLogInterval };
 };
 
 queue_entry::impl::impl(event_loop& eventLoop, fleet_settings initialSettings, any_platform_adapter adapterFunctions)
     : loop(eventLoop)
     , settings(std::move(initialSettings))
     , platformAdapter(std::move(adapterFunctions))
+    , budgets(settings, metrics)
     , leaderLink(
           eventLoop, settings, message::process_role::entry, toString(address { settings.ip, settings.framePort }))
-    , relays(eventLoop, [this](const address& target) { return leaderLink.isControl(target); })
+    , relays(
+          eventLoop, [this](const address& target) { return leaderLink.isControl(target); },
+          budgets.maxFrameConnections() / 2)
     , callTime(metrics.getTiming("poplardeal_call_seconds", "Time from a call's arrival to its answer"))
 {
     leaderLink.onLeaderChanged([this] { resendAll(); });
@@ -88,15 +99,15 @@
 result<void> queue_entry::impl::open()
 {
     BOOST_OUTCOME_TRY(server,
-        http_server::open(loop, settings.http, maxBodyBytes,
+        http_server::open(loop, settings.http, budgets.limits(maxBodyBytes), budgets.doors(),
             [this](const http_request& request, const http_responder& respond) { handle(request, respond); }));
     http = std::move(server);
     BOOST_OUTCOME_TRY(readyServer,
-        http_server::open(loop, settings.ready, maxReadyBodyBytes,
+        http_server::open(loop, settings.ready, budgets.limits(maxReadyBodyBytes), budgets.probes(),
             [this](
                 const http_request& request, const http_responder& respond) { handleReadyRequest(request, respond); }));
     ready = std::move(readyServer);
-    BOOST_OUTCOME_TRY(metricsServer, detail::serveMetrics(loop, settings, metrics));
+    BOOST_OUTCOME_TRY(metricsServer, detail::serveMetrics(loop, settings, metrics, budgets));
     metricsHttp = std::move(metricsServer);
     BOOST_OUTCOME_TRYV(relays.open({ settings.listenIp, settings.framePort }));
     leaderLink.start(loop.now());
@@ -126,8 +137,10 @@
     pending.receivedAt = loop.now();
     message::queue_answerT refusal;
     if (parsed.has_error()) {
-        logEvent(log_level::info, "call_refused",
-            { { "method", request.method }, { "path", request.path }, { "reason", parsed.error().message } });
+        if (const auto leftOut = refusalLines.admit(loop.now()))
+            logEvent(log_level::info, "call_refused",
+                { { "method", request.method }, { "path", request.path.substr(0, maxLoggedPath) },
+                    { "reason", parsed.error().message }, { "left_out", *leftOut } });
         refusal.outcome = message::queue_outcome::malformed;
         refusal.reason = parsed.error().message;
         return finish(pending, refusal);
@@ -188,11 +201,13 @@
     callTime.observe(loop.now() - pending.receivedAt);
     const bool isServed = answer.outcome == message::queue_outcome::accepted
         || answer.outcome == message::queue_outcome::shown || answer.outcome == message::queue_outcome::counted;
-    if (!isServed)
+    // Calls that this entry refuses by itself cost little, and may come at any rate.
+    const auto leftOut = pending.attempts == 0 && !isServed ? answerLines.admit(loop.now()) : std::uint64_t { 0 };
+    if (!isServed && leftOut)
         logEvent(log_level::info, "call_answered",
             { { "path", pending.call.path }, { "verb", message::EnumNamequeue_verb(pending.call.verb) },
                 { "outcome", message::EnumNamequeue_outcome(answer.outcome) }, { "reason", answer.reason },
-                { "term", leaderLink.term() } });
+                { "term", leaderLink.term() }, { "left_out", *leftOut } });
     pending.respond(platformAdapter.writeQueueAnswer(pending.call.verb, answer));
 }
 
--- a/packages/fleet/src/queue_sidecar.cpp
+++ b/packages/fleet/src/queue_sidecar.cpp
@@ -1,9 +1,10 @@
+#include "client_budgets.h"
 #include "leader_link.h"
-#include "line_limiter.h"
 #include "metrics_server.h"
 #include "status_messages.h"
 #include <deque>
 #include <nlohmann/json.hpp>
+#include <poplardeal/base/line_limiter.h>
 #include <poplardeal/base/log.h>
 #include <poplardeal/fleet/queue_sidecar.h>
 #include <poplardeal/wire/message.h>
@@ -57,6 +58,7 @@
     fleet_settings settings;
     any_platform_adapter platformAdapter;
     metrics_registry metrics;
+    detail::client_budgets budgets;
     detail::leader_link leaderLink;
     http_client client;
     worker_agent agent;
@@ -79,6 +81,7 @@
     : loop(eventLoop)
     , settings(std::move(initialSettings))
     , platformAdapter(std::move(adapterFunctions))
+    , budgets(settings, metrics)
     , leaderLink(eventLoop, settings, message::process_role::worker_sidecar)
     , client(eventLoop, workerConnections)
     , agent({}, eventLoop.now())
@@ -101,11 +104,11 @@
 result<void> queue_sidecar::impl::open()
 {
     BOOST_OUTCOME_TRY(server,
-        http_server::open(loop, settings.http, maxAnnouncementBytes,
+        http_server::open(loop, settings.http, budgets.limits(maxAnnouncementBytes), budgets.doors(),
             [this](
                 const http_request& request, const http_responder& respond) { handleAnnouncement(request, respond); }));
     http = std::move(server);
-    BOOST_OUTCOME_TRY(metricsServer, detail::serveMetrics(loop, settings, metrics));
+    BOOST_OUTCOME_TRY(metricsServer, detail::serveMetrics(loop, settings, metrics, budgets));
     metricsHttp = std::move(metricsServer);
     leaderLink.start(loop.now());
     timer = loop.every(tickInterval, [this] { tick(); });
--- a/packages/fleet/src/relay_host.cpp
+++ b/packages/fleet/src/relay_host.cpp
@@ -1,13 +1,15 @@
 #include "relay_host.h"
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <poplardeal/base/log.h>
 #include <poplardeal/wire/message.h>
 
 namespace poplardeal::detail {
 
-relay_host::relay_host(event_loop& loop, std::function<bool(const address&)> isControl)
+relay_host::relay_host(event_loop& loop, std::function<bool(const address&)> isControl, std::size_t most)
     : m_loop(loop)
     , m_isControl(std::move(isControl))
+    , m_maxConnections(std::min(most, maxConnections))
 {
 }
 
@@ -21,7 +23,11 @@
 
 void relay_host::accept(std::unique_ptr<channel> link)
 {
-    if (m_connections.size() >= maxConnections) {
+    const auto isUnopened = [](const auto& item) { return !item.second.upstream; };
+    const auto unopened = std::count_if(m_connections.begin(), m_connections.end(), isUnopened);
+    if (static_cast<std::size_t>(unopened) >= std::max<std::size_t>(m_maxConnections / unopenedFraction, 1))
+        m_connections.erase(std::find_if(m_connections.begin(), m_connections.end(), isUnopened));
+    if (m_connections.size() >= m_maxConnections) {
         logEvent(log_level::warning, "relay_refused",
             { { "peer", toString(link->peer()) }, { "reason", "too many relayed connections" } });
         return;
@@ -29,6 +35,7 @@
     const auto id = ++m_lastConnectionId;
     auto& connection = m_connections[id];
     connection.downstream = std::move(link);
+    connection.downstream->limitBody(maxFirstBody);
     connection.downstream->onFrame([this, id](frame received) { handleFrame(id, std::move(received)); });
     connection.downstream->onClosed([this, id](const failure&) { m_connections.erase(id); });
 }
@@ -70,6 +77,7 @@
 {
     logEvent(log_level::info, "relay_opened",
         { { "peer", toString(connection.downstream->peer()) }, { "target", toString(target) } });
+    connection.downstream->limitBody(maxRequestBody);
     connection.upstream = std::make_unique<dialer>(m_loop, target, id, dialTimeout);
     auto* link = connection.upstream.get();
     link->onUp([this, id] {
--- a/packages/fleet/src/relay_host.h
+++ b/packages/fleet/src/relay_host.h
@@ -15,8 +15,9 @@
 /// with `relay_open`; all later frames go unchanged in both directions until one side closes.
 class relay_host {
 public:
-    /// Only addresses for which `isControl` holds are dialed.
-    relay_host(event_loop&, std::function<bool(const address&)> isControl);
+    /// Serves at most `most` connections, each with two descriptors. Only addresses for which `isControl` holds are
+    /// dialed.
+    relay_host(event_loop&, std::function<bool(const address&)> isControl, std::size_t most = maxConnections);
 
     /// `io_error` if the address cannot be bound.
     result<void> open(const address& own);
@@ -25,6 +26,9 @@
 
     /// Further connections are refused. An entry serves a share of the instances that are cut off at the same time.
     static constexpr std::size_t maxConnections = 512;
+    static constexpr std::size_t maxFirstBody = std::size_t { 64 } * 1024;
+    /// Share of the connections that may be without a `relay_open`, which is sent at once.
+    static constexpr std::size_t unopenedFraction = 2;
     /// Frames that wait for the upstream connection; more close both connections.
     static constexpr std::size_t maxQueuedFrames = 64;
     /// Both connections are closed if the upstream one takes longer.
@@ -45,6 +49,7 @@
 
     event_loop& m_loop;
     std::function<bool(const address&)> m_isControl;
+    std::size_t m_maxConnections;
     std::map<std::uint64_t, relayed_connection> m_connections;
     std::uint64_t m_lastConnectionId { 0 };
     std::unique_ptr<listener> m_listener;
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -99,6 +99,25 @@
             return out;
         }
 
+        std::size_t readCount(const char* key, std::size_t preset, double least, double most)
+        {
+            return static_cast<std::size_t>(readNumber(key, static_cast<double>(preset), least, most));
+        }
+
+        void readClientLimits(fleet_settings& out)
+        {
+            auto& limits = out.clientLimits;
+            out.memoryMegabytes = readCount("memory_mb", out.memoryMegabytes, 16, 1e7);
+            out.maxDescriptors = readCount("max_fds", out.maxDescriptors, 64, 1e7);
+            out.maxConnections = readCount("max_connections", out.maxConnections, 0, 1e7);
+            limits.maxHeaderBytes = readCount("max_header_bytes", limits.maxHeaderBytes, 1024, 65000);
+            limits.maxHeaderFields = readCount("max_header_fields", limits.maxHeaderFields, 16, 1e6);
+            limits.minBytesPerSecond = readCount("min_body_bytes_per_s", limits.minBytesPerSecond, 1, 1e9);
+            constexpr double longestTimeoutMs = 3600000;
+            limits.headerTimeout = readMilliseconds("header_timeout_ms", limits.headerTimeout, 100, longestTimeoutMs);
+            limits.idleTimeout = readMilliseconds("idle_timeout_ms", limits.idleTimeout, 100, longestTimeoutMs);
+        }
+
         template <std::size_t Count>
         std::size_t readChoice(const char* key, const std::array<std::string_view, Count>& allowed)
         {
@@ -174,6 +193,7 @@
         constexpr std::array<std::string_view, 4> levels { "debug", "info", "warning", "error" };
         out.logLevel = static_cast<log_level>(reader.readChoice("log_level", levels));
     }
+    reader.readClientLimits(out);
     switch (out.role) {
     case fleet_role::queue_control:
         out.dataFolder = reader.readString("data_folder", true);
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -32,6 +32,9 @@
     { "string as lease", "6000", "\"6000\"", "x:8: lease_ms" },
     { "no data folder", "data_folder = \"/data\"\n", "", "data_folder" },
     { "no entries between snapshots", "bootstrap = true", "snapshot_every = 0", "x:7: snapshot_every" },
+    { "memory that no process starts in", "bootstrap = true", "memory_mb = 1", "x:7: memory_mb" },
+    { "too few descriptors", "bootstrap = true", "max_fds = 8", "x:7: max_fds" },
+    { "string as header timeout", "bootstrap = true", "header_timeout_ms = \"1\"", "x:7: header_timeout_ms" },
     { "not TOML", "role = ", "role ", "x:1" },
 };
 
--- a/packages/wire/include/poplardeal/wire/channel.h
+++ b/packages/wire/include/poplardeal/wire/channel.h
@@ -23,6 +23,8 @@
     bool send(const frame&);
 
     void onFrame(std::function<void(frame)>);
+    /// Closes the connection at a frame with a larger body. For connections whose peer has not said who it is.
+    void limitBody(std::size_t most);
     /// Called once when the peer closes, on an error or on a corrupt frame, never from within `send` or `close`.
     /// The owner may destroy the channel in it.
     void onClosed(std::function<void(failure)>);
--- a/packages/wire/include/poplardeal/wire/frame.h
+++ b/packages/wire/include/poplardeal/wire/frame.h
@@ -92,6 +92,8 @@
     frame_decoder& operator=(frame_decoder&&) noexcept;
 
     void append(std::string_view bytes);
+    /// Frames with a larger body are refused as `too_large`, whatever their kind.
+    void limitBody(std::size_t most);
 
     /// The next whole frame, or nothing if more bytes are needed. `corrupt` for an unknown kind, nonzero flags or a
     /// wrong checksum, `too_large` before any memory is taken for the body; after a failure the decoder stays failed.
--- a/packages/wire/include/poplardeal/wire/http.h
+++ b/packages/wire/include/poplardeal/wire/http.h
@@ -7,6 +7,7 @@
 #include <poplardeal/base/failure.h>
 #include <poplardeal/base/verdict.h>
 #include <poplardeal/wire/address.h>
+#include <poplardeal/wire/connection_budget.h>
 #include <poplardeal/wire/event_loop.h>
 #include <string>
 
@@ -33,16 +34,30 @@
 /// is harmless. A request whose responder is destroyed unanswered gets status 500.
 using http_responder = std::function<void(http_response)>;
 
-/// An HTTP/1.1 server on libsoup. Request bodies need Content-Length (411 otherwise), headers over 32 KiB are answered
-/// 431, and connections idle for 60 s are closed.
+/// Limits for each connection of a server.
+struct http_limits {
+    std::size_t maxBodyBytes { std::size_t { 1024 } * 1024 }; ///< Larger requests are answered 413.
+    std::size_t maxHeaderBytes { std::size_t { 32 } * 1024 }; ///< With the request line; 431 otherwise.
+    std::size_t maxHeaderFields { 4096 }; ///< As many as fit into 16 KiB; 431 otherwise.
+    duration headerTimeout { std::chrono::seconds(10) }; ///< From the first byte of a request to the end of its head.
+    duration idleTimeout { std::chrono::seconds(60) }; ///< Without a byte.
+    std::size_t minBytesPerSecond { 4096 }; ///< Of a body or answer, after `headerTimeout`.
+};
+
+/// An HTTP/1.1 server on libsoup. Request bodies need Content-Length (411 otherwise). A request is handled once it has
+/// arrived whole, and the next one of its connection is read after its answer is written. Memory and connections come
+/// from a `connection_budget`; what does not fit is answered 503 as not run, or cut.
 ///
 ///     auto server = http_server::open(loop, address { "127.0.0.1", 0 }, 65536,
 ///         [](http_request request, http_responder respond) { respond({ 200, {}, "seen " + request.path }); });
 class http_server {
 public:
-    /// `maxBody` in bytes: larger requests are answered 413 and never reach the handler.
+    /// `maxBody` in bytes: larger requests are answered 413 and never reach the handler. With a budget of its own.
     static result<std::unique_ptr<http_server>> open(
         event_loop&, const address&, std::size_t maxBody, std::function<void(http_request, http_responder)> handler);
+    /// Several servers may share a budget.
+    static result<std::unique_ptr<http_server>> open(event_loop&, const address&, const http_limits&,
+        std::shared_ptr<connection_budget>, std::function<void(http_request, http_responder)> handler);
     ~http_server();
 
     address local() const;
--- a/packages/wire/src/acceptor.cpp
+++ b/packages/wire/src/acceptor.cpp
@@ -65,11 +65,14 @@
 
 gboolean acceptor::onReadable(GSocket*, GIOCondition, gpointer self)
 {
-    static_cast<acceptor*>(self)->acceptOne();
+    // With one a turn, a new connection would wait behind a crowd for as many turns as it has members.
+    constexpr int mostInTurn = 64;
+    const std::weak_ptr<const bool> alive = static_cast<acceptor*>(self)->m_alive;
+    for (int i = 0; i < mostInTurn && !alive.expired() && static_cast<acceptor*>(self)->acceptOne(); ++i) { }
     return G_SOURCE_CONTINUE;
 }
 
-void acceptor::acceptOne()
+bool acceptor::acceptOne()
 {
     error_slot error;
     const object_ptr<GSocket> accepted(g_socket_accept(m_socket.get(), nullptr, error.out()));
@@ -77,13 +80,14 @@
         // A copy, because the handler may destroy this object.
         const auto accept = m_accept;
         accept(object_ptr<GSocketConnection>(g_socket_connection_factory_create_connection(accepted.get())));
-        return;
+        return true;
     }
     if (error.is(G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-        return;
+        return false;
     // Without a free descriptor the socket stays readable; the pause keeps the loop from spinning.
     unwatch();
     m_resume = m_loop.after(std::chrono::milliseconds(100), [this] { watch(); });
+    return false;
 }
 
 } // namespace poplardeal::detail
--- a/packages/wire/src/acceptor.h
+++ b/packages/wire/src/acceptor.h
@@ -2,6 +2,7 @@
 
 #include "gobject_ptr.h"
 #include <functional>
+#include <memory>
 #include <poplardeal/base/failure.h>
 #include <poplardeal/wire/address.h>
 #include <poplardeal/wire/event_loop.h>
@@ -27,13 +28,15 @@
     static gboolean onReadable(GSocket*, GIOCondition, gpointer self);
     void watch();
     void unwatch();
-    void acceptOne();
+    /// False if none waits or there are no descriptors.
+    bool acceptOne();
 
     event_loop& m_loop;
     object_ptr<GSocket> m_socket;
     handler m_accept;
     GSource* m_source { nullptr };
     event_loop::timer m_resume;
+    std::shared_ptr<const bool> m_alive { std::make_shared<bool>(true) };
 };
 
 } // namespace poplardeal::detail
--- a/packages/wire/src/channel.cpp
+++ b/packages/wire/src/channel.cpp
@@ -276,6 +276,8 @@
     m_impl->connection->setClosedHandler(std::move(handler));
 }
 
+void channel::limitBody(std::size_t most) { m_impl->connection->limitBody(most); }
+
 void channel::close() { m_impl->connection->close(); }
 
 std::uint64_t channel::bytesTransferred() const { return m_impl->connection->bytesTransferred(); }
--- a/packages/wire/src/channel_impl.h
+++ b/packages/wire/src/channel_impl.h
@@ -23,6 +23,7 @@
     void setFrameHandler(frame_handler);
     void setClosedHandler(closed_handler);
     bool send(const frame&);
+    void limitBody(std::size_t most) { m_decoder.limitBody(most); }
     /// Sends what is queued, tells the peer, and waits for its end for at most `lingerTime`.
     void close();
     void abort();
--- a/packages/wire/src/closing_stream.cpp
+++ b/packages/wire/src/closing_stream.cpp
@@ -9,13 +9,15 @@
 
     class closing_stream : public std::enable_shared_from_this<closing_stream> {
     public:
-        closing_stream(event_loop& loop, object_ptr<GIOStream> stream, object_ptr<GSocket> socket, std::string last)
+        closing_stream(event_loop& loop, object_ptr<GIOStream> stream, object_ptr<GSocket> socket, std::string last,
+            std::shared_ptr<void> held)
             : m_loop(loop)
             , m_cancellable(g_cancellable_new())
             , m_shutdown(shareObject(loop_access::shutdown(loop)))
             , m_stream(std::move(stream))
             , m_socket(std::move(socket))
             , m_last(std::move(last))
+            , m_held(std::move(held))
         {
             auto* own = m_cancellable.get();
             m_limit = loop.after(maxLingerTime, [own] { g_cancellable_cancel(own); });
@@ -92,6 +94,7 @@
         object_ptr<GIOStream> m_stream;
         object_ptr<GSocket> m_socket;
         std::string m_last;
+        std::shared_ptr<void> m_held;
         std::array<char, 16384> m_discarded {};
         event_loop::timer m_idle;
         event_loop::timer m_limit;
@@ -99,9 +102,11 @@
 
 } // namespace
 
-void sendAndClose(event_loop& loop, object_ptr<GIOStream> stream, object_ptr<GSocket> socket, std::string last)
+void sendAndClose(event_loop& loop, object_ptr<GIOStream> stream, object_ptr<GSocket> socket, std::string last,
+    std::shared_ptr<void> held)
 {
-    std::make_shared<closing_stream>(loop, std::move(stream), std::move(socket), std::move(last))->write();
+    std::make_shared<closing_stream>(loop, std::move(stream), std::move(socket), std::move(last), std::move(held))
+        ->write();
 }
 
 } // namespace poplardeal::detail
--- a/packages/wire/src/frame.cpp
+++ b/packages/wire/src/frame.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <poplardeal/base/logical_clock.h>
 #include <poplardeal/wire/frame.h>
 #include <xxhash.h>
@@ -55,13 +56,13 @@
             && kind <= static_cast<std::uint16_t>(lastFrameKind);
     }
 
-    static std::optional<failure> checkHeader(const frame_header& header)
+    static std::optional<failure> checkHeader(const frame_header& header, std::size_t most)
     {
         if (!isKnownKind(header.kind))
             return failure { failure_code::corrupt, "frame of unknown kind " + std::to_string(header.kind) };
         if (header.flags != 0)
             return failure { failure_code::corrupt, "frame with unknown flags " + std::to_string(header.flags) };
-        const auto limit = maxFrameBody(static_cast<frame_kind>(header.kind));
+        const auto limit = std::min(most, maxFrameBody(static_cast<frame_kind>(header.kind)));
         if (header.length > limit) {
             return failure { failure_code::too_large,
                 "frame body of " + std::to_string(header.length) + " bytes, at most " + std::to_string(limit) };
@@ -104,6 +105,7 @@
 struct frame_decoder::impl {
     std::string buffer;
     std::size_t consumed { 0 };
+    std::size_t maxBody { maxRequestBody };
     std::optional<failure> failed;
 
     std::string_view unread() const { return std::string_view(buffer).substr(consumed); }
@@ -149,6 +151,8 @@
     m_impl->buffer.append(bytes);
 }
 
+void frame_decoder::limitBody(std::size_t most) { m_impl->maxBody = most; }
+
 result<std::optional<frame>> frame_decoder::next()
 {
     if (m_impl->failed)
@@ -157,7 +161,7 @@
     if (bytes.size() < frameHeaderSize)
         return std::optional<frame>();
     const auto header = detail::readHeader(bytes);
-    if (auto reason = detail::checkHeader(header))
+    if (auto reason = detail::checkHeader(header, m_impl->maxBody))
         return m_impl->refuse(std::move(*reason));
     if (bytes.size() < frameHeaderSize + header.length)
         return std::optional<frame>();
--- a/packages/wire/src/http_server.cpp
+++ b/packages/wire/src/http_server.cpp
@@ -1,14 +1,15 @@
 #include "acceptor.h"
-#include "channel_impl.h"
-#include "closing_stream.h"
+#include "client_connection.h"
 #include "http_message.h"
-#include "socket_address.h"
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
+#include <poplardeal/base/line_limiter.h>
 #include <poplardeal/base/log.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_map>
+#include <vector>
 
 namespace poplardeal {
 namespace detail {
@@ -16,8 +17,9 @@
     /// One request handed to the handler and not yet answered to the last byte.
     class server_exchange {
     public:
-        explicit server_exchange(SoupServerMessage* message)
+        server_exchange(SoupServerMessage* message, std::weak_ptr<client_connection> connection)
             : m_message(shareObject(message))
+            , m_connection(std::move(connection))
         {
             soup_server_message_pause(message);
         }
@@ -36,6 +38,8 @@
                 soup_message_headers_replace(headers, "Connection", "close");
             const bool isStatus = response.status >= 200 && response.status <= 999;
             soup_server_message_set_status(m_message.get(), isStatus ? response.status : 500, nullptr);
+            if (const auto connection = m_connection.lock())
+                connection->answered(response.body.size());
             // libsoup logs a critical warning for an empty part.
             if (!response.body.empty()) {
                 const auto body = makeBytes(std::move(response.body));
@@ -46,10 +50,11 @@
 
     private:
         object_ptr<SoupServerMessage> m_message;
+        std::weak_ptr<client_connection> m_connection;
         bool m_answered { false };
     };
 
-    /// Holds null for a request whose body is still being received.
+    /// Null until the handler is called.
     using exchange_table = std::unordered_map<SoupServerMessage*, std::shared_ptr<server_exchange>>;
 
     /// Shared by the copies of a responder. A request whose responder is dropped unanswered gets status 500, so that
@@ -78,22 +83,23 @@
 
 } // namespace detail
 
-struct http_server::impl {
+struct http_server::impl : detail::connection_owner {
     using handler_function = std::function<void(http_request, http_responder)>;
 
-    impl(event_loop& l, std::size_t bodyLimit, handler_function h)
+    impl(event_loop& l, const http_limits& given, std::shared_ptr<connection_budget> shared, handler_function h)
         : loop(l)
-        , maxBody(bodyLimit)
+        , limits(given)
+        , budget(std::move(shared))
         , handler(std::move(h))
         , server(soup_server_new("raw-paths", TRUE, nullptr))
         , stopped(std::make_shared<bool>(false))
-        , connections(std::make_shared<std::size_t>(0))
     {
         g_object_set_data(G_OBJECT(server.get()), implKey, this);
         g_signal_connect(server.get(), "request-started", G_CALLBACK(onStarted), this);
         soup_server_add_early_handler(server.get(), nullptr, onHeaders, this, nullptr);
         soup_server_add_handler(server.get(), nullptr, onRequest, this, nullptr);
         addIdleListener();
+        timer = loop.every(tickInterval, [this] { tick(); });
     }
 
     /// libsoup keeps connections open only while it has a listener of its own. This one is half of a socket pair and
@@ -109,7 +115,7 @@
             soup_server_listen_socket(server.get(), listening.get(), SoupServerListenOptions(0), nullptr);
     }
 
-    ~impl()
+    ~impl() override
     {
         for (const auto& [message, exchange] : exchanges)
             g_signal_handlers_disconnect_by_data(message, this);
@@ -126,36 +132,47 @@
 
     void accept(detail::object_ptr<GSocketConnection> stream)
     {
-        if (*connections >= maxConnections)
-            return;
-        auto* socket = g_socket_connection_get_socket(stream.get());
-        detail::configureSocket(socket);
-        // Ends idle connections and peers that never complete a request.
-        g_socket_set_timeout(socket, idleSeconds);
-        ++*connections;
-        const auto ended = [](gpointer data, GObject*) {
-            const std::unique_ptr<std::shared_ptr<std::size_t>> count(static_cast<std::shared_ptr<std::size_t>*>(data));
-            --**count;
-        };
-        g_object_weak_ref(G_OBJECT(stream.get()), ended, new std::shared_ptr<std::size_t>(connections));
-        const detail::object_ptr<GSocketAddress> near(g_socket_connection_get_local_address(stream.get(), nullptr));
-        const detail::object_ptr<GSocketAddress> far(g_socket_connection_get_remote_address(stream.get(), nullptr));
-        // libsoup gives no way back from a message to its socket.
-        g_object_set_data_full(G_OBJECT(far.get()), socketKey, g_object_ref(socket), g_object_unref);
-        soup_server_accept_iostream(server.get(), G_IO_STREAM(stream.get()), near.get(), far.get(), nullptr);
+        const auto connection
+            = std::make_shared<detail::client_connection>(loop, std::move(stream), limits, budget, *this);
+        if (connection->open(loop.now()))
+            connections.emplace(connection.get(), connection);
+    }
+
+    void serve(detail::client_connection& connection, detail::object_ptr<GIOStream> stream) override
+    {
+        soup_server_accept_iostream(server.get(), stream.get(), connection.near(), connection.far(), nullptr);
     }
 
-    void refuse(SoupServerMessage* message, const std::string& statusLine, const std::string& reason)
+    void remove(detail::client_connection& connection) override { connections.erase(&connection); }
+
+    void refused(refusal_reason reason) override
+    {
+        ++refusals;
+        if (const auto leftOut = refusalLines.admit(loop.now()))
+            logEvent(log_level::warning, "request_refused",
+                { { "address", toString(bound) }, { "reason", refusalNames.at(static_cast<std::size_t>(reason)) },
+                    { "connections", budget->connections() }, { "buffered_bytes", budget->bytes() },
+                    { "left_out", *leftOut } });
+    }
+
+    /// Connections end in it.
+    void tick()
+    {
+        const auto now = loop.now();
+        std::vector<std::shared_ptr<detail::client_connection>> open;
+        for (const auto& [key, connection] : connections)
+            open.push_back(connection);
+        for (const auto& connection : open)
+            connection->tick(now);
+        open.clear();
+        budget->trim();
+    }
+
+    static std::shared_ptr<detail::client_connection> connectionOf(SoupServerMessage* message)
     {
-        ++refused;
         auto* remote = soup_server_message_get_remote_address(message);
-        auto socket = detail::shareObject(G_SOCKET(g_object_get_data(G_OBJECT(remote), socketKey)));
-        detail::object_ptr<GIOStream> stream(soup_server_message_steal_connection(message));
-        if (!stream)
-            return;
-        detail::sendAndClose(loop, std::move(stream), std::move(socket),
-            "HTTP/1.1 " + statusLine + "\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: "
-                + std::to_string(reason.size()) + "\r\n\r\n" + reason);
+        auto* found = remote ? g_object_get_data(G_OBJECT(remote), detail::client_connection::key) : nullptr;
+        return found ? static_cast<detail::client_connection*>(found)->shared_from_this() : nullptr;
     }
 
     static void onStarted(SoupServer* server, SoupServerMessage* message, gpointer)
@@ -163,45 +180,26 @@
         g_signal_connect_object(message, "wrote-headers", G_CALLBACK(onWroteHeaders), server, GConnectFlags(0));
     }
 
-    /// Counts what libsoup refuses before its handlers see it, such as a malformed request line.
+    /// Counts what libsoup refuses before its handlers see it, such as a malformed request line. The headers are on
+    /// their way; from here on the field only tells libsoup to release the stream, of which there is one a request.
     static void onWroteHeaders(SoupServerMessage* message, gpointer server)
     {
         auto* self = static_cast<impl*>(g_object_get_data(G_OBJECT(server), implKey));
         const bool seen = g_object_get_data(G_OBJECT(message), seenKey) != nullptr;
         if (self != nullptr && !seen && soup_server_message_get_status(message) >= SOUP_STATUS_BAD_REQUEST)
-            ++self->refused;
+            ++self->refusals;
+        if (const auto connection = connectionOf(message); connection && mayBeKept(message))
+            connection->keep();
+        soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection", "close");
     }
 
+    /// Sizes and framing were checked by the connection.
     static void onHeaders(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data)
     {
-        auto& self = *static_cast<impl*>(data);
         g_object_set_data(G_OBJECT(message), seenKey, data);
-        auto* headers = soup_server_message_get_request_headers(message);
-        const char* length = soup_message_headers_get_list(headers, "Content-Length");
-        if (detail::headersSize(headers) > maxHeaders)
-            self.refuse(message, "431 Request Header Fields Too Large", "request headers too large\n");
-        else if (soup_message_headers_get_list(headers, "Transfer-Encoding") != nullptr)
-            // libsoup 3.2.3 takes a connection that ends between two chunks for the end of the body.
-            self.refuse(message, "411 Length Required", "request bodies need Content-Length\n");
-        else if (length != nullptr && !isNumber(length))
-            self.refuse(message, "400 Bad Request", "malformed Content-Length\n");
-        else if (static_cast<std::uint64_t>(soup_message_headers_get_content_length(headers)) > self.maxBody)
-            self.refuse(
-                message, "413 Payload Too Large", "request body over " + std::to_string(self.maxBody) + " bytes\n");
-        else
-            self.track(message);
-    }
-
-    void track(SoupServerMessage* message)
-    {
-        exchanges[message] = nullptr;
-        g_signal_connect(message, "finished", G_CALLBACK(onFinished), this);
-        g_signal_connect(message, "disconnected", G_CALLBACK(onFinished), this);
-    }
-
-    static bool isNumber(std::string_view text)
-    {
-        return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
+        static_cast<impl*>(data)->exchanges[message] = nullptr;
+        g_signal_connect(message, "finished", G_CALLBACK(onFinished), data);
+        g_signal_connect(message, "disconnected", G_CALLBACK(onFinished), data);
     }
 
     static void onRequest(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data)
@@ -214,7 +212,7 @@
         auto* uri = soup_server_message_get_uri(message);
         auto path = detail::decodePath(g_uri_get_path(uri));
         if (!path) {
-            ++refused;
+            ++refusals;
             soup_server_message_set_status(message, SOUP_STATUS_BAD_REQUEST, nullptr);
             return;
         }
@@ -227,6 +225,7 @@
         gsize size = 0;
         const auto* bytes = static_cast<const char*>(g_bytes_get_data(body.get(), &size));
         request.body.assign(bytes ? bytes : "", size);
+        soup_message_body_truncate(soup_server_message_get_request_body(message));
         // An exception must not pass through the C code of libsoup. The responder answers 500 when it is dropped.
         try {
             handler(std::move(request), makeResponder(message));
@@ -239,7 +238,7 @@
 
     http_responder makeResponder(SoupServerMessage* message)
     {
-        const auto exchange = std::make_shared<detail::server_exchange>(message);
+        const auto exchange = std::make_shared<detail::server_exchange>(message, connectionOf(message));
         exchanges[message] = exchange;
         const auto pending = std::make_shared<detail::pending_answer>(exchange, stopped);
         return [pending](http_response response) { pending->answer(std::move(response)); };
@@ -251,30 +250,52 @@
         static_cast<impl*>(data)->exchanges.erase(message);
     }
 
+    /// HTTP/1.0 would need a field in the answer, which is not sent.
+    static bool mayBeKept(SoupServerMessage* message)
+    {
+        const auto closes = [](SoupMessageHeaders* headers) {
+            return soup_message_headers_header_contains(headers, "Connection", "close") != FALSE;
+        };
+        return soup_server_message_get_http_version(message) == SOUP_HTTP_1_1
+            && !closes(soup_server_message_get_request_headers(message))
+            && !closes(soup_server_message_get_response_headers(message));
+    }
+
     static constexpr const char* implKey = "poplardeal-http-server";
     static constexpr const char* seenKey = "poplardeal-seen";
-    static constexpr const char* socketKey = "poplardeal-socket";
-    static constexpr std::size_t maxHeaders = std::size_t { 32 } * 1024;
-    static constexpr std::size_t maxConnections = 4096;
-    static constexpr guint idleSeconds = 60;
+    static constexpr duration tickInterval = std::chrono::milliseconds(500);
+    static constexpr duration refusalLogInterval = std::chrono::seconds(1);
 
     event_loop& loop;
-    std::size_t maxBody;
+    http_limits limits;
+    std::shared_ptr<connection_budget> budget;
     handler_function handler;
     detail::object_ptr<SoupServer> server;
     int idleEnd { -1 };
     std::unique_ptr<detail::acceptor> acceptor;
     address bound;
     std::shared_ptr<bool> stopped;
-    std::shared_ptr<std::size_t> connections;
+    std::unordered_map<detail::client_connection*, std::shared_ptr<detail::client_connection>> connections;
     detail::exchange_table exchanges;
-    std::uint64_t refused { 0 };
+    std::uint64_t refusals { 0 };
+    detail::line_limiter refusalLines { refusalLogInterval };
+    event_loop::timer timer;
 };
 
 result<std::unique_ptr<http_server>> http_server::open(event_loop& loop, const address& local, std::size_t maxBody,
     std::function<void(http_request, http_responder)> handler)
 {
-    auto state = std::make_unique<impl>(loop, maxBody, std::move(handler));
+    http_limits limits;
+    limits.maxBodyBytes = maxBody;
+    return open(
+        loop, local, limits, std::make_shared<connection_budget>(connection_budget::limits {}), std::move(handler));
+}
+
+result<std::unique_ptr<http_server>> http_server::open(event_loop& loop, const address& local,
+    const http_limits& limits, std::shared_ptr<connection_budget> budget,
+    std::function<void(http_request, http_responder)> handler)
+{
+    auto state = std::make_unique<impl>(loop, limits, std::move(budget), std::move(handler));
     auto take = [self = state.get()](detail::object_ptr<GSocketConnection> stream) { self->accept(std::move(stream)); };
     auto opened = detail::acceptor::open(loop, local, std::move(take));
     if (opened.has_error())
@@ -299,8 +320,13 @@
     *m_impl->stopped = true;
 }
 
-std::size_t http_server::inFlight() const { return m_impl->exchanges.size(); }
+std::size_t http_server::inFlight() const
+{
+    const auto& all = m_impl->connections;
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [](const auto& each) { return each.second->hasRequest(); }));
+}
 
-std::uint64_t http_server::refused() const { return m_impl->refused; }
+std::uint64_t http_server::refused() const { return m_impl->refusals; }
 
 } // namespace poplardeal
