--- a/packages/fleet/include/poplardeal/fleet/settings.h
+++ b/packages/fleet/include/poplardeal/fleet/settings.h
@@ -40,7 +40,7 @@
     double distanceFactor { 3 }; ///< Factor on the run time of a task that runs away from its step's data.
     log_level logLevel { log_level::info };
     std::size_t memoryMegabytes { 120 }; ///< Of the machine; the default is that of the smallest one.
-    std::size_t maxDescriptors { 1024 }; ///< Of the process; the default is the usual limit of a system.
+    std::size_t maxDescriptors { 3075 }; ///< Of the process; the default is that of the smallest machine.
     std::size_t maxConnections { 0 }; ///< Of clients; 0: a share of the descriptors.
     http_limits clientLimits; ///< For each connection of a client; `maxBodyBytes` is that of the server.
 };
--- a/packages/wire/src/client_connection.cpp
+++ b/packages/wire/src/client_connection.cpp
@@ -200,15 +200,13 @@
 void client_connection::advance()
 {
     if (m_state == state::head) {
-        if (const auto size = findHeadEnd(m_buffer, m_searched); size > m_limits.maxHeaderBytes)
+        const auto size = findHeadEnd(m_buffer, m_searched);
+        if ((size > 0 ? size : m_buffer.size()) > m_limits.maxHeaderBytes)
             return refuse(refusal_reason::head_too_large);
-        else if (size > 0) {
-            if (!checkHead(size))
-                return;
-        } else if (m_buffer.size() > m_limits.maxHeaderBytes)
-            return refuse(refusal_reason::head_too_large);
-        else
-            // The end may have arrived up to its last byte.
+        if (size > 0 && !checkHead(size))
+            return;
+        // The end may have arrived up to its last byte.
+        if (size == 0)
             m_searched = m_buffer.size() - std::min<std::size_t>(m_buffer.size(), 2);
     }
     if (m_state == state::body && m_buffer.size() >= m_head.size + m_head.bodySize)
