--- a/packages/wire/include/poplardeal/wire/http.h
+++ b/packages/wire/include/poplardeal/wire/http.h
@@ -65,7 +65,7 @@
     void stopListening();
     /// Requests whose headers have arrived and that are not yet answered to the last byte. A planned stop waits for 0.
     std::size_t inFlight() const;
-    /// Requests answered 4xx that never reached the handler.
+    /// Requests refused, and connections cut, before a handler was called. By reason: `connection_budget::refused`.
     std::uint64_t refused() const;
 
 private:
--- a/packages/wire/src/acceptor.cpp
+++ b/packages/wire/src/acceptor.cpp
@@ -9,7 +9,7 @@
     return { failure_code::io_error, "cannot listen on " + toString(local) + ": " + reason };
 }
 
-result<std::unique_ptr<acceptor>> acceptor::open(event_loop& loop, const address& local, handler accept)
+result<std::unique_ptr<acceptor>> acceptor::open(event_loop& loop, const address& local, handler accept, int mostInTurn)
 {
     constexpr int backlog = 1024;
     const auto target = toSocketAddress(local);
@@ -24,13 +24,14 @@
     g_socket_set_listen_backlog(socket.get(), backlog);
     if (!g_socket_bind(socket.get(), target.get(), TRUE, error.out()) || !g_socket_listen(socket.get(), error.out()))
         return cannotListen(local, error.message());
-    return std::unique_ptr<acceptor>(new acceptor(loop, std::move(socket), std::move(accept)));
+    return std::unique_ptr<acceptor>(new acceptor(loop, std::move(socket), std::move(accept), mostInTurn));
 }
 
-acceptor::acceptor(event_loop& loop, object_ptr<GSocket> socket, handler accept)
+acceptor::acceptor(event_loop& loop, object_ptr<GSocket> socket, handler accept, int mostInTurn)
     : m_loop(loop)
     , m_socket(std::move(socket))
     , m_accept(std::move(accept))
+    , m_mostInTurn(mostInTurn)
 {
     watch();
 }
@@ -65,10 +66,9 @@
 
 gboolean acceptor::onReadable(GSocket*, GIOCondition, gpointer self)
 {
-    // With one a turn, a new connection would wait behind a crowd for as many turns as it has members.
-    constexpr int mostInTurn = 64;
+    const int most = static_cast<acceptor*>(self)->m_mostInTurn;
     const std::weak_ptr<const bool> alive = static_cast<acceptor*>(self)->m_alive;
-    for (int i = 0; i < mostInTurn && !alive.expired() && static_cast<acceptor*>(self)->acceptOne(); ++i) { }
+    for (int i = 0; i < most && !alive.expired() && static_cast<acceptor*>(self)->acceptOne(); ++i) { }
     return G_SOURCE_CONTINUE;
 }
 
--- a/packages/wire/src/acceptor.h
+++ b/packages/wire/src/acceptor.h
@@ -15,7 +15,8 @@
     using handler = std::function<void(object_ptr<GSocketConnection>)>;
 
     /// `io_error` if the address cannot be bound.
-    static result<std::unique_ptr<acceptor>> open(event_loop&, const address&, handler);
+    /// Takes at most `mostInTurn` connections in one turn of the loop.
+    static result<std::unique_ptr<acceptor>> open(event_loop&, const address&, handler, int mostInTurn = 1);
     ~acceptor();
     acceptor(const acceptor&) = delete;
     acceptor& operator=(const acceptor&) = delete;
@@ -23,7 +24,7 @@
     address local() const;
 
 private:
-    acceptor(event_loop&, object_ptr<GSocket>, handler);
+    acceptor(event_loop&, object_ptr<GSocket>, handler, int mostInTurn);
 
     static gboolean onReadable(GSocket*, GIOCondition, gpointer self);
     void watch();
@@ -34,6 +35,7 @@
     event_loop& m_loop;
     object_ptr<GSocket> m_socket;
     handler m_accept;
+    int m_mostInTurn;
     GSource* m_source { nullptr };
     event_loop::timer m_resume;
     std::shared_ptr<const bool> m_alive { std::make_shared<bool>(true) };
--- a/packages/wire/src/http_server.cpp
+++ b/packages/wire/src/http_server.cpp
@@ -291,13 +291,16 @@
         loop, local, limits, std::make_shared<connection_budget>(connection_budget::limits {}), std::move(handler));
 }
 
+/// With one, a new connection would wait behind a crowd for as many turns as it has members.
+static constexpr int mostAcceptedInTurn = 64;
+
 result<std::unique_ptr<http_server>> http_server::open(event_loop& loop, const address& local,
     const http_limits& limits, std::shared_ptr<connection_budget> budget,
     std::function<void(http_request, http_responder)> handler)
 {
     auto state = std::make_unique<impl>(loop, limits, std::move(budget), std::move(handler));
     auto take = [self = state.get()](detail::object_ptr<GSocketConnection> stream) { self->accept(std::move(stream)); };
-    auto opened = detail::acceptor::open(loop, local, std::move(take));
+    auto opened = detail::acceptor::open(loop, local, std::move(take), mostAcceptedInTurn);
     if (opened.has_error())
         return opened.error();
     state->acceptor = std::move(opened.value());
