--- a/packages/fleet/include/poplardeal/fleet/settings.h
+++ b/packages/fleet/include/poplardeal/fleet/settings.h
@@ -6,6 +6,7 @@
 #include <poplardeal/base/time.h>
 #include <poplardeal/jobs/run_timing.h>
 #include <poplardeal/wire/address.h>
+#include <poplardeal/wire/http.h>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,10 @@
     run_timing timing; ///< Control only.
     bool weighsPreemptions { false }; ///< Control only: `planner_options::weighsPreemptions`.
     log_level logLevel { log_level::info };
+    std::size_t memoryMegabytes { 120 }; ///< Of the machine; the default is that of the smallest one.
+    std::size_t maxDescriptors { 3075 }; ///< Of the process; the default is that of the smallest machine.
+    std::size_t maxConnections { 0 }; ///< Of clients; 0: a share of the descriptors.
+    http_limits clientLimits; ///< For each connection of a client; `maxBodyBytes` is that of the server.
 };
 
 /// Reads and checks the TOML settings. A failure is `io_error` if the file cannot be read and `invalid_argument`
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -41,6 +41,9 @@
     { "reclaim of hours", "bootstrap = true", "reclaim_ms = 1e8", "x:7: reclaim_ms" },
     { "negative notice", "bootstrap = true", "notice_ms = -1", "x:7: notice_ms" },
     { "string as switch", "bootstrap = true", "weighs_preemptions = \"true\"", "x:7: weighs_preemptions" },
+    { "memory that no process starts in", "bootstrap = true", "memory_mb = 1", "x:7: memory_mb" },
+    { "too few descriptors", "bootstrap = true", "max_fds = 8", "x:7: max_fds" },
+    { "string as header timeout", "bootstrap = true", "header_timeout_ms = \"1\"", "x:7: header_timeout_ms" },
     { "not TOML", "role = ", "role ", "x:1" },
 };
 
--- a/packages/wire/src/acceptor.cpp
+++ b/packages/wire/src/acceptor.cpp
@@ -9,7 +9,7 @@
     return { failure_code::io_error, "cannot listen on " + toString(local) + ": " + reason };
 }
 
-result<std::unique_ptr<acceptor>> acceptor::open(event_loop& loop, const address& local, handler accept)
+result<std::unique_ptr<acceptor>> acceptor::open(event_loop& loop, const address& local, handler accept, int mostInTurn)
 {
     constexpr int backlog = 1024;
     const auto target = toSocketAddress(local);
@@ -24,13 +24,14 @@
     g_socket_set_listen_backlog(socket.get(), backlog);
     if (!g_socket_bind(socket.get(), target.get(), TRUE, error.out()) || !g_socket_listen(socket.get(), error.out()))
         return cannotListen(local, error.message());
-    return std::unique_ptr<acceptor>(new acceptor(loop, std::move(socket), std::move(accept)));
+    return std::unique_ptr<acceptor>(new acceptor(loop, std::move(socket), std::move(accept), mostInTurn));
 }
 
-acceptor::acceptor(event_loop& loop, object_ptr<GSocket> socket, handler accept)
+acceptor::acceptor(event_loop& loop, object_ptr<GSocket> socket, handler accept, int mostInTurn)
     : m_loop(loop)
     , m_socket(std::move(socket))
     , m_accept(std::move(accept))
+    , m_mostInTurn(mostInTurn)
 {
     watch();
 }
@@ -65,11 +66,13 @@
 
 gboolean acceptor::onReadable(GSocket*, GIOCondition, gpointer self)
 {
-    static_cast<acceptor*>(self)->acceptOne();
+    const int most = static_cast<acceptor*>(self)->m_mostInTurn;
+    const std::weak_ptr<const bool> alive = static_cast<acceptor*>(self)->m_alive;
+    for (int i = 0; i < most && !alive.expired() && static_cast<acceptor*>(self)->acceptOne(); ++i) { }
     return G_SOURCE_CONTINUE;
 }
 
-void acceptor::acceptOne()
+bool acceptor::acceptOne()
 {
     error_slot error;
     const object_ptr<GSocket> accepted(g_socket_accept(m_socket.get(), nullptr, error.out()));
@@ -77,13 +80,14 @@
         // A copy, because the handler may destroy this object.
         const auto accept = m_accept;
         accept(object_ptr<GSocketConnection>(g_socket_connection_factory_create_connection(accepted.get())));
-        return;
+        return true;
     }
     if (error.is(G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-        return;
+        return false;
     // Without a free descriptor the socket stays readable; the pause keeps the loop from spinning.
     unwatch();
     m_resume = m_loop.after(std::chrono::milliseconds(100), [this] { watch(); });
+    return false;
 }
 
 } // namespace poplardeal::detail
