emulator: uneven workspaces, shortage scenarios, results by workspace and size

Cause: no scenario had more urgent work than room, all workspaces sent the same, and the plays did not show who is served worst.

Change: `scenario::workspaceSkew`, bursts of one workspace, late values of audits and bulk tasks as users state them (0.1 of on-time), scenarios `shortage` and `one-workspace-burst`; the worst-served tenth of the workspaces, the worst-served queue and the on-time share of the largest tenth of a queue's jobs.

--- a/packages/emulator/include/poplardeal/emulator/emulator.h
+++ b/packages/emulator/include/poplardeal/emulator/emulator.h
@@ -6,6 +6,7 @@
 
 namespace poplardeal::emulator {
 
+/// Jobs of one queue, of one workspace or of one size.
 /// Values are those of `job_kind`; work is in core-seconds, where an accelerator counts as 8 cores.
 struct kind_result {
     std::size_t jobs { 0 };
@@ -15,10 +16,14 @@
     double earned { 0 };
 
     double worth() const { return owed > 0 ? earned / owed : 1; }
+    double onTimeShare() const { return jobs > 0 ? static_cast<double>(onTime) / static_cast<double>(jobs) : 1; }
+    kind_result& operator+=(const kind_result&);
 };
 
 struct emulation_result {
     std::map<std::string, kind_result> byQueue;
+    std::map<std::string, kind_result> largestByQueue; ///< Only the largest tenth of a queue's jobs, by work.
+    std::map<workspace_name, kind_result> byWorkspace;
     double worstSeconds { 1 }; ///< Mean worth of the two worst spans of 2 s.
     double usefulWork { 0 };
     double wastedWork { 0 }; ///< Stopped, failed or lost, and not in a checkpoint; gang members that wait.
@@ -31,8 +36,15 @@
 
     /// Earned by owed value, over all queues.
     double worth() const;
+    /// Mean worth of the worst-served tenth of the workspaces.
+    double worstWorkspaces() const;
+    /// Worth of the worst-served queue.
+    double worstQueue() const;
 };
 
+/// How often the largest jobs of a queue end on time in relation to all of its jobs; of the worst queue.
+double largestServed(const std::map<std::string, kind_result>& all, const std::map<std::string, kind_result>& largest);
+
 /// Plays a scenario in virtual time: the scheduler's job table, worker registry and planner against simulated workers.
 /// Deterministic but for the times of plans.
 emulation_result emulate(const scenario&, const planner_options&, std::uint64_t seed);
--- a/packages/emulator/include/poplardeal/emulator/scenario.h
+++ b/packages/emulator/include/poplardeal/emulator/scenario.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <poplardeal/jobs/model.h>
 #include <string>
 #include <vector>
@@ -53,7 +54,7 @@
 };
 
 enum class disturbance_kind : std::uint8_t {
-    burst, ///< `queue` gets `factor` times as many jobs.
+    burst, ///< `queue` gets `factor` times as many jobs, of all workspaces or of `workspace`.
     workers_cut_off, ///< A share of the workers hears nothing and is not heard; their tasks go on.
     workers_leave, ///< A share of the workers drains for `length` and goes.
     workers_crash, ///< A share of the workers stops without notice and comes back empty after `length`.
@@ -63,9 +64,10 @@
     disturbance_kind kind { disturbance_kind::burst };
     duration at { 0 }; ///< From the start.
     duration length { 0 };
-    std::string queue;
+    std::string queue; ///< Empty: all queues.
     double factor { 1 };
     double share { 0 };
+    std::optional<std::size_t> workspace {}; ///< Index of the only workspace that sends more.
 };
 
 /// A load on a cluster. Together with a seed it determines all jobs, run times and disturbances.
@@ -77,6 +79,7 @@
     duration length { std::chrono::seconds(34) }; ///< In which jobs arrive; open jobs then get `settleTime`.
     duration settleTime { std::chrono::seconds(25) };
     std::size_t workspaces { 10 };
+    double workspaceSkew { 0 }; ///< Workspace i sends a share in proportion to (i + 1)^-skew of the jobs; 0: equal.
     /// Of all accelerators, in equal parts to the workspaces, for jobs of priority 0.
     double guaranteedShare { 0.6 };
 };
@@ -87,7 +90,9 @@
 /// - `urgent-burst`: twice as many urgent gangs of whole workers for 6 s;
 /// - `cut-off`: workers are silent for a while, three times;
 /// - `short-notice`: workers leave at short notice in the middle of a burst;
-/// - `bulk-burst`: three times as many bulk tasks for 6 s before an urgent burst.
+/// - `bulk-burst`: three times as many bulk tasks for 6 s before an urgent burst;
+/// - `shortage`: workspaces of uneven size, and urgent and bulk bursts at once, so that urgent work is short of room;
+/// - `one-workspace-burst`: workspaces of uneven size, of which one sends four times its share for 6 s.
 std::vector<scenario> standardScenarios(std::size_t workers);
 
 } // namespace poplardeal::emulator
--- a/packages/emulator/src/emulate_main.cpp
+++ b/packages/emulator/src/emulate_main.cpp
@@ -25,6 +25,10 @@
 struct summary {
     double worth { 0 };
     double worstSeconds { 0 };
+    double worstWorkspaces { 0 };
+    double worstQueue { 0 };
+    std::map<std::string, kind_result> kinds; ///< Of all plays together, as one has few of the largest jobs.
+    std::map<std::string, kind_result> largest;
     double wastedShare { 0 };
     double planMilliseconds { 0 };
     double longestPlanMilliseconds { 0 };
@@ -38,6 +42,12 @@
 {
     out.worth += weight * result.worth();
     out.worstSeconds += weight * result.worstSeconds;
+    out.worstWorkspaces += weight * result.worstWorkspaces();
+    out.worstQueue += weight * result.worstQueue();
+    for (const auto& [queue, kind] : result.byQueue)
+        out.kinds[queue] += kind;
+    for (const auto& [queue, kind] : result.largestByQueue)
+        out.largest[queue] += kind;
     out.wastedShare += weight * result.wastedWork / std::max(result.usefulWork + result.wastedWork, 1.0);
     out.planMilliseconds += weight * milliseconds(result.planTime) / static_cast<double>(result.plans);
     out.longestPlanMilliseconds = std::max(out.longestPlanMilliseconds, milliseconds(result.longestPlan));
@@ -48,7 +58,8 @@
 
 void print(const std::string& name, const summary& out)
 {
-    std::printf("%-14s %6.3f %6.3f %6.3f %8.2f %8.2f", name.c_str(), out.worth, out.worstSeconds, out.wastedShare,
+    std::printf("%-19s %6.3f %6.3f %6.3f %6.3f %7.2f %6.3f %8.2f %8.2f", name.c_str(), out.worth, out.worstSeconds,
+        out.worstWorkspaces, out.worstQueue, largestServed(out.kinds, out.largest), out.wastedShare,
         out.planMilliseconds, out.longestPlanMilliseconds);
     for (const auto& [queue, worth] : out.byQueue)
         std::printf("  %s %.3f", queue.c_str(), worth);
@@ -89,12 +100,14 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_faults > 0)
         return playSeeds(FLAGS_first_seed, FLAGS_faults);
-    std::printf("scenario        worth  worst wasted  plan ms   max ms  worth by queue\n");
+    std::printf("%-19s %6s %6s %6s %6s %7s %6s %8s %8s  worth by queue\n", "scenario", "worth", "worst", "w-wksp",
+        "w-queue", "largest", "wasted", "plan ms", "max ms");
     bool isKnown = false;
     planner_options options;
     options.stopLatency = std::chrono::milliseconds(FLAGS_stop_latency_ms);
     options.maxPreemptionCost = FLAGS_max_preemption_cost;
     summary all;
+    double largest = 0;
     std::size_t count = 0;
     for (auto load : standardScenarios(FLAGS_workers)) {
         if (!FLAGS_scenario.empty() && FLAGS_scenario != load.name)
@@ -109,10 +122,14 @@
         ++count;
         all.worth += out.worth;
         all.worstSeconds += out.worstSeconds;
+        all.worstWorkspaces += out.worstWorkspaces;
+        all.worstQueue += out.worstQueue;
+        largest += largestServed(out.kinds, out.largest);
         all.wastedShare += out.wastedShare;
     }
     const double scenarios = std::max<double>(1, static_cast<double>(count));
-    std::printf("%-14s %6.4f %6.4f %6.4f\n", "mean", all.worth / scenarios, all.worstSeconds / scenarios,
+    std::printf("%-19s %6.4f %6.4f %6.4f %6.4f %7.3f %6.4f\n", "mean", all.worth / scenarios,
+        all.worstSeconds / scenarios, all.worstWorkspaces / scenarios, all.worstQueue / scenarios, largest / scenarios,
         all.wastedShare / scenarios);
     if (!isKnown)
         std::cerr << "unknown scenario '" << FLAGS_scenario << "'\n";
--- a/packages/emulator/src/emulation.cpp
+++ b/packages/emulator/src/emulation.cpp
@@ -8,9 +8,6 @@
     constexpr duration planInterval = std::chrono::milliseconds(200);
     constexpr duration probeInterval = std::chrono::milliseconds(300); ///< Of a sidecar to its leader.
     constexpr duration leaderTick = std::chrono::milliseconds(100);
-    constexpr duration worstSpan = std::chrono::seconds(2);
-    constexpr std::size_t worstSpans = 2;
-    constexpr int lateFactor = 3; ///< A job that takes more objectives than this earns nothing.
     constexpr std::int64_t bootIntervalMs = 1000; ///< Between the start times of two boots of one worker.
 
     duration scaled(duration d, double factor)
@@ -347,61 +344,6 @@
     m_workers[worker].running.clear();
 }
 
-emulation_result emulation::summarize() const
-{
-    auto out = m_result;
-    const auto& leader = m_leader.statistics();
-    out.starts = leader.starts;
-    out.stops = leader.stops;
-    out.plans = leader.plans;
-    out.planTime = leader.planTime;
-    out.longestPlan = leader.longestPlan;
-    for (const auto& kind : m_load.kinds)
-        out.byQueue[kind.queue] = {};
-    std::map<std::int64_t, std::pair<double, double>> spans; // Owed and earned, by time of arrival.
-    for (const auto& job : m_jobs) {
-        auto& sum = out.byQueue[m_load.kinds[job.kind].queue];
-        ++sum.jobs;
-        sum.owed += job.value;
-        double earned = 0;
-        const auto finished = m_finished.find(job.id);
-        if (finished != m_finished.end()) {
-            const auto took = finished->second - job.arrivesAt;
-            const bool isOnTime = took <= job.objective;
-            const bool isLate = !isOnTime && took <= job.objective * lateFactor;
-            sum.onTime += isOnTime ? 1 : 0;
-            sum.late += isLate ? 1 : 0;
-            earned = isOnTime ? job.value : isLate ? job.lateValue : 0;
-        }
-        sum.earned += earned;
-        auto& span = spans[(job.arrivesAt - m_start) / worstSpan];
-        span.first += job.value;
-        span.second += earned;
-    }
-    std::vector<double> worths;
-    worths.reserve(spans.size());
-    for (const auto& [number, span] : spans)
-        worths.push_back(span.second / span.first);
-    std::sort(worths.begin(), worths.end());
-    const auto count = std::min(worths.size(), worstSpans);
-    double sum = 0;
-    for (std::size_t i = 0; i < count; ++i)
-        sum += worths[i];
-    out.worstSeconds = count == 0 ? 1 : sum / static_cast<double>(count);
-    return out;
-}
-
-double emulation_result::worth() const
-{
-    double owed = 0;
-    double earned = 0;
-    for (const auto& [queue, kind] : byQueue) {
-        owed += kind.owed;
-        earned += kind.earned;
-    }
-    return owed > 0 ? earned / owed : 1;
-}
-
 emulation_result emulate(const scenario& load, const planner_options& options, std::uint64_t seed)
 {
     return emulation(load, options, seed).run();
--- a/packages/emulator/src/emulation.h
+++ b/packages/emulator/src/emulation.h
@@ -40,6 +40,7 @@
     void loseRuns(std::size_t worker);
     void countWaste(const simulated_run&, double savedShare);
 
+    kind_result resultOf(const emulated_job&) const;
     emulation_result summarize() const;
 
     const scenario& m_load;
--- a/packages/emulator/src/job_source.cpp
+++ b/packages/emulator/src/job_source.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cmath>
 #include <cstdio>
+#include <numeric>
 
 namespace poplardeal::emulator {
 
@@ -25,29 +26,46 @@
         return std::exp(spread * drawNormal(random) - spread * spread / 2);
     }
 
-    double rateFactor(const scenario& load, const std::string& queue, duration at)
+    /// Arrival rate of a queue's jobs by workspace, relative to the usual rate of all of them.
+    std::vector<double> workspaceRates(const scenario& load, const std::string& queue, duration at)
     {
-        double out = 1;
-        for (const auto& each : load.disturbances) {
-            if (each.kind == disturbance_kind::burst && each.queue == queue && at >= each.at
-                && at < each.at + each.length)
-                out *= each.factor;
+        std::vector<double> out;
+        double sum = 0;
+        for (std::size_t i = 0; i < load.workspaces; ++i)
+            sum += out.emplace_back(std::pow(static_cast<double>(i + 1), -load.workspaceSkew));
+        for (std::size_t i = 0; i < load.workspaces; ++i) {
+            out[i] /= sum;
+            for (const auto& each : load.disturbances) {
+                if (each.kind == disturbance_kind::burst && (each.queue.empty() || each.queue == queue) && at >= each.at
+                    && at < each.at + each.length && each.workspace.value_or(i) == i)
+                    out[i] *= each.factor;
+            }
         }
         return out;
     }
 
+    std::size_t drawIndex(const std::vector<double>& rates, std::mt19937_64& random)
+    {
+        double left = drawUniform(random) * std::accumulate(rates.begin(), rates.end(), 0.0);
+        std::size_t out = 0;
+        while (out + 1 < rates.size() && left >= rates[out])
+            left -= rates[out++];
+        return out;
+    }
+
     duration scaled(duration d, double factor)
     {
         return duration(static_cast<duration::rep>(static_cast<double>(d.count()) * factor));
     }
 
-    emulated_job drawJob(const scenario& load, std::size_t kindIndex, instant at, std::mt19937_64& random)
+    emulated_job drawJob(const scenario& load, std::size_t kindIndex, const std::vector<double>& rates, instant at,
+        std::mt19937_64& random)
     {
         const auto& kind = load.kinds[kindIndex];
         emulated_job out;
         out.kind = kindIndex;
         out.arrivesAt = at;
-        out.workspace = workspace_name("w" + std::to_string(random() % load.workspaces));
+        out.workspace = workspace_name("w" + std::to_string(drawIndex(rates, random)));
         step_spec step;
         const double width = kind.meanWidth * drawFactor(kind.widthSpread, random);
         step.count = std::clamp(static_cast<std::uint32_t>(std::lround(width)), 1U, kind.maxWidth);
@@ -110,11 +128,12 @@
     for (std::size_t kind = 0; kind < load.kinds.size(); ++kind) {
         duration at { 0 };
         while (true) {
-            const double rate = load.kinds[kind].jobsPerSecond * rateFactor(load, load.kinds[kind].queue, at);
+            const auto rates = workspaceRates(load, load.kinds[kind].queue, at);
+            const double rate = load.kinds[kind].jobsPerSecond * std::accumulate(rates.begin(), rates.end(), 0.0);
             at += scaled(std::chrono::seconds(1), -std::log(1 - drawUniform(random)) / rate);
             if (at >= load.length)
                 break;
-            out.push_back(drawJob(load, kind, start + at, random));
+            out.push_back(drawJob(load, kind, rates, start + at, random));
         }
     }
     std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.arrivesAt < b.arrivesAt; });
--- a/packages/emulator/src/scenario.cpp
+++ b/packages/emulator/src/scenario.cpp
@@ -9,6 +9,9 @@
 
     /// Workers for which the rates below are given.
     constexpr double referenceWorkers = 160;
+    constexpr double workspaceSkew = 1.2;
+    constexpr double shortUrgentFactor = 3.5; ///< Urgent work then fills half the cluster; a burst exceeds it.
+    constexpr double shortOtherFactor = 0.7;
 
     job_kind urgentGangs(double scale)
     {
@@ -41,7 +44,7 @@
         out.priority = 1;
         out.jobsPerSecond = 1.08 * scale;
         out.value = 3;
-        out.lateValue = 0.9;
+        out.lateValue = 0.3;
         out.meanRunTime = milliseconds(6800);
         out.taskSpread = 0.15;
         out.meanWidth = 13;
@@ -63,7 +66,7 @@
         out.priority = 2;
         out.jobsPerSecond = 0.68 * scale;
         out.value = 1;
-        out.lateValue = 0.3;
+        out.lateValue = 0.1;
         out.meanRunTime = milliseconds(9500);
         out.meanWidth = 38;
         out.maxWidth = 230;
@@ -86,6 +89,16 @@
         return out;
     }
 
+    /// Workspaces of uneven size, and little room beside urgent work.
+    scenario namedShort(const char* name, std::size_t workers)
+    {
+        auto out = named(name, workers);
+        out.workspaceSkew = workspaceSkew;
+        for (auto& kind : out.kinds)
+            kind.jobsPerSecond *= kind.priority == 0 ? shortUrgentFactor : shortOtherFactor;
+        return out;
+    }
+
 } // namespace
 
 std::vector<scenario> standardScenarios(std::size_t workers)
@@ -113,6 +126,17 @@
     bulk.disturbances = { { disturbance_kind::burst, seconds(3), seconds(6), "bulk", 3, 0 },
         { disturbance_kind::burst, seconds(12), seconds(6), "urgent", 2, 0 } };
     out.push_back(bulk);
+
+    auto shortage = namedShort("shortage", workers);
+    for (const auto at : { seconds(5), seconds(19) }) {
+        shortage.disturbances.push_back({ disturbance_kind::burst, at, seconds(6), "urgent", 1.8, 0 });
+        shortage.disturbances.push_back({ disturbance_kind::burst, at, seconds(6), "bulk", 2.5, 0 });
+    }
+    out.push_back(shortage);
+
+    auto single = namedShort("one-workspace-burst", workers);
+    single.disturbances = { { disturbance_kind::burst, seconds(8), seconds(6), "", 4, 0, 1 } };
+    out.push_back(single);
     return out;
 }
 
