jobs, fleet: order of waiting work by value, usage by workspace

Cause: within a priority, waiting work was ordered by deadline alone, so that a shortage was spent on work that delivers little, and one workspace's burst delayed all others.

Change: `work_order` ranks waiting units, by deadline (default, plans as before) or by value for the capacity-time still taken, discounted by slack, with a limit for small jobs and a bonus for large ones. `workspace_usage` is replicated; use above twice the share goes later. Aged jobs go first by turns. Setting `work_order`, metrics by workspace. Refusal at the door is not built.

--- a/packages/emulator/src/emulate_main.cpp
+++ b/packages/emulator/src/emulate_main.cpp
@@ -12,6 +12,7 @@
 DEFINE_double(load, 1, "factor of the arrival rates of all queues");
 DEFINE_int64(stop_latency_ms, 400, "planner_options::stopLatency");
 DEFINE_double(max_preemption_cost, 3, "planner_options::maxPreemptionCost");
+DEFINE_string(work_order, "deadline", "planner_options::order: deadline or value");
 DEFINE_uint64(faults, 0, "instead of load patterns, plays this many seeds of random faults");
 DEFINE_uint64(fault_workers, 3, "fault_scenario::workers");
 DEFINE_uint64(fault_jobs, 8, "fault_scenario::jobs");
@@ -106,6 +107,11 @@
     planner_options options;
     options.stopLatency = std::chrono::milliseconds(FLAGS_stop_latency_ms);
     options.maxPreemptionCost = FLAGS_max_preemption_cost;
+    if (FLAGS_work_order != "deadline" && FLAGS_work_order != "value") {
+        std::cerr << "unknown order '" << FLAGS_work_order << "'\n";
+        return 2;
+    }
+    options.order.order = FLAGS_work_order == "value" ? work_order::value : work_order::deadline;
     summary all;
     double largest = 0;
     std::size_t count = 0;
--- a/packages/fleet/include/poplardeal/fleet/settings.h
+++ b/packages/fleet/include/poplardeal/fleet/settings.h
@@ -4,6 +4,7 @@
 #include <poplardeal/base/ids.h>
 #include <poplardeal/base/log.h>
 #include <poplardeal/base/time.h>
+#include <poplardeal/jobs/work_order.h>
 #include <poplardeal/wire/address.h>
 #include <string>
 #include <vector>
@@ -37,6 +38,7 @@
     duration leaseLength { std::chrono::seconds(6) }; ///< Longest lease that workers accept.
     duration stopGrace { std::chrono::seconds(6) }; ///< Time from SIGTERM to SIGKILL.
     double distanceFactor { 3 }; ///< Factor on the run time of a task that runs away from its step's data.
+    work_order workOrder { work_order::deadline }; ///< Control only: order of waiting work.
     log_level logLevel { log_level::info };
 };
 
--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -11,6 +11,7 @@
     using message::queue_outcome;
 
     constexpr duration planInterval = std::chrono::milliseconds(200); // Deadlines and waits change without an event.
+    constexpr duration metricsInterval = std::chrono::milliseconds(1000);
     constexpr duration planDelay = std::chrono::milliseconds(2); // Events close to each other share a plan.
     constexpr std::uint32_t retryAfterMs = 1000; // About one election; Retry-After has a resolution of 1 s.
     constexpr std::size_t submissionIdLength = 16;
@@ -81,8 +82,10 @@
     , m_stops(metrics.getCounter("poplardeal_task_stops_total", "Task stops ordered"))
     , m_released(metrics.getCounter("poplardeal_runs_released_total", "Runs given up without a listed end"))
     , m_planTime(metrics.getTiming("poplardeal_plan_seconds", "Time to make one plan"))
+    , m_workspaceMetrics(metrics)
 {
     m_plannerOptions.distanceFactor = settings.distanceFactor;
+    m_plannerOptions.order.order = settings.workOrder;
 }
 
 void job_leader::attach(replica& member) { m_replica = &member; }
@@ -103,12 +106,18 @@
                 { "open_jobs", m_stateMachine.table().openJobs().size() } });
         if (leading)
             m_workers.startLeadership(now);
+        else
+            m_workspaceMetrics.clear();
     }
     if (!leading)
         return;
     releaseRuns(m_workers.expiredRuns(m_stateMachine.table(), now), "lease_expired");
     if (m_planWanted || now - m_plannedAt >= planInterval)
         plan();
+    if (now - m_metricsAt >= metricsInterval) {
+        m_metricsAt = now;
+        m_workspaceMetrics.update(m_stateMachine.table(), m_loop.wallClock());
+    }
 }
 
 void job_leader::propose(job_command_body body, std::function<void(result<apply_outcome>)> done)
--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "workspace_metrics.h"
 #include <functional>
 #include <poplardeal/base/metrics.h>
 #include <poplardeal/consensus/replica.h>
@@ -101,6 +102,8 @@
     counter& m_stops;
     counter& m_released;
     timing& m_planTime;
+    workspace_metrics m_workspaceMetrics;
+    instant m_metricsAt; ///< Last update of `m_workspaceMetrics`.
 };
 
 } // namespace poplardeal::detail
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -170,6 +170,10 @@
     out.leaseLength = reader.readMilliseconds("lease_ms", out.leaseLength, 1000, longestLeaseMs);
     out.stopGrace = reader.readSeconds("stop_grace_s", out.stopGrace, 0.5, 600);
     out.distanceFactor = reader.readNumber("distance_factor", out.distanceFactor, 1, 1000);
+    if (reader.has("work_order")) {
+        constexpr std::array<std::string_view, 2> orders { "deadline", "value" };
+        out.workOrder = static_cast<work_order>(reader.readChoice("work_order", orders));
+    }
     if (reader.has("log_level")) {
         constexpr std::array<std::string_view, 4> levels { "debug", "info", "warning", "error" };
         out.logLevel = static_cast<log_level>(reader.readChoice("log_level", levels));
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -32,6 +32,8 @@
     { "string as lease", "6000", "\"6000\"", "x:8: lease_ms" },
     { "no data folder", "data_folder = \"/data\"\n", "", "data_folder" },
     { "no entries between snapshots", "bootstrap = true", "snapshot_every = 0", "x:7: snapshot_every" },
+    { "order of work", "bootstrap = true", "work_order = \"value\"", "" },
+    { "unknown order of work", "bootstrap = true", "work_order = \"size\"", "x:7: work_order" },
     { "not TOML", "role = ", "role ", "x:1" },
 };
 
--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -7,6 +7,7 @@
 #include <poplardeal/jobs/plan_index.h>
 #include <poplardeal/jobs/run_time_model.h>
 #include <poplardeal/jobs/worker_speeds.h>
+#include <poplardeal/jobs/workspace_usage.h>
 #include <set>
 #include <string>
 #include <vector>
@@ -143,6 +144,7 @@
     }
     const run_time_model& runTimes() const { return m_runTimes; }
     const worker_speeds& speeds() const { return m_speeds; }
+    const workspace_usage& usage() const { return m_usage; }
 
     /// The unit of a task; null if there is no such task.
     const unit* findUnit(const task_key&) const;
@@ -185,8 +187,8 @@
     void pruneEndedJobs(instant at);
     void setAddress(const worker_boot&, const std::string& address);
     void eraseAddress(const std::string&, const worker_boot&);
-    void removeRun(const worker_boot&, const run_key&);
-    void removeRunsOfUnit(const task_key&, const step_spec&, const unit&);
+    void removeRun(const worker_boot&, const run_key&, instant at);
+    void removeRunsOfUnit(const task_key&, const step_spec&, const unit&, instant at);
     void indexRuns(const submission&);
 
     queue_plan m_plan;
@@ -194,6 +196,7 @@
     std::set<data_centre_name> m_outOfService;
     run_time_model m_runTimes;
     worker_speeds m_speeds;
+    workspace_usage m_usage; ///< The current runs in it are those of `m_runs`.
     std::map<submission_id, submission> m_jobs;
     std::set<submission_id> m_open;
     std::map<worker_boot, std::set<run_key>> m_runs; ///< Runs that may exist; derived from `m_jobs`.
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <poplardeal/base/time.h>
 #include <poplardeal/jobs/job_table.h>
+#include <poplardeal/jobs/work_order.h>
 #include <set>
 #include <vector>
 
@@ -87,6 +88,7 @@
     duration stopLatency { std::chrono::milliseconds(400) };
     /// Largest cost of a preemption without a guarantee, in multiples of the work of the unit that it is for.
     double maxPreemptionCost { 3 };
+    order_options order; ///< Of the waiting units.
     std::size_t maxReservations { 16 }; ///< Blocked units that reserve workers; bounds the run time of a plan.
 };
 
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -15,6 +15,8 @@
     unit, phase, lastRun, failures, runFailed, saved, waitingSince, startedAt, isResumed, members)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(speed_sample, worker, task, runTime)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(run_time_record, count, meanLog, spreadLog, meanBias, spreadBias)
+// The current runs are those of the jobs.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(usage_record, coreSeconds, at)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_state, units, doneUnits)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_occurrence, steps)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(submission, id, queue, service, workspace, priority, attempts, stretch, allowance,
@@ -175,7 +177,8 @@
             started.members.assign(memberCount(spec), {});
         }
         started.members[memberIndexOf(spec, start.task.index)].worker = start.worker;
-        m_runs[start.worker].insert({ start.task, start.run });
+        if (m_runs[start.worker].insert({ start.task, start.run }).second)
+            m_usage.didStart(job.workspace, spec.need, at);
         setAddress(start.worker, start.address);
         job.hasStarted = true;
         job.phase = submission_phase::running;
@@ -213,7 +216,7 @@
     ended->runFailed = ended->runFailed || kind == end_kind::failed;
     auto& member = ended->members[memberIndexOf(spec, task.index)];
     member.isOver = true;
-    removeRun(member.worker, { task, run });
+    removeRun(member.worker, { task, run }, at);
     const bool over
         = std::all_of(ended->members.begin(), ended->members.end(), [](const unit_member& m) { return m.isOver; });
     if (over)
@@ -236,7 +239,7 @@
 
 void job_table::endRun(submission& job, const task_key& task, unit& ended, bool isDone, instant at)
 {
-    removeRunsOfUnit(task, job.spec.steps[task.step], ended);
+    removeRunsOfUnit(task, job.spec.steps[task.step], ended, at);
     auto& step = job.occurrences[task.occurrence].steps[task.step];
     if (isDone) {
         ++step.doneUnits;
@@ -267,12 +270,15 @@
     return found == m_runs.end() ? none : found->second;
 }
 
-void job_table::removeRun(const worker_boot& worker, const run_key& run)
+void job_table::removeRun(const worker_boot& worker, const run_key& run, instant at)
 {
     const auto found = m_runs.find(worker);
     if (found == m_runs.end())
         return;
-    found->second.erase(run);
+    if (found->second.erase(run) > 0) {
+        const auto& job = m_jobs.at(run.task.job);
+        m_usage.didEnd(job.workspace, job.spec.steps[run.task.step].need, at);
+    }
     if (!found->second.empty())
         return;
     m_runs.erase(found);
@@ -319,12 +325,12 @@
     return found == m_addresses.end() ? std::string() : found->second;
 }
 
-void job_table::removeRunsOfUnit(const task_key& any, const step_spec& step, const unit& ended)
+void job_table::removeRunsOfUnit(const task_key& any, const step_spec& step, const unit& ended, instant at)
 {
     for (std::uint32_t m = 0; m < ended.members.size(); ++m) {
         auto task = any;
         task.index = taskIndexOf(step, unitIndexOf(step, any.index), m);
-        removeRun(ended.members[m].worker, { task, ended.lastRun });
+        removeRun(ended.members[m].worker, { task, ended.lastRun }, at);
     }
 }
 
@@ -336,8 +342,10 @@
             for (std::uint32_t u = 0; u < units.size(); ++u) {
                 for (std::uint32_t m = 0; m < units[u].members.size(); ++m) {
                     const task_key task { job.id, o, s, taskIndexOf(job.spec.steps[s], u, m) };
-                    if (!units[u].members[m].isOver)
-                        m_runs[units[u].members[m].worker].insert({ task, units[u].lastRun });
+                    if (units[u].members[m].isOver)
+                        continue;
+                    m_runs[units[u].members[m].worker].insert({ task, units[u].lastRun });
+                    m_usage.restoreRun(job.workspace, job.spec.steps[s].need);
                 }
             }
         }
@@ -383,6 +391,7 @@
     out["out_of_service"] = m_outOfService;
     out["speeds"] = m_speeds.samples();
     out["run_times"] = m_runTimes.records();
+    out["usage"] = m_usage.records();
     out["sequence"] = m_sequence;
     out["pruned_at"] = m_prunedAt;
     out["addresses"] = m_addresses;
@@ -409,6 +418,9 @@
         read.m_outOfService = in.at("out_of_service").get<std::set<data_centre_name>>();
         read.m_speeds.restore(in.at("speeds").get<std::deque<speed_sample>>());
         read.m_runTimes.restore(in.at("run_times").get<std::map<queue_name, run_time_record>>());
+        // Snapshots of earlier versions have no usage.
+        if (in.contains("usage"))
+            read.m_usage.restore(in.at("usage").get<std::map<workspace_name, usage_record>>());
         read.m_sequence = in.at("sequence").get<std::uint64_t>();
         read.m_prunedAt = in.at("pruned_at").get<instant>();
         for (const auto& [boot, address] : in.at("addresses").get<std::map<worker_boot, std::string>>())
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -337,20 +337,11 @@
         if (!job.isTerminal())
             appendCandidates(job, out);
     }
-    // Only expired units without a guarantee come after those of lower priority.
-    const auto rank = [](const candidate& c) {
-        return c.isGuaranteed || c.deadlineStatus != deadline_status::expired ? deadline_status::on_time
-                                                                              : c.deadlineStatus;
-    };
-    // The sequence differs from job to job, so that the ids need not be compared.
-    // Among units of one priority, late ones come last: with them first, each of a burst would make the next one late.
-    const auto order = [&rank](const candidate& c) {
-        const bool isLate = !c.isGuaranteed && c.deadlineStatus != deadline_status::on_time;
-        return std::tuple(rank(c), !c.isGuaranteed, c.job->priority, isLate, c.deadline, c.job->sequence,
-            c.key.occurrence, c.key.step, c.key.unit);
-    };
-    std::sort(out.begin(), out.end(), [&order](const candidate& a, const candidate& b) { return order(a) < order(b); });
-    return out;
+    std::vector<candidate> ordered;
+    ordered.reserve(out.size());
+    for (const auto index : rankCandidates(out))
+        ordered.push_back(std::move(out[index]));
+    return ordered;
 }
 
 bool placement_round::isEligible(const candidate& item, const round_worker& worker) const
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -42,13 +42,6 @@
     instant reservedFrom { instant::max() }; ///< Reserved for a blocked unit from this time on.
 };
 
-/// Whether an occurrence of a job can still end within its objective.
-enum class deadline_status : std::uint8_t {
-    on_time,
-    late,
-    expired, ///< So late that the job earns nothing.
-};
-
 /// A waiting unit that may start now.
 struct candidate {
     unit_key key;
@@ -132,6 +125,8 @@
 
     std::vector<candidate> collectCandidates() const;
     void appendCandidates(const submission&, std::vector<candidate>&) const;
+    std::vector<std::size_t> rankCandidates(const std::vector<candidate>&) const;
+    std::set<std::uint64_t> agedJobs() const;
     bool isReady(const submission&, std::uint32_t occurrence, std::uint32_t step) const;
     duration estimateRunTime(const submission&, std::uint32_t occurrence, std::uint32_t step) const;
     const occurrence_times& timesOf(const submission&, std::uint32_t occurrence) const;
