--- a/packages/emulator/src/emulate_main.cpp
+++ b/packages/emulator/src/emulate_main.cpp
@@ -18,6 +18,7 @@
 DEFINE_bool(weighs_preemptions, false, "planner_options::weighsPreemptions");
 DEFINE_double(max_preemption_cost, 3, "planner_options::maxPreemptionCost");
 DEFINE_bool(uses_expected_times, false, "planner_options::usesExpectedTimes");
+DEFINE_string(work_order, "deadline", "planner_options::order: deadline or value");
 DEFINE_uint64(faults, 0, "instead of load patterns, plays this many seeds of random faults");
 DEFINE_uint64(fault_workers, 3, "fault_scenario::workers");
 DEFINE_uint64(fault_jobs, 8, "fault_scenario::jobs");
@@ -31,6 +32,10 @@
 struct summary {
     double worth { 0 };
     double worstSeconds { 0 };
+    double worstWorkspaces { 0 };
+    double worstQueue { 0 };
+    std::map<std::string, kind_result> kinds; ///< Of all plays together, as one has few of the largest jobs.
+    std::map<std::string, kind_result> largest;
     double wastedShare { 0 };
     std::array<double, wasteReasons> wastedByReason {}; ///< As shares of all work.
     double preemptions { 0 };
@@ -57,6 +62,12 @@
     out.repeatedPreemptions += weight * static_cast<double>(result.repeatedPreemptions);
     out.reclaims += weight * static_cast<double>(result.reclaims);
     out.lateReclaims += weight * static_cast<double>(result.lateReclaims);
+    out.worstWorkspaces += weight * result.worstWorkspaces();
+    out.worstQueue += weight * result.worstQueue();
+    for (const auto& [queue, kind] : result.byQueue)
+        out.kinds[queue] += kind;
+    for (const auto& [queue, kind] : result.largestByQueue)
+        out.largest[queue] += kind;
     out.planMilliseconds += weight * milliseconds(result.planTime) / static_cast<double>(result.plans);
     out.longestPlanMilliseconds = std::max(out.longestPlanMilliseconds, milliseconds(result.longestPlan));
     out.doubleRuns += result.doubleRuns;
@@ -66,7 +77,8 @@
 
 void print(const std::string& name, const summary& out)
 {
-    std::printf("%-14s %6.3f %6.3f %6.3f %8.2f %8.2f", name.c_str(), out.worth, out.worstSeconds, out.wastedShare,
+    std::printf("%-19s %6.3f %6.3f %6.3f %6.3f %7.2f %6.3f %8.2f %8.2f", name.c_str(), out.worth, out.worstSeconds,
+        out.worstWorkspaces, out.worstQueue, largestServed(out.kinds, out.largest), out.wastedShare,
         out.planMilliseconds, out.longestPlanMilliseconds);
     for (const auto& [queue, worth] : out.byQueue)
         std::printf("  %s %.3f", queue.c_str(), worth);
@@ -111,7 +123,8 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_faults > 0)
         return playSeeds(FLAGS_first_seed, FLAGS_faults);
-    std::printf("scenario        worth  worst wasted  plan ms   max ms  worth by queue\n");
+    std::printf("%-19s %6s %6s %6s %6s %7s %6s %8s %8s  worth by queue\n", "scenario", "worth", "worst", "w-wksp",
+        "w-queue", "largest", "wasted", "plan ms", "max ms");
     bool isKnown = false;
     planner_options options;
     options.stopLatency = std::chrono::milliseconds(FLAGS_stop_latency_ms);
@@ -123,7 +136,13 @@
         options.timing.checkpointInterval = std::chrono::milliseconds(FLAGS_checkpoint_ms);
         options.timing.restore = std::chrono::milliseconds(FLAGS_restore_ms);
     }
+    if (FLAGS_work_order != "deadline" && FLAGS_work_order != "value") {
+        std::cerr << "unknown order '" << FLAGS_work_order << "'\n";
+        return 2;
+    }
+    options.order.order = FLAGS_work_order == "value" ? work_order::value : work_order::deadline;
     summary all;
+    double largest = 0;
     std::size_t count = 0;
     for (auto load : standardScenarios(FLAGS_workers)) {
         if (!FLAGS_scenario.empty() && FLAGS_scenario != load.name)
@@ -142,10 +161,14 @@
         ++count;
         all.worth += out.worth;
         all.worstSeconds += out.worstSeconds;
+        all.worstWorkspaces += out.worstWorkspaces;
+        all.worstQueue += out.worstQueue;
+        largest += largestServed(out.kinds, out.largest);
         all.wastedShare += out.wastedShare;
     }
     const double scenarios = std::max<double>(1, static_cast<double>(count));
-    std::printf("%-14s %6.4f %6.4f %6.4f\n", "mean", all.worth / scenarios, all.worstSeconds / scenarios,
+    std::printf("%-19s %6.4f %6.4f %6.4f %6.4f %7.3f %6.4f\n", "mean", all.worth / scenarios,
+        all.worstSeconds / scenarios, all.worstWorkspaces / scenarios, all.worstQueue / scenarios, largest / scenarios,
         all.wastedShare / scenarios);
     if (!isKnown)
         std::cerr << "unknown scenario '" << FLAGS_scenario << "'\n";
--- a/packages/emulator/src/emulation.h
+++ b/packages/emulator/src/emulation.h
@@ -47,6 +47,7 @@
     void countWaste(const simulated_run&, double savedShare, waste_reason);
 
     waste_reason wasteReason(const run_key&) const;
+    kind_result resultOf(const emulated_job&) const;
     emulation_result summarize() const;
 
     const scenario& m_load;
--- a/packages/fleet/include/poplardeal/fleet/settings.h
+++ b/packages/fleet/include/poplardeal/fleet/settings.h
@@ -5,6 +5,7 @@
 #include <poplardeal/base/log.h>
 #include <poplardeal/base/time.h>
 #include <poplardeal/jobs/run_timing.h>
+#include <poplardeal/jobs/work_order.h>
 #include <poplardeal/wire/address.h>
 #include <poplardeal/wire/http.h>
 #include <string>
@@ -42,6 +43,7 @@
     bool usesExpectedTimes { false }; ///< Control only: `planner_options::usesExpectedTimes`.
     run_timing timing; ///< Control only.
     bool weighsPreemptions { false }; ///< Control only: `planner_options::weighsPreemptions`.
+    work_order workOrder { work_order::deadline }; ///< Control only: order of waiting work.
     log_level logLevel { log_level::info };
     std::size_t memoryMegabytes { 120 }; ///< Of the machine; the default is that of the smallest one.
     std::size_t maxDescriptors { 3075 }; ///< Of the process; the default is that of the smallest machine.
--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "discarded_work.h"
+#include "workspace_metrics.h"
 #include <functional>
 #include <poplardeal/base/metrics.h>
 #include <poplardeal/consensus/replica.h>
@@ -108,6 +109,8 @@
     gauge& m_measuredWorkers;
     gauge& m_leastSlowness;
     gauge& m_mostSlowness;
+    workspace_metrics m_workspaceMetrics;
+    instant m_metricsAt; ///< Last update of `m_workspaceMetrics`.
 };
 
 } // namespace poplardeal::detail
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -44,6 +44,8 @@
     { "memory that no process starts in", "bootstrap = true", "memory_mb = 1", "x:7: memory_mb" },
     { "too few descriptors", "bootstrap = true", "max_fds = 8", "x:7: max_fds" },
     { "string as header timeout", "bootstrap = true", "header_timeout_ms = \"1\"", "x:7: header_timeout_ms" },
+    { "order of work", "bootstrap = true", "work_order = \"value\"", "" },
+    { "unknown order of work", "bootstrap = true", "work_order = \"size\"", "x:7: work_order" },
     { "not TOML", "role = ", "role ", "x:1" },
 };
 
--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -8,6 +8,7 @@
 #include <poplardeal/jobs/run_time_model.h>
 #include <poplardeal/jobs/speed_model.h>
 #include <poplardeal/jobs/worker_speeds.h>
+#include <poplardeal/jobs/workspace_usage.h>
 #include <set>
 #include <string>
 #include <vector>
@@ -147,6 +148,7 @@
     const speed_history& speedHistory() const { return m_speedHistory; }
     /// The same as `expectedRunTime`, but on ordinary workers instead of those that the queue has had so far.
     duration ordinaryRunTime(const submission& job, const step_spec& step) const;
+    const workspace_usage& usage() const { return m_usage; }
 
     /// The unit of a task; null if there is no such task.
     const unit* findUnit(const task_key&) const;
@@ -189,8 +191,8 @@
     void pruneEndedJobs(instant at);
     void setAddress(const worker_boot&, const std::string& address);
     void eraseAddress(const std::string&, const worker_boot&);
-    void removeRun(const worker_boot&, const run_key&);
-    void removeRunsOfUnit(const task_key&, const step_spec&, const unit&);
+    void removeRun(const worker_boot&, const run_key&, instant at);
+    void removeRunsOfUnit(const task_key&, const step_spec&, const unit&, instant at);
     void indexRuns(const submission&);
 
     queue_plan m_plan;
@@ -199,6 +201,7 @@
     run_time_model m_runTimes;
     worker_speeds m_speeds;
     speed_history m_speedHistory;
+    workspace_usage m_usage; ///< The current runs in it are those of `m_runs`.
     std::map<submission_id, submission> m_jobs;
     std::set<submission_id> m_open;
     std::map<worker_boot, std::set<run_key>> m_runs; ///< Runs that may exist; derived from `m_jobs`.
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -5,6 +5,7 @@
 #include <poplardeal/base/time.h>
 #include <poplardeal/jobs/job_table.h>
 #include <poplardeal/jobs/run_timing.h>
+#include <poplardeal/jobs/work_order.h>
 #include <set>
 #include <vector>
 
@@ -99,6 +100,7 @@
     /// Starts no long unit of lower rank while a unit waits for its victims to end: the next unit of that burst would
     /// stop it again.
     bool weighsPreemptions { false };
+    order_options order; ///< Of the waiting units.
     std::size_t maxReservations { 16 }; ///< Blocked units that reserve workers; bounds the run time of a plan.
 };
 
