jobs: tasks that slow each other down are kept apart where there is room

Cause: a task may take longer for what runs beside it, and placement did not know. Change: the job table feeds the interference table from starts and ends and saves it; with planner_options::separatesInterfering (off) a worker where tasks would slow each other down scores worse in the choice for a task, and none is excluded. Not yet measured on a load.

--- a/packages/jobs/include/poplardeal/jobs/interference_table.h
+++ b/packages/jobs/include/poplardeal/jobs/interference_table.h
@@ -36,7 +36,8 @@
 
 /// The run time of one task, and which kinds ran beside it for the whole time or never.
 struct neighbour_sample {
-    double logTime { 0 }; ///< Natural logarithm of seconds on an ordinary worker.
+    worker_boot worker;
+    duration runTime { 0 };
     std::uint32_t beside { 0 }; ///< Bit mask by kind index.
     std::uint32_t apart { 0 };
 
@@ -76,16 +77,18 @@
 public:
     void didBegin(const worker_boot&, const task_kind&, instant at);
     void didEnd(const worker_boot&, const task_kind&, instant at);
-    /// A single task of a step was done. `slowness` is that of its worker.
-    void didComplete(
-        const step_key&, const worker_boot&, const task_kind&, instant startedAt, instant at, double slowness);
-    /// All tasks of the step are done: its samples are evaluated and dropped.
-    void didCompleteStep(const step_key&, const task_kind&);
+    /// A single task of a step was done. Call before `didEnd`.
+    void didComplete(const step_key&, const worker_boot&, const task_kind&, instant startedAt, instant at);
+    /// All tasks of the step are done: its samples are evaluated and dropped. `slowness` has the run time on each
+    /// worker relative to an ordinary one; samples of workers that it lacks are left out.
+    void didCompleteStep(const step_key&, const task_kind&, const std::map<worker_boot, double>& slowness);
     /// The job has ended: the samples of its steps are dropped.
     void didEndJob(const submission_id&);
 
     /// 1 unless the slowdown is known.
     double slowdown(const task_kind& affected, const task_kind& cause) const;
+    /// Whether the samples of a step can say anything, so that its completion needs the speeds of workers.
+    bool canCompare(const step_key&) const;
     /// The known pairs.
     std::vector<interference_estimate> estimates() const;
     bool hasEstimates() const;
@@ -101,8 +104,6 @@
     /// `maxKinds` if there is no room for a further kind.
     std::uint32_t indexOf(const task_kind&);
     std::uint32_t findIndex(const task_kind&) const;
-    static void evaluate(const std::vector<neighbour_sample>&, std::uint32_t cause, pair_record&);
-
     interference_records m_records;
 };
 
--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <poplardeal/base/failure.h>
 #include <poplardeal/jobs/command.h>
+#include <poplardeal/jobs/interference_table.h>
 #include <poplardeal/jobs/model.h>
 #include <poplardeal/jobs/plan_index.h>
 #include <poplardeal/jobs/run_time_model.h>
@@ -143,6 +144,7 @@
     }
     const run_time_model& runTimes() const { return m_runTimes; }
     const worker_speeds& speeds() const { return m_speeds; }
+    const interference_table& interference() const { return m_interference; }
 
     /// The unit of a task; null if there is no such task.
     const unit* findUnit(const task_key&) const;
@@ -177,6 +179,7 @@
     void endMember(const task_key&, run_number, end_kind, const checkpoint&, instant at);
     /// Passes the run time of a unit that is done to the run time statistics, unless it resumed from a checkpoint.
     void recordRunTime(const submission&, const task_key&, const unit&, instant at);
+    void recordNeighbours(const submission&, const task_key&, const unit& done, instant at);
     /// Ends the current run of a unit; the unit is then done or waits for its next start.
     void endRun(submission&, const task_key&, unit&, bool isDone, instant at);
     void endJob(submission&, submission_phase, instant at);
@@ -194,12 +197,14 @@
     std::set<data_centre_name> m_outOfService;
     run_time_model m_runTimes;
     worker_speeds m_speeds;
+    interference_table m_interference;
     std::map<submission_id, submission> m_jobs;
     std::set<submission_id> m_open;
     std::map<worker_boot, std::set<run_key>> m_runs; ///< Runs that may exist; derived from `m_jobs`.
     std::map<worker_boot, std::string> m_addresses; ///< Addresses of the worker boots in `m_runs`.
     std::map<std::string, std::set<worker_boot>> m_bootsByAddress; ///< Inverse of `m_addresses`.
     std::uint64_t m_sequence { 0 };
+    instant m_appliedAt; ///< Time of the command that is applied.
     instant m_prunedAt;
 };
 
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -87,6 +87,7 @@
     duration stopLatency { std::chrono::milliseconds(400) };
     /// Largest cost of a preemption without a guarantee, in multiples of the work of the unit that it is for.
     double maxPreemptionCost { 3 };
+    bool separatesInterfering { false }; ///< Prefers workers where no task slows another one down.
     std::size_t maxReservations { 16 }; ///< Blocked units that reserve workers; bounds the run time of a plan.
 };
 
--- a/packages/jobs/src/interference_table.cpp
+++ b/packages/jobs/src/interference_table.cpp
@@ -50,6 +50,32 @@
         pair.spread += deviation * (value - pair.mean);
     }
 
+    bool hasKind(std::uint32_t mask, std::uint32_t kind) { return (mask >> kind & 1U) != 0; }
+
+    /// A sample and the logarithm of its run time on an ordinary worker, in seconds.
+    using timed_sample = std::pair<const neighbour_sample*, double>;
+
+    /// Adds the difference between the runs of a step that had the cause beside them and those that did not.
+    void evaluate(const std::vector<timed_sample>& samples, std::uint32_t cause, pair_record& pair)
+    {
+        std::vector<double> beside;
+        std::vector<double> apart;
+        for (const auto& [sample, logTime] : samples) {
+            if (hasKind(sample->beside, cause))
+                beside.push_back(logTime);
+            else if (hasKind(sample->apart, cause))
+                apart.push_back(logTime);
+        }
+        if (beside.size() < leastGroup || apart.size() < leastGroup)
+            return;
+        addSample(pair, median(std::move(beside)) - median(std::move(apart)));
+        const double certainty = certaintyOf(pair);
+        if (pair.weight >= leastWeight && pair.mean >= leastKnownSlowdown && certainty >= knownCertainty)
+            pair.isKnown = true;
+        else if (certainty < forgottenCertainty)
+            pair.isKnown = false;
+    }
+
 } // namespace
 
 task_kind kindOf(const queue_name& queue, std::uint32_t stepIndex, const step_spec& step)
@@ -104,12 +130,12 @@
         m_records.presence.erase(found);
 }
 
-void interference_table::didComplete(const step_key& step, const worker_boot& worker, const task_kind& kind,
-    instant startedAt, instant at, double slowness)
+void interference_table::didComplete(
+    const step_key& step, const worker_boot& worker, const task_kind& kind, instant startedAt, instant at)
 {
     const auto own = indexOf(kind);
     const auto runTime = at - startedAt;
-    if (own == maxKinds || runTime <= duration::zero() || slowness <= 0)
+    if (own == maxKinds || runTime <= duration::zero())
         return;
     if (!m_records.steps.contains(step) && m_records.steps.size() == maxSteps)
         return;
@@ -117,7 +143,8 @@
     if (samples.size() == maxSamplesPerStep)
         return;
     neighbour_sample out;
-    out.logTime = std::log(std::chrono::duration<double>(runTime).count() / slowness);
+    out.worker = worker;
+    out.runTime = runTime;
     out.apart = ~(1U << own);
     const auto tolerated = startedAt + scaled(runTime, presenceTolerance);
     if (const auto found = m_records.presence.find(worker); found != m_records.presence.end()) {
@@ -134,39 +161,31 @@
     samples.push_back(out);
 }
 
-void interference_table::evaluate(const std::vector<neighbour_sample>& samples, std::uint32_t cause, pair_record& pair)
+bool interference_table::canCompare(const step_key& step) const
 {
-    std::vector<double> beside;
-    std::vector<double> apart;
-    for (const auto& each : samples) {
-        if ((each.beside >> cause & 1U) != 0)
-            beside.push_back(each.logTime);
-        else if ((each.apart >> cause & 1U) != 0)
-            apart.push_back(each.logTime);
-    }
-    if (beside.size() < leastGroup || apart.size() < leastGroup)
-        return;
-    addSample(pair, median(std::move(beside)) - median(std::move(apart)));
-    const double certainty = certaintyOf(pair);
-    if (pair.weight >= leastWeight && pair.mean >= leastKnownSlowdown && certainty >= knownCertainty)
-        pair.isKnown = true;
-    else if (certainty < forgottenCertainty)
-        pair.isKnown = false;
+    const auto found = m_records.steps.find(step);
+    return found != m_records.steps.end() && found->second.size() >= 2 * leastGroup
+        && std::any_of(found->second.begin(), found->second.end(), [](const auto& each) { return each.beside != 0; });
 }
 
-void interference_table::didCompleteStep(const step_key& step, const task_kind& kind)
+void interference_table::didCompleteStep(
+    const step_key& step, const task_kind& kind, const std::map<worker_boot, double>& slowness)
 {
     const auto samples = m_records.steps.extract(step);
     const auto affected = findIndex(kind);
     if (samples.empty() || affected == maxKinds)
         return;
+    std::vector<timed_sample> timed;
+    for (const auto& each : samples.mapped()) {
+        if (const auto known = slowness.find(each.worker); known != slowness.end() && known->second > 0)
+            timed.emplace_back(&each, std::log(std::chrono::duration<double>(each.runTime).count() / known->second));
+    }
     for (std::uint32_t cause = 0; cause < m_records.kinds.size(); ++cause) {
         if (cause == affected)
             continue;
-        pair_record pair;
-        if (const auto known = m_records.pairs.find({ affected, cause }); known != m_records.pairs.end())
-            pair = known->second;
-        evaluate(samples.mapped(), cause, pair);
+        const auto known = m_records.pairs.find({ affected, cause });
+        auto pair = known != m_records.pairs.end() ? known->second : pair_record();
+        evaluate(timed, cause, pair);
         if (pair.weight > 0)
             m_records.pairs[{ affected, cause }] = pair;
     }
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -15,6 +15,11 @@
     unit, phase, lastRun, failures, runFailed, saved, waitingSince, startedAt, isResumed, members)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(speed_sample, worker, task, runTime)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(run_time_record, count, meanLog, spreadLog, meanBias, spreadBias)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_key, job, occurrence, step)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(kind_presence, kind, running, since, lastEnd)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(neighbour_sample, worker, runTime, beside, apart)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pair_record, weight, mean, spread, isKnown)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(interference_records, kinds, presence, steps, pairs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_state, units, doneUnits)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_occurrence, steps)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(submission, id, queue, service, workspace, priority, attempts, stretch, allowance,
@@ -53,6 +58,7 @@
 
 apply_outcome job_table::apply(const job_command& command)
 {
+    m_appliedAt = command.at;
     pruneEndedJobs(command.at);
     return std::visit([this, &command](const auto& body) { return applyBody(body, command.at); }, command.body);
 }
@@ -176,6 +182,7 @@
         }
         started.members[memberIndexOf(spec, start.task.index)].worker = start.worker;
         m_runs[start.worker].insert({ start.task, start.run });
+        m_interference.didBegin(start.worker, kindOf(job.queue, start.task.step, spec), at);
         setAddress(start.worker, start.address);
         job.hasStarted = true;
         job.phase = submission_phase::running;
@@ -234,13 +241,28 @@
         m_speeds.observe({ done.members.front().worker, task, runTime });
 }
 
+void job_table::recordNeighbours(const submission& job, const task_key& task, const unit& done, instant at)
+{
+    const auto& spec = job.spec.steps[task.step];
+    if (!done.isActive() || done.isResumed || spec.gang || spec.longRunning || spec.count == 1)
+        return;
+    m_interference.didComplete({ task.job, task.occurrence, task.step }, done.members.front().worker,
+        kindOf(job.queue, task.step, spec), done.startedAt, at);
+}
+
 void job_table::endRun(submission& job, const task_key& task, unit& ended, bool isDone, instant at)
 {
-    removeRunsOfUnit(task, job.spec.steps[task.step], ended);
     auto& step = job.occurrences[task.occurrence].steps[task.step];
+    if (isDone)
+        recordNeighbours(job, task, ended, at);
+    removeRunsOfUnit(task, job.spec.steps[task.step], ended);
     if (isDone) {
         ++step.doneUnits;
         recordRunTime(job, task, ended, at);
+        const step_key done { task.job, task.occurrence, task.step };
+        if (step.isDone() && m_interference.canCompare(done))
+            m_interference.didCompleteStep(
+                done, kindOf(job.queue, task.step, job.spec.steps[task.step]), m_speeds.fit({}));
     }
     ended.members.clear();
     if (isDone) {
@@ -272,7 +294,10 @@
     const auto found = m_runs.find(worker);
     if (found == m_runs.end())
         return;
-    found->second.erase(run);
+    if (found->second.erase(run) > 0) {
+        const auto& job = m_jobs.at(run.task.job);
+        m_interference.didEnd(worker, kindOf(job.queue, run.task.step, job.spec.steps[run.task.step]), m_appliedAt);
+    }
     if (!found->second.empty())
         return;
     m_runs.erase(found);
@@ -348,6 +373,7 @@
 {
     job.phase = phase;
     job.endedAt = at;
+    m_interference.didEndJob(job.id);
     removeFromOpenIfEnded(job);
 }
 
@@ -383,6 +409,7 @@
     out["out_of_service"] = m_outOfService;
     out["speeds"] = m_speeds.samples();
     out["run_times"] = m_runTimes.records();
+    out["interference"] = m_interference.records();
     out["sequence"] = m_sequence;
     out["pruned_at"] = m_prunedAt;
     out["addresses"] = m_addresses;
@@ -409,6 +436,9 @@
         read.m_outOfService = in.at("out_of_service").get<std::set<data_centre_name>>();
         read.m_speeds.restore(in.at("speeds").get<std::deque<speed_sample>>());
         read.m_runTimes.restore(in.at("run_times").get<std::map<queue_name, run_time_record>>());
+        // Snapshots of earlier versions have none.
+        if (in.contains("interference"))
+            read.m_interference.restore(in.at("interference").get<interference_records>());
         read.m_sequence = in.at("sequence").get<std::uint64_t>();
         read.m_prunedAt = in.at("pruned_at").get<instant>();
         for (const auto& [boot, address] : in.at("addresses").get<std::map<worker_boot, std::string>>())
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -15,6 +15,9 @@
     /// Slowness from which a worker counts as slow. Estimates for ordinary workers vary by less than this; slow workers
     /// take 1.2 to 1.4 times as long.
     constexpr double slowWorkerThreshold = 1.09;
+    /// In units of `freeShare`, whose largest value is 4: tasks that take 10 % longer are kept apart by one and a half
+    /// free accelerators of eight.
+    constexpr double interferenceWeight = 4;
     constexpr double slowWorkerBonus = 0.5; // In units of `freeShare`, where one free accelerator of eight counts 0.25.
 
     double seconds(duration d) { return std::chrono::duration<double>(d).count(); }
@@ -206,6 +209,8 @@
         entry.endsAt = m_input.now + std::max(left, minimumRunTime);
         entry.endsBeforeStop
             = seen != nullptr && !step.longRunning && entry.endsAt <= m_input.now + m_options.stopLatency;
+        if (separatesInterfering())
+            recordKind(*found, kindOf(job.queue, key.step, step));
         at(*found).free -= entry.need;
         at(*found).placedRuns.push_back(std::move(entry));
     }
@@ -448,6 +453,27 @@
         + share(free.memory, total.memory);
 }
 
+bool placement_round::separatesInterfering() const
+{
+    return m_options.separatesInterfering && m_input.table.interference().hasEstimates();
+}
+
+void placement_round::recordKind(worker_number number, const task_kind& kind)
+{
+    auto& kinds = at(number).kinds;
+    if (std::find(kinds.begin(), kinds.end(), kind) == kinds.end())
+        kinds.push_back(kind);
+}
+
+double placement_round::interference(const task_kind& kind, const round_worker& worker) const
+{
+    const auto& known = m_input.table.interference();
+    double out = 0;
+    for (const auto& other : worker.kinds)
+        out += known.slowdown(kind, other) + known.slowdown(other, kind) - 2;
+    return out;
+}
+
 std::optional<member_placement> placement_round::packMembers(
     const candidate& item, const std::vector<worker_number>& usable, bool respectReservations) const
 {
@@ -469,6 +495,8 @@
     auto counts = limit > 0 ? taskCountsPerWorker(item) : std::map<worker_number, std::uint32_t>();
     // Units that tolerate a slow worker go there first, which keeps fast workers free for the others.
     const bool prefersSlow = !prefersFastWorkers(item);
+    const bool separates = separatesInterfering();
+    const auto kind = separates ? kindOf(item.job->queue, item.key.step, *item.step) : task_kind();
     member_placement out;
     for (std::uint32_t m = 0; m < memberCount(*item.step); ++m) {
         option* best = nullptr;
@@ -479,8 +507,9 @@
             auto rest = each.free;
             rest -= need;
             const auto& worker = at(each.worker);
-            const double score
-                = freeShare(rest, worker.view->capacity) - (worker.isSlow && prefersSlow ? slowWorkerBonus : 0);
+            const double score = freeShare(rest, worker.view->capacity)
+                - (worker.isSlow && prefersSlow ? slowWorkerBonus : 0)
+                + (separates ? interferenceWeight * interference(kind, worker) : 0);
             if (best == nullptr || score < bestScore) {
                 best = &each;
                 bestScore = score;
@@ -524,6 +553,8 @@
     for (std::uint32_t m = 0; m < placement.size(); ++m) {
         auto& worker = at(placement[m]);
         worker.free -= need;
+        if (separatesInterfering())
+            recordKind(placement[m], kindOf(item.job->queue, item.key.step, *item.step));
         command.starts.push_back(
             { { item.key.job, item.key.occurrence, item.key.step, taskIndexOf(*item.step, item.key.unit, m) },
                 run_number(item.state->lastRun.value() + 1), worker.view->boot, worker.view->address });
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -39,6 +39,7 @@
     bool isSlow { false };
     demand free; ///< Capacity less all runs that may exist there and all claims.
     std::vector<placed_run> placedRuns; ///< In order of `endsAt`.
+    std::vector<task_kind> kinds; ///< Of what runs or is planned there, each once; filled only to separate kinds.
     instant reservedFrom { instant::max() }; ///< Reserved for a blocked unit from this time on.
 };
 
@@ -164,6 +165,11 @@
     double remainingValue(const submission&, std::uint32_t occurrence, duration left) const;
     void commitPlacement(const candidate&, const member_placement&);
     std::map<worker_number, std::uint32_t> taskCountsPerWorker(const candidate&) const;
+    /// Whether tasks are to be kept apart and a pair of kinds is known to interfere.
+    bool separatesInterfering() const;
+    void recordKind(worker_number, const task_kind&);
+    /// How much longer tasks take if this unit joins what runs on the worker, as a share of their run times.
+    double interference(const task_kind&, const round_worker&) const;
 
     const planner_options& m_options;
     const planner_input& m_input;
--- a/packages/jobs/tests/interference_table_test.cpp
+++ b/packages/jobs/tests/interference_table_test.cpp
@@ -35,6 +35,7 @@
     std::mt19937_64 random;
     std::int64_t ms { initialWallMs };
     std::uint32_t steps { 0 };
+    std::map<worker_boot, double> slowness;
 
     explicit interference_play(std::uint64_t seed)
         : random(seed)
@@ -57,10 +58,11 @@
             if (i == 0 && steps == 1)
                 time *= row.oddRun;
             table.didBegin(worker, bulk, at(ms));
-            table.didComplete(key, worker, bulk, at(ms), at(ms + static_cast<std::int64_t>(time)), speed);
+            table.didComplete(key, worker, bulk, at(ms), at(ms + static_cast<std::int64_t>(time)));
+            slowness[worker] = speed;
             table.didEnd(worker, bulk, at(ms + static_cast<std::int64_t>(time)));
         }
-        table.didCompleteStep(key, bulk);
+        table.didCompleteStep(key, bulk, slowness);
         for (std::uint32_t w = 0; w < workers; w += 2)
             table.didEnd(boot("w" + std::to_string(w)), cause, at(ms));
         ms += 60000;
@@ -116,8 +118,8 @@
         const task_kind kind("k" + std::to_string(i));
         const step_key step { submission_id("j" + std::to_string(i)), 0, 0 };
         table.didBegin(boot("w"), kind, at(initialWallMs));
-        table.didComplete(step, boot("w"), kind, at(initialWallMs), at(initialWallMs + 1000), 1);
-        table.didComplete(step, boot("w"), bulk, at(initialWallMs), at(initialWallMs + 1000), 1);
+        table.didComplete(step, boot("w"), kind, at(initialWallMs), at(initialWallMs + 1000));
+        table.didComplete(step, boot("w"), bulk, at(initialWallMs), at(initialWallMs + 1000));
     }
     BOOST_TEST(table.records().kinds.size() == interference_table::maxKinds);
     BOOST_TEST(table.records().steps.size() <= interference_table::maxSteps);
