--- a/packages/emulator/src/accounting.cpp
+++ b/packages/emulator/src/accounting.cpp
@@ -5,7 +5,6 @@
 
 namespace {
 
-
     double seconds(duration d) { return std::chrono::duration<double>(d).count(); }
 
 } // namespace
--- a/packages/fleet/include/poplardeal/fleet/settings.h
+++ b/packages/fleet/include/poplardeal/fleet/settings.h
@@ -43,6 +43,7 @@
     bool usesExpectedTimes { false }; ///< Control only: `planner_options::usesExpectedTimes`.
     run_timing timing; ///< Control only.
     bool weighsPreemptions { false }; ///< Control only: `planner_options::weighsPreemptions`.
+    bool separatesInterfering { false }; ///< Control only: `planner_options::separatesInterfering`.
     work_order workOrder { work_order::deadline }; ///< Control only: order of waiting work.
     log_level logLevel { log_level::info };
     std::size_t memoryMegabytes { 120 }; ///< Of the machine; the default is that of the smallest one.
--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -89,11 +89,13 @@
     , m_mostSlowness(metrics.getGauge(
           "poplardeal_worker_slowness", "Run time relative to an ordinary worker", { { "worker", "slowest" } }))
     , m_workspaceMetrics(metrics)
+    , m_interferenceReport(metrics)
 {
     m_plannerOptions.distanceFactor = settings.distanceFactor;
     m_plannerOptions.usesExpectedTimes = settings.usesExpectedTimes;
     m_plannerOptions.timing = settings.timing;
     m_plannerOptions.weighsPreemptions = settings.weighsPreemptions;
+    m_plannerOptions.separatesInterfering = settings.separatesInterfering;
     m_plannerOptions.order.order = settings.workOrder;
 }
 
@@ -126,6 +128,7 @@
     if (now - m_metricsAt >= metricsInterval) {
         m_metricsAt = now;
         m_workspaceMetrics.update(m_stateMachine.table(), m_loop.wallClock());
+        m_interferenceReport.update(m_stateMachine.table().interference());
     }
 }
 
--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "discarded_work.h"
+#include "interference_report.h"
 #include "workspace_metrics.h"
 #include <functional>
 #include <poplardeal/base/metrics.h>
@@ -110,6 +111,7 @@
     gauge& m_leastSlowness;
     gauge& m_mostSlowness;
     workspace_metrics m_workspaceMetrics;
+    interference_report m_interferenceReport;
     instant m_metricsAt; ///< Last update of `m_workspaceMetrics`.
 };
 
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -221,6 +221,7 @@
             reader.readNumber("snapshot_every", static_cast<double>(out.snapshotEvery), 1, 1e9));
         out.timing = readRunTiming(reader);
         out.weighsPreemptions = reader.readBool("weighs_preemptions");
+        out.separatesInterfering = reader.readBool("separates_interfering");
         break;
     case fleet_role::queue_entry:
         out.ready = reader.readAddress("ready", true);
--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <poplardeal/base/failure.h>
 #include <poplardeal/jobs/command.h>
+#include <poplardeal/jobs/interference_table.h>
 #include <poplardeal/jobs/model.h>
 #include <poplardeal/jobs/plan_index.h>
 #include <poplardeal/jobs/run_time_model.h>
@@ -149,6 +150,7 @@
     /// The same as `expectedRunTime`, but on ordinary workers instead of those that the queue has had so far.
     duration ordinaryRunTime(const submission& job, const step_spec& step) const;
     const workspace_usage& usage() const { return m_usage; }
+    const interference_table& interference() const { return m_interference; }
 
     /// The unit of a task; null if there is no such task.
     const unit* findUnit(const task_key&) const;
@@ -183,6 +185,7 @@
     void endMember(const task_key&, run_number, end_kind, const checkpoint&, instant at);
     /// Passes the run time of a unit that is done to the run time statistics, unless it resumed from a checkpoint.
     void recordRunTime(const submission&, const task_key&, const unit&, instant at);
+    void recordNeighbours(const submission&, const task_key&, const unit& done, instant at);
     /// Ends the current run of a unit; the unit is then done or waits for its next start.
     void endRun(submission&, const task_key&, unit&, bool isDone, instant at);
     void endJob(submission&, submission_phase, instant at);
@@ -202,6 +205,7 @@
     worker_speeds m_speeds;
     speed_history m_speedHistory;
     workspace_usage m_usage; ///< The current runs in it are those of `m_runs`.
+    interference_table m_interference;
     std::map<submission_id, submission> m_jobs;
     std::set<submission_id> m_open;
     std::map<worker_boot, std::set<run_key>> m_runs; ///< Runs that may exist; derived from `m_jobs`.
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -101,6 +101,7 @@
     /// stop it again.
     bool weighsPreemptions { false };
     order_options order; ///< Of the waiting units.
+    bool separatesInterfering { false }; ///< Prefers workers where no task slows another one down.
     std::size_t maxReservations { 16 }; ///< Blocked units that reserve workers; bounds the run time of a plan.
 };
 
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -21,6 +21,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(run_time_record, count, meanLog, spreadLog, meanBias, spreadBias)
 // The current runs are those of the jobs.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(usage_record, coreSeconds, at)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_key, job, occurrence, step)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(kind_presence, kind, running, since, lastEnd)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(neighbour_sample, worker, runTime, beside, apart)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pair_record, weight, mean, spread, isKnown)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(interference_records, kinds, presence, steps, pairs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_state, units, doneUnits)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_occurrence, steps)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(submission, id, queue, service, workspace, priority, attempts, stretch, allowance,
@@ -181,8 +186,10 @@
             started.members.assign(memberCount(spec), {});
         }
         started.members[memberIndexOf(spec, start.task.index)].worker = start.worker;
-        if (m_runs[start.worker].insert({ start.task, start.run }).second)
+        if (m_runs[start.worker].insert({ start.task, start.run }).second) {
             m_usage.didStart(job.workspace, spec.need, at);
+            m_interference.didBegin(start.worker, kindOf(job.queue, start.task.step, spec), at);
+        }
         setAddress(start.worker, start.address);
         job.hasStarted = true;
         job.phase = submission_phase::running;
@@ -251,13 +258,28 @@
     return duration(static_cast<duration::rep>(static_cast<double>(expectedRunTime(job, step).count()) * factor));
 }
 
+void job_table::recordNeighbours(const submission& job, const task_key& task, const unit& done, instant at)
+{
+    const auto& spec = job.spec.steps[task.step];
+    if (!done.isActive() || done.isResumed || spec.gang || spec.longRunning || spec.count == 1)
+        return;
+    m_interference.didComplete({ task.job, task.occurrence, task.step }, done.members.front().worker,
+        kindOf(job.queue, task.step, spec), done.startedAt, at);
+}
+
 void job_table::endRun(submission& job, const task_key& task, unit& ended, bool isDone, instant at)
 {
-    removeRunsOfUnit(task, job.spec.steps[task.step], ended, at);
     auto& step = job.occurrences[task.occurrence].steps[task.step];
+    if (isDone)
+        recordNeighbours(job, task, ended, at);
+    removeRunsOfUnit(task, job.spec.steps[task.step], ended, at);
     if (isDone) {
         ++step.doneUnits;
         recordRunTime(job, task, ended, at);
+        const step_key done { task.job, task.occurrence, task.step };
+        if (step.isDone() && m_interference.canCompare(done))
+            m_interference.didCompleteStep(
+                done, kindOf(job.queue, task.step, job.spec.steps[task.step]), m_speeds.fit({}));
     }
     ended.members.clear();
     if (isDone) {
@@ -292,6 +314,7 @@
     if (found->second.erase(run) > 0) {
         const auto& job = m_jobs.at(run.task.job);
         m_usage.didEnd(job.workspace, job.spec.steps[run.task.step].need, at);
+        m_interference.didEnd(worker, kindOf(job.queue, run.task.step, job.spec.steps[run.task.step]), at);
     }
     if (!found->second.empty())
         return;
@@ -370,6 +393,7 @@
 {
     job.phase = phase;
     job.endedAt = at;
+    m_interference.didEndJob(job.id);
     removeFromOpenIfEnded(job);
 }
 
@@ -409,6 +433,7 @@
     out["speed_queues"] = m_speedHistory.queues();
     out["run_times"] = m_runTimes.records();
     out["usage"] = m_usage.records();
+    out["interference"] = m_interference.records();
     out["sequence"] = m_sequence;
     out["pruned_at"] = m_prunedAt;
     out["addresses"] = m_addresses;
@@ -443,6 +468,9 @@
         // Snapshots of earlier versions have no usage.
         if (in.contains("usage"))
             read.m_usage.restore(in.at("usage").get<std::map<workspace_name, usage_record>>());
+        // Snapshots of earlier versions have none.
+        if (in.contains("interference"))
+            read.m_interference.restore(in.at("interference").get<interference_records>());
         read.m_sequence = in.at("sequence").get<std::uint64_t>();
         read.m_prunedAt = in.at("pruned_at").get<instant>();
         for (const auto& [boot, address] : in.at("addresses").get<std::map<worker_boot, std::string>>())
