--- a/packages/jobs/include/poplardeal/jobs/interference_table.h
+++ b/packages/jobs/include/poplardeal/jobs/interference_table.h
@@ -97,8 +97,8 @@
     void restore(interference_records records) { m_records = std::move(records); }
 
     static constexpr std::size_t maxKinds = 32;
-    static constexpr std::size_t maxSteps = 512;
-    static constexpr std::size_t maxSamplesPerStep = 256;
+    static constexpr std::size_t maxSteps = 64;
+    static constexpr std::size_t maxSamplesPerStep = 64;
 
 private:
     /// `maxKinds` if there is no room for a further kind.
