--- a/packages/jobs/bench/speeds_bench.cpp
+++ b/packages/jobs/bench/speeds_bench.cpp
@@ -8,9 +8,10 @@
 
 namespace {
 
-constexpr std::size_t workerCount = 1400;
+constexpr std::uint32_t workerCount = 1400;
 constexpr std::uint32_t jobCount = 280;
 constexpr std::uint32_t tasksPerJob = 40;
+constexpr std::uint32_t runsPerWorker = jobCount * tasksPerJob / workerCount;
 constexpr int repetitions = 20;
 
 worker_boot numbered(std::size_t number) { return { worker_id("i-0123456789ab" + std::to_string(number)), 1 }; }
@@ -64,11 +65,11 @@
     job_table table;
     submitJobs(table, now);
     std::map<worker_id, worker_view> views;
-    for (std::size_t w = 0; w < workerCount; ++w) {
+    for (std::uint32_t w = 0; w < workerCount; ++w) {
         auto& view = views[numbered(w).worker];
         view.boot = numbered(w);
-        for (std::uint32_t i = 0; i < jobCount * tasksPerJob / workerCount; ++i) {
-            const auto number = static_cast<std::uint32_t>(w) + i * static_cast<std::uint32_t>(workerCount);
+        for (std::uint32_t i = 0; i < runsPerWorker; ++i) {
+            const auto number = w + i * workerCount;
             const task_key task { submission_id("j" + std::to_string(number % jobCount)), 0, 0, number / jobCount };
             view.running[task] = { run_number(1), {}, 50, 0, now, now + std::chrono::seconds(3 + w % 3),
                 now + std::chrono::seconds(3 + w % 3) };
