--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,7 +3,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/bin/poplardeald ] && [ -x target/review-2/cases ] || exit 2
-timeout -k 2 115 target/review-2/cases lasting review/8/record.txt
+timeout -k 2 115 target/review-2/cases hopeless review/8/record.txt
 code=$?
 [ $code -le 2 ] || code=2
 exit $code
--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -13,6 +13,7 @@
 
 // Bounds of the pages, for a small deployment.
 constexpr int finishMs = 14000; ///< `finish_s`
+constexpr double recoverS = 12; ///< `recover_s`, after the loss of every machine
 constexpr int idleMs = 3000; ///< "for 3 s, a job has nothing running"
 
 bool hasTrouble()
@@ -235,6 +236,48 @@
     return f.hasFault() ? broken : jobs.size() == 8 ? held : notRun;
 }
 
+/// One body over the limit that is made of very many short fields, from a client without a key.
+int hang(const std::string& path)
+{
+    deployment_options options;
+    options.enforcesMemory = true;
+    fixture f(path, options);
+    if (!f.start(2, manifestOf(1, { 1 })))
+        return notRun;
+    std::thread odd;
+    if (hasTrouble()) {
+        std::string body = R"({"spec":"x","steps":[)";
+        while (body.size() < 1000000)
+            body += "{},";
+        body.back() = ']';
+        body += '}';
+        odd = std::thread([&f, body] {
+            const auto answer = call(f.system.front(0), "POST", "/no-such-path", body, { { "Host", "jobs.example" } }, 70000);
+            f.record.note("odd client: POST of " + std::to_string(body.size()) + " bytes without a key -> "
+                + std::to_string(answer.status));
+        });
+    }
+    // The provider asks once a second, honest clients ask for the state of a queue.
+    double answeredAt = f.record.seconds();
+    double longest = 0;
+    while (f.record.seconds() < 60) {
+        const auto ready = call(f.system.ready(0), "GET", "/ready", {}, {}, 1000);
+        const auto pending = queueCall(f.system.front(0), "GET", "/q0/", {}, 3000);
+        const double now = f.record.seconds();
+        if (ready.status != 0 || pending.status != 0)
+            answeredAt = now;
+        longest = std::max(longest, now - answeredAt);
+        f.record.note("entry-0: GET /ready -> " + std::to_string(ready.status) + ", GET /q0/ -> "
+            + std::to_string(pending.status));
+        pause(500);
+    }
+    if (odd.joinable())
+        odd.join();
+    f.record.note("the longest time without any answer of entry-0: " + numberOf(longest) + " s");
+    f.hasFault();
+    return longest > recoverS ? broken : held;
+}
+
 /// A runner with a lasting task is lost for good while a wide gang waits for room.
 int reserved(const std::string& path)
 {
@@ -449,7 +492,7 @@
 
 int main(int argc, char** argv)
 {
-    const std::map<std::string, int (*)(const std::string&)> all { { "tasks", tasks }, { "fields", fields },
+    const std::map<std::string, int (*)(const std::string&)> all { { "tasks", tasks }, { "fields", fields }, { "hang", hang },
         { "reserved", reserved }, { "hopeless", hopeless }, { "lasting", lasting }, { "rack", rack }, { "born", born },
         { "missing", missing } };
     const auto found = argc == 3 ? all.find(argv[1]) : all.end();
