--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-g++ -std=c++20 -O1 -Wall -Wextra -pthread review/standin-2/cases.cpp -o target/review-2/cases
+g++ -std=c++20 -O1 -Wall -Wextra -pthread review/standin-2/cases.cc -o target/review-2/cases
--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cc
@@ -1,6 +1,6 @@
 // The cases of this review that are scripts. Usage: cases NAME RECORD. Exit code 1: the rule was broken, 0: it held,
 // 2: the case could not run. With TROUBLE=0 in the environment the disruption is left out.
-#include "deployment.h"
+#include "deployment.hpp"
 #include <cstdio>
 
 using namespace review;
@@ -123,8 +123,7 @@
         }
         const auto state = stateOf(path);
         record.note("job " + job + " has had nothing running for 3 s; GET -> " + state + "; room in use: "
-            + std::to_string(all.inUse()) + " accelerators of "
-            + std::to_string(8 * static_cast<int>(workers.size())));
+            + std::to_string(all.inUse()) + " accelerators of " + std::to_string(8 * static_cast<int>(workers.size())));
         return state == "queued" || state == "running";
     }
 
@@ -196,8 +195,8 @@
         const auto name = idOf(0x9000 + static_cast<std::uint64_t>(i));
         f.expect(name, { 1000, "done", 0, 1 });
         const auto answer = queueCall(f.system.front(i % 2), "POST", "/q1/" + name, body);
-        f.record.note("odd client: POST of " + std::to_string(body.size()) + " bytes -> "
-            + std::to_string(answer.status));
+        f.record.note(
+            "odd client: POST of " + std::to_string(body.size()) + " bytes -> " + std::to_string(answer.status));
         pause(500);
     }
     f.record.note("the odd client has gone");
@@ -225,8 +224,8 @@
         if (hasTrouble()) {
             const auto answer
                 = queueCall(f.system.front(i % 2), "POST", "/q0/" + idOf(0x9000 + static_cast<std::uint64_t>(i)), body);
-            f.record.note("odd client: POST of " + std::to_string(body.size()) + " bytes -> "
-                + std::to_string(answer.status));
+            f.record.note(
+                "odd client: POST of " + std::to_string(body.size()) + " bytes -> " + std::to_string(answer.status));
         }
         for (auto& each : handInHonestJobs(f, 1, 0x5000 + static_cast<std::uint64_t>(i)))
             jobs.push_back(std::move(each));
@@ -247,12 +246,13 @@
     std::thread odd;
     if (hasTrouble()) {
         std::string body = R"({"spec":"x","steps":[)";
-        while (body.size() < 1000000)
+        while (body.size() < 1048000)
             body += "{},";
         body.back() = ']';
         body += '}';
         odd = std::thread([&f, body] {
-            const auto answer = call(f.system.front(0), "POST", "/no-such-path", body, { { "Host", "jobs.example" } }, 70000);
+            const auto answer
+                = call(f.system.front(0), "POST", "/no-such-path", body, { { "Host", "jobs.example" } }, 70000);
             f.record.note("odd client: POST of " + std::to_string(body.size()) + " bytes without a key -> "
                 + std::to_string(answer.status));
         });
@@ -377,8 +377,8 @@
     for (int i = 0; i < 25 && isIdle && f.all.startsOf(gang) == 0; ++i)
         pause(1000);
     f.record.note("looked on for " + numberOf(f.record.seconds() - since) + " s: the gang was started "
-        + std::to_string(f.all.startsOf(gang)) + " times, the lasting task "
-        + std::to_string(f.all.startsOf(service)) + " times");
+        + std::to_string(f.all.startsOf(gang)) + " times, the lasting task " + std::to_string(f.all.startsOf(service))
+        + " times");
     return isIdle ? broken : held;
 }
 
@@ -492,9 +492,9 @@
 
 int main(int argc, char** argv)
 {
-    const std::map<std::string, int (*)(const std::string&)> all { { "tasks", tasks }, { "fields", fields }, { "hang", hang },
-        { "reserved", reserved }, { "hopeless", hopeless }, { "lasting", lasting }, { "rack", rack }, { "born", born },
-        { "missing", missing } };
+    const std::map<std::string, int (*)(const std::string&)> all { { "tasks", tasks }, { "fields", fields },
+        { "hang", hang }, { "reserved", reserved }, { "hopeless", hopeless }, { "lasting", lasting }, { "rack", rack },
+        { "born", born }, { "missing", missing } };
     const auto found = argc == 3 ? all.find(argv[1]) : all.end();
     return found == all.end() ? notRun : found->second(argv[2]);
 }
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.hpp
@@ -2,7 +2,7 @@
 // does: it restarts a process that has ended, and ends one that takes more memory than its machine has.
 #pragma once
 
-#include "worker.h"
+#include "worker.hpp"
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -116,7 +116,8 @@
     bool apply(const json& manifest)
     {
         for (int attempt = 0; attempt < 100; ++attempt) {
-            const auto answer = call(control(attempt % m_options.controls), "PUT", "/config", manifest.dump(), {}, 1000);
+            const auto answer
+                = call(control(attempt % m_options.controls), "PUT", "/config", manifest.dump(), {}, 1000);
             if (answer.status == 200) {
                 m_record.note("manifest " + manifest.at("version").dump() + " acknowledged");
                 return true;
--- a/review/standin-2/worker.h
+++ b/review/standin-2/worker.hpp
@@ -1,7 +1,7 @@
 // A runner as the users' pages describe it (orders = push), beside one sidecar. What its tasks do is set by the test.
 #pragma once
 
-#include "net.h"
+#include "net.hpp"
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -195,10 +195,7 @@
         std::string how;
     };
 
-    std::int64_t clockMs() const
-    {
-        return 1 + std::chrono::duration_cast<millis>(steady::now() - m_bornAt).count();
-    }
+    std::int64_t clockMs() const { return 1 + std::chrono::duration_cast<millis>(steady::now() - m_bornAt).count(); }
 
     void extendLease(const json& body)
     {
@@ -292,8 +289,7 @@
                 { "version", "v1" }, { "slots", 8 }, { "state", m_state }, { "cold_left_ms", 0 },
                 { "seq", ++m_sequence }, { "born", m_bornMs }, { "clock_ms", clockMs() },
                 { "labels", { m_options.kind, m_options.rack } },
-                { "room",
-                    { { "cpu", m_options.cpu }, { "mem_mb", m_options.memory }, { "gpu", m_options.gpu } } } };
+                { "room", { { "cpu", m_options.cpu }, { "mem_mb", m_options.memory }, { "gpu", m_options.gpu } } } };
             if (m_state == "draining")
                 body["drain_remaining_ms"] = 2000;
             lock.unlock();
