review: case 7 shows the time without the memory

600,004 bytes of fields with short names in no order, from a client without a key: the entry answers nothing for 54 s, to the end of the test, at 22 MB. Before, the entry was ended for its memory after 14 to 25 s.

--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -1,6 +1,7 @@
 // The cases of this review that are scripts. Usage: cases NAME RECORD. Exit code 1: the rule was broken, 0: it held,
 // 2: the case could not run. With TROUBLE=0 in the environment the disruption is left out.
 #include "deployment.hpp"
+#include <algorithm>
 #include <cstdio>
 
 using namespace review;
@@ -235,6 +236,25 @@
     return f.hasFault() ? broken : jobs.size() == 8 ? held : notRun;
 }
 
+/// An object of very many fields with short names, in no order.
+std::string manyFields(std::size_t bytes)
+{
+    const std::string letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789";
+    std::vector<std::string> names;
+    for (const char a : letters) {
+        for (const char b : letters) {
+            for (const char c : letters)
+                names.push_back({ a, b, c });
+        }
+    }
+    std::shuffle(names.begin(), names.end(), std::mt19937(1));
+    std::string out = "{";
+    for (std::size_t i = 0; out.size() < bytes; ++i)
+        out += '"' + names[i] + "\":{},";
+    out.back() = '}';
+    return out;
+}
+
 /// One body over the limit that is made of very many short fields, from a client without a key.
 int hang(const std::string& path)
 {
@@ -245,11 +265,7 @@
         return notRun;
     std::thread odd;
     if (hasTrouble()) {
-        std::string body = R"({"spec":"x","steps":[)";
-        while (body.size() < 1048000)
-            body += "{},";
-        body.back() = ']';
-        body += '}';
+        const auto body = manyFields(600000);
         odd = std::thread([&f, body] {
             const auto answer
                 = call(f.system.front(0), "POST", "/no-such-path", body, { { "Host", "jobs.example" } }, 70000);
