jobs: a reservation rests on ends that come, and is lent after 2 s

Cause: a long-running task counted as ending at its declared time, or in 100 ms once that was over, so the reservation rested on a moment that never came and was renewed in each plan.

Change: long-running tasks have no end unless they are being stopped; a task past its estimate is expected to take as long again as it is over. The planner carries since when a step waits beside ample room, and lets it pass reservations, claims, the wait for faster workers and avoided workers after 2 s. Over half use reservations hold as before.

--- a/packages/emulator/src/leader_model.cpp
+++ b/packages/emulator/src/leader_model.cpp
@@ -64,12 +64,13 @@
     const auto now = m_events.now();
     const auto& views = m_registry.workerViews(m_table, now);
     const auto begin = processorTime();
-    auto decisions = planJobs(m_options, { m_table, views, m_registry.stoppingRuns(), m_claims, now, now });
+    auto decisions = planJobs(m_options, { m_table, views, m_registry.stoppingRuns(), m_claims, now, now, m_heldBack });
     const auto took = processorTime() - begin;
     ++m_statistics.plans;
     m_statistics.planTime += took;
     m_statistics.longestPlan = std::max(m_statistics.longestPlan, took);
     m_claims = std::move(decisions.claims);
+    m_heldBack = std::move(decisions.heldBack);
     std::set<worker_boot> affected;
     for (const auto& stop : decisions.stops) {
         ++m_statistics.stops;
--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -83,6 +83,7 @@
     , m_released(metrics.getCounter("poplardeal_runs_released_total", "Runs given up without a listed end"))
     , m_discarded(metrics)
     , m_planTime(metrics.getTiming("poplardeal_plan_seconds", "Time to make one plan"))
+    , m_heldBackSteps(metrics.getGauge("poplardeal_steps_held_back", "Steps that wait although there is ample room"))
     , m_measuredWorkers(metrics.getGauge("poplardeal_workers_measured", "Workers of which the speed is estimated"))
     , m_leastSlowness(metrics.getGauge(
           "poplardeal_worker_slowness", "Run time relative to an ordinary worker", { { "worker", "fastest" } }))
@@ -112,6 +113,7 @@
         m_startsInFlight = 0;
         m_pendingReleases.clear();
         m_claims.clear();
+        m_heldBack.clear();
         logEvent(log_level::info, leading ? "lead_begins" : "lead_ends",
             { { "term", m_replica->term() }, { "plan_version", m_stateMachine.table().plan().version.value() },
                 { "open_jobs", m_stateMachine.table().openJobs().size() } });
@@ -164,8 +166,11 @@
     m_plannedAt = now;
     const auto& workerViews = m_workers.workerViews(m_stateMachine.table(), now);
     auto decisions = planJobs(m_plannerOptions,
-        { m_stateMachine.table(), workerViews, m_workers.stoppingRuns(), m_claims, now, m_loop.wallClock() });
+        { m_stateMachine.table(), workerViews, m_workers.stoppingRuns(), m_claims, now, m_loop.wallClock(),
+            m_heldBack });
     m_claims = std::move(decisions.claims);
+    m_heldBack = std::move(decisions.heldBack);
+    m_heldBackSteps.set(static_cast<double>(m_heldBack.size()));
     m_planTime.observe(m_loop.now() - now);
     showSpeeds(workerViews);
     applyDecisions(decisions);
--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -89,6 +89,7 @@
     worker_registry m_workers;
     planner_options m_plannerOptions;
     capacity_claims m_claims;
+    held_back_steps m_heldBack;
     instruction_sender m_send;
     std::set<worker_boot> m_instructionsDue;
     event_loop::timer m_instructionTimer;
@@ -107,6 +108,7 @@
     counter& m_released;
     discarded_work m_discarded;
     timing& m_planTime;
+    gauge& m_heldBackSteps;
     gauge& m_measuredWorkers;
     gauge& m_leastSlowness;
     gauge& m_mostSlowness;
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -45,7 +45,9 @@
     bool isSilent { false }; ///< Its sidecar has just not been heard; a start might not arrive.
     bool isDraining { false };
     instant drainDeadline; ///< When the worker leaves; valid while draining.
-    instant avoidUntil; ///< No task is placed there before, because tasks failed or made no progress.
+    /// Until then tasks are placed there only if they are owed room and find none elsewhere, because tasks failed, made
+    /// no progress or were refused.
+    instant avoidUntil;
     std::map<task_key, run_view> running;
 };
 
@@ -77,11 +79,15 @@
 
 using capacity_claims = std::map<unit_key, capacity_claim>;
 
+/// Steps that are kept waiting although there is ample room for them, and since when on the leader's clock.
+using held_back_steps = std::map<step_key, instant>;
+
 /// Result of a plan.
 struct job_decisions {
     std::vector<start_tasks> starts; ///< Each command may be applied on its own.
     std::vector<planned_stop> stops;
     capacity_claims claims; ///< Input of the next plan.
+    held_back_steps heldBack; ///< Input of the next plan.
 };
 
 struct planner_options {
@@ -103,6 +109,10 @@
     order_options order; ///< Of the waiting units.
     bool separatesInterfering { false }; ///< Prefers workers where no task slows another one down.
     std::size_t maxReservations { 16 }; ///< Blocked units that reserve workers; bounds the run time of a plan.
+    /// Longest time for which a step is kept waiting by reservations, claims, avoided workers or the hope for faster
+    /// ones while there is ample room: capacity for one of its units twice over, and under half of its service in use.
+    /// A long-running step counts however full the service is. The platform allows 3 s.
+    duration maxHoldBack { std::chrono::milliseconds(2000) };
 };
 
 /// Input of a plan, which depends on nothing else but the options.
@@ -113,6 +123,7 @@
     const capacity_claims& claims; ///< From the last plan.
     instant now; ///< Steady clock of the leader.
     instant wallClock;
+    const held_back_steps& heldBack; ///< From the last plan.
 };
 
 /// A demand in cores, for comparing and counting work; an accelerator counts as 8. A worker has 16 cores for each
--- a/packages/jobs/src/expected_times.cpp
+++ b/packages/jobs/src/expected_times.cpp
@@ -28,13 +28,6 @@
         return std::min(limit, static_cast<std::size_t>(std::max<std::int64_t>(0, free.count() / need.count())));
     }
 
-    std::size_t slotsIn(const demand& need, const demand& free, std::size_t limit)
-    {
-        limit = timesIn(need.cpu, free.cpu, limit);
-        limit = timesIn(need.memory, free.memory, limit);
-        return timesIn(need.accelerator, free.accelerator, limit);
-    }
-
     /// Slowness of the slowest member on the fastest set; nothing if there are too few slots. Sorted by slowness.
     std::optional<double> fastestSet(const std::vector<slot_range>& sorted, std::size_t members)
     {
@@ -69,6 +62,13 @@
 
 } // namespace
 
+std::size_t slotsIn(const demand& need, const demand& free, std::size_t limit)
+{
+    limit = timesIn(need.cpu, free.cpu, limit);
+    limit = timesIn(need.memory, free.memory, limit);
+    return timesIn(need.accelerator, free.accelerator, limit);
+}
+
 double placement_round::slownessOf(const worker_boot& worker) const
 {
     const auto found = findWorker(worker.worker);
@@ -140,10 +140,7 @@
         const auto& eligible = eligibleWorkers(item);
         for (const auto number : rack ? eligible.byRack[rack->value()] : eligible.all) {
             const auto& worker = at(number);
-            if (!item.isGuaranteed
-                && worker.reservedFrom < m_input.now
-                        + duration(static_cast<duration::rep>(
-                            static_cast<double>(item.estimatedRunTime.count()) * worker.slowness)))
+            if (respectsReservations(item) && isReserved(item, worker))
                 continue;
             if (const auto slots = slotsIn(need, worker.free, perWorker); slots > 0)
                 ranges.push_back({ worker.slowness, slots });
@@ -166,13 +163,13 @@
     }
     if (!best)
         return std::nullopt;
-    return packMembers(item, workersWithin(item, bestRack, *best), !item.isGuaranteed);
+    return packMembers(item, workersWithin(item, bestRack, *best), respectsReservations(item));
 }
 
 bool placement_round::waitsForFasterWorkers(const candidate& item, const member_placement& placement, bool mayPreempt)
 {
     if (!m_options.usesExpectedTimes || item.job->priority > 0 || item.deadlineStatus != deadline_status::on_time
-        || m_decisions.claims.contains(item.key))
+        || m_decisions.claims.contains(item.key) || item.isOwedRoom)
         return false;
     const double limit = slownessLimit(item);
     const double slowness = slownessOfSet(placement);
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -15,6 +15,11 @@
     /// In units of `freeShare`, whose largest value is 4: tasks that take 10 % longer are kept apart by one and a half
     /// free accelerators of eight.
     constexpr double interferenceWeight = 4;
+    constexpr double avoidedPenalty = 100; ///< In the same units: above all other differences between workers.
+    /// A long-running task that fails within `shortRunTime` of its start is started again after `restartPause`. The
+    /// platform expects it back within 6 s.
+    constexpr duration shortRunTime = std::chrono::seconds(2);
+    constexpr duration restartPause = std::chrono::seconds(1);
 
     duration scaled(duration d, double factor)
     {
@@ -173,6 +178,14 @@
     return 1;
 }
 
+instant placement_round::expectedEnd(const step_spec& step, duration left, bool isStopping) const
+{
+    if (step.longRunning)
+        return isStopping ? m_input.now + stopWait() : never;
+    // Past its estimate a run is expected to take as long again as it is over.
+    return m_input.now + std::max(left < duration::zero() ? -left : left, minimumRunTime);
+}
+
 void placement_round::recordUnit(const submission& job, const unit_key& key, const step_spec& step, const unit& active)
 {
     const auto left = remainingTime(job, key, step, active);
@@ -194,7 +207,7 @@
         entry.unitState = &active;
         const auto* seen = findRunView(key, step, active, m);
         entry.preemptionCost = cost;
-        entry.endsAt = m_input.now + std::max(left, minimumRunTime);
+        entry.endsAt = expectedEnd(step, left, entry.isStopping);
         entry.endsBeforeStop = seen != nullptr && !step.longRunning && entry.endsAt <= m_input.now + stopWait();
         if (separatesInterfering())
             recordKind(*found, kindOf(job.queue, key.step, step));
@@ -292,6 +305,13 @@
                                                                                : deadline_status::expired;
 }
 
+/// Whether a long-running task that has just failed soon after its start waits for a moment.
+bool placement_round::isRestartPaused(const step_spec& step, const unit& waiting) const
+{
+    return step.longRunning && waiting.runFailed && waiting.waitingSince - waiting.startedAt < shortRunTime
+        && m_input.wallClock >= waiting.waitingSince && m_input.wallClock < waiting.waitingSince + restartPause;
+}
+
 void placement_round::appendCandidates(const submission& job, std::vector<candidate>& out) const
 {
     const auto* queue = m_input.table.findQueue(job.queue);
@@ -303,7 +323,7 @@
             const auto& times = timesOf(job, o);
             const auto status = estimateDeadlineStatus(job, o, times.criticalPaths[s]);
             for (std::uint32_t u = 0; u < state.units.size(); ++u) {
-                if (state.units[u].phase != unit_phase::waiting)
+                if (state.units[u].phase != unit_phase::waiting || isRestartPaused(job.spec.steps[s], state.units[u]))
                     continue;
                 candidate item;
                 item.key = { job.id, o, s, u };
@@ -341,7 +361,7 @@
 {
     const auto& view = *worker.view;
     if (view.service != *item.service || !view.isReachable || view.isSilent || view.isDraining
-        || view.avoidUntil > m_input.now)
+        || (view.avoidUntil > m_input.now && !item.usesAvoided))
         return false;
     if (!m_input.table.isInService(view.dataCentre))
         return false;
@@ -354,10 +374,10 @@
 {
     const auto& label = item.step->requiredLabel;
     for (const auto& known : m_eligible) {
-        if (*known.service == *item.service && *known.label == label)
+        if (*known.service == *item.service && *known.label == label && known.includesAvoided == item.usesAvoided)
             return known;
     }
-    eligible_workers out { item.service, &label, {}, {} };
+    eligible_workers out { item.service, &label, item.usesAvoided, {}, {} };
     out.byRack.resize(m_racks.size() + 1);
     for (std::size_t i = 0; i < m_workers.size(); ++i) {
         if (!isEligible(item, m_workers[i]))
@@ -467,7 +487,7 @@
     options.reserve(usable.size());
     for (const auto number : usable) {
         const auto& worker = at(number);
-        if (respectReservations && worker.reservedFrom < m_input.now + scaled(item.estimatedRunTime, worker.slowness))
+        if (respectReservations && isReserved(item, worker))
             continue;
         if (need.fitsIn(worker.free))
             options.push_back({ number, worker.free });
@@ -489,7 +509,8 @@
             rest -= need;
             const auto& worker = at(each.worker);
             const double score = freeShare(rest, worker.view->capacity) - (prefersSlow ? patientBonus(worker) : 0)
-                + (separates ? interferenceWeight * interference(kind, worker) : 0);
+                + (separates ? interferenceWeight * interference(kind, worker) : 0)
+                + (worker.view->avoidUntil > m_input.now ? avoidedPenalty : 0);
             if (best == nullptr || score < bestScore) {
                 best = &each;
                 bestScore = score;
@@ -505,11 +526,20 @@
     return out;
 }
 
+/// Whether the worker is reserved for a time at which the unit would still run there.
+bool placement_round::isReserved(const candidate& item, const round_worker& worker) const
+{
+    if (!worker.reservedFrom)
+        return false;
+    return item.step->longRunning
+        || *worker.reservedFrom < m_input.now + scaled(item.estimatedRunTime, worker.slowness);
+}
+
 std::optional<member_placement> placement_round::findPlacement(const candidate& item) const
 {
     const auto scopes = placementScopes(item);
     const auto fillOn = [&](std::optional<rack_number> rack, worker_filter filter) {
-        return packMembers(item, eligibleWorkers(item, rack, filter), !item.isGuaranteed);
+        return packMembers(item, eligibleWorkers(item, rack, filter), respectsReservations(item));
     };
     const bool usesSets = m_options.usesExpectedTimes && prefersFastWorkers(item);
     if (usesSets) {
@@ -598,22 +628,36 @@
     return placement;
 }
 
-void placement_round::placeUnit(const candidate& item)
+/// A unit that is owed room may also use workers that are avoided.
+std::optional<member_placement> placement_round::findOwedPlacement(const candidate& item) const
+{
+    auto wider = item;
+    wider.usesAvoided = true;
+    return findPlacement(wider);
+}
+
+bool placement_round::placeUnit(const candidate& item)
 {
     if (wouldSoonBeStopped(item))
-        return;
+        return false;
     if (m_decisions.claims.contains(item.key)) {
-        if (const auto claimed = placeOnClaimedWorkers(item))
-            return commitPlacement(item, *claimed);
+        if (const auto claimed = placeOnClaimedWorkers(item)) {
+            commitPlacement(item, *claimed);
+            return true;
+        }
     }
     // Other units of a step are placed like the one before: if that one found no place, they find none either.
     const bool mayLeaveRack = item.waitingTime >= item.estimatedRunTime;
     const bool isHopeless = m_blockedStep == item.step && m_blockedOccurrence == item.key.occurrence
         && (m_blockedMayLeaveRack || !mayLeaveRack) && !m_decisions.claims.contains(item.key);
     auto placement = isHopeless ? std::nullopt : findPlacement(item);
+    if (!placement && !isHopeless && item.isOwedRoom)
+        placement = findOwedPlacement(item);
     if (const auto claim = m_decisions.claims.find(item.key); claim != m_decisions.claims.end()) {
-        if (!placement)
-            return waitForClaim(item);
+        if (!placement) {
+            waitForClaim(item);
+            return false;
+        }
         // Capacity elsewhere became free first, so the claim is no longer needed.
         adjustFreeCapacity(claim->second, reservedDemand(*item.step), false);
         m_decisions.claims.erase(claim);
@@ -622,24 +666,32 @@
     const bool mayPreempt
         = item.isGuaranteed || (item.job->priority == 0 && item.deadlineStatus == deadline_status::on_time);
     if (placement && waitsForFasterWorkers(item, *placement, mayPreempt))
-        return;
+        return false;
     if (!placement && mayPreempt && !isHopeless)
         placement = preemptFor(item, worker_filter::all);
-    if (placement)
-        return commitPlacement(item, *placement);
-    if (m_decisions.claims.contains(item.key))
-        return waitForClaim(item);
+    if (placement) {
+        commitPlacement(item, *placement);
+        return true;
+    }
+    if (m_decisions.claims.contains(item.key)) {
+        waitForClaim(item);
+        return false;
+    }
     m_blockedStep = item.step;
     m_blockedOccurrence = item.key.occurrence;
     m_blockedMayLeaveRack = mayLeaveRack;
     if (m_reservations++ < m_options.maxReservations)
         reserveWorkers(earliestStarts(item, worker_filter::all));
+    return false;
 }
 
 void placement_round::placeWaitingUnits()
 {
-    for (const auto& item : collectCandidates())
-        placeUnit(item);
+    for (auto& item : collectCandidates()) {
+        item.isOwedRoom = isOwedRoom(item);
+        if (!placeUnit(item))
+            recordHoldBack(item);
+    }
 }
 
 } // namespace poplardeal::detail
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -19,6 +19,9 @@
 /// Number of a rack within one scheduling round, in order of the racks' names.
 using rack_number = strong_id<struct rack_number_tag, std::size_t>;
 
+/// The end of a run that goes on until it is stopped.
+inline constexpr instant never = instant::max();
+
 /// A run that occupies capacity of a worker.
 struct placed_run {
     run_key run;
@@ -28,7 +31,7 @@
     bool isStopping { false };
     bool endsBeforeStop { false }; ///< Expected to end before a stop could take effect.
     double preemptionCost { 0 }; ///< Work that a stop would repeat, in weighted core-seconds.
-    instant endsAt; ///< Estimate, on the leader's steady clock.
+    instant endsAt; ///< Estimate, on the leader's steady clock; `never` for a run without an end of its own.
     unit_key unit;
     const poplardeal::unit* unitState { nullptr };
 };
@@ -42,7 +45,7 @@
     demand free; ///< Capacity less all runs that may exist there and all claims.
     std::vector<placed_run> placedRuns; ///< In order of `endsAt`.
     std::vector<task_kind> kinds; ///< Of what runs or is planned there, each once; filled only to separate kinds.
-    instant reservedFrom { instant::max() }; ///< Reserved for a blocked unit from this time on.
+    std::optional<instant> reservedFrom; ///< Reserved for a blocked unit from this time on.
 };
 
 /// A waiting unit that may start now.
@@ -57,6 +60,8 @@
     instant deadline; ///< End of the objective, wall clock.
     deadline_status deadlineStatus { deadline_status::on_time };
     duration waitingTime { 0 };
+    bool isOwedRoom { false }; ///< Its step has been kept waiting beside ample room for `planner_options::maxHoldBack`.
+    bool usesAvoided { false }; ///< Workers that are avoided are eligible.
 };
 
 enum class worker_filter : std::uint8_t {
@@ -80,10 +85,17 @@
 struct eligible_workers {
     const service_name* service { nullptr };
     const worker_label* label { nullptr };
+    bool includesAvoided { false };
     std::vector<worker_number> all;
     std::vector<std::vector<worker_number>> byRack; ///< By `rack_number`.
 };
 
+/// Capacity of all workers of a service, and what runs there.
+struct service_use {
+    demand capacity;
+    demand used;
+};
+
 /// Times of one occurrence of a job that all of its units share.
 struct occurrence_times {
     std::vector<duration> expectedRunTimes; ///< By step.
@@ -141,6 +153,7 @@
     std::vector<std::size_t> rankCandidates(const std::vector<candidate>&) const;
     std::set<std::uint64_t> agedJobs() const;
     bool isReady(const submission&, std::uint32_t occurrence, std::uint32_t step) const;
+    bool isRestartPaused(const step_spec&, const unit&) const;
     duration estimateRunTime(const submission&, std::uint32_t occurrence, std::uint32_t step) const;
     const occurrence_times& timesOf(const submission&, std::uint32_t occurrence) const;
 
@@ -181,9 +194,20 @@
     void adjustFreeCapacity(const capacity_claim&, const demand& need, bool isClaimed);
     std::optional<member_placement> placeOnClaimedWorkers(const candidate&);
     bool wouldSoonBeStopped(const candidate&) const;
+    instant expectedEnd(const step_spec&, duration left, bool isStopping) const;
+    static bool respectsReservations(const candidate& item) { return !item.isGuaranteed && !item.isOwedRoom; }
+    bool isReserved(const candidate&, const round_worker&) const;
+
+    const service_use& useOf(const service_name&);
+    /// Whether there is capacity for the unit twice over while under half of its service is in use.
+    bool hasAmpleRoom(const candidate&);
+    bool isOwedRoom(const candidate&);
+    void recordHoldBack(const candidate&);
     /// Keeps the claim of a unit that can't start yet.
     void waitForClaim(const candidate&);
-    void placeUnit(const candidate&);
+    /// Whether the unit starts.
+    bool placeUnit(const candidate&);
+    std::optional<member_placement> findOwedPlacement(const candidate&) const;
     deadline_status estimateDeadlineStatus(const submission&, std::uint32_t occurrence, duration left) const;
     double remainingValue(const submission&, std::uint32_t occurrence, duration left) const;
     void commitPlacement(const candidate&, const member_placement&);
@@ -209,9 +233,15 @@
     std::uint32_t m_blockedOccurrence { 0 };
     std::set<service_name> m_claimingServices; ///< Of units that wait for their victims to end.
     bool m_blockedMayLeaveRack { false }; ///< That unit had waited long enough to run off its rack.
+    std::map<service_name, service_use> m_use;
+    const step_spec* m_crampedStep { nullptr }; ///< The last one found without ample room.
+    std::uint32_t m_crampedOccurrence { 0 };
     job_decisions m_decisions;
 };
 
+/// Tasks of demand `need` that fit into free capacity, at most `limit`.
+std::size_t slotsIn(const demand& need, const demand& free, std::size_t limit);
+
 /// What a task subtracts from its worker's free capacity. Best-effort tasks subtract no cores.
 demand reservedDemand(const step_spec&);
 
--- a/packages/jobs/src/preemption.cpp
+++ b/packages/jobs/src/preemption.cpp
@@ -48,7 +48,7 @@
         auto at = now;
         auto next = worker.placedRuns.begin();
         for (std::size_t i = 0; i < limit; ++i) {
-            while (!need.fitsIn(free) && next != worker.placedRuns.end()) {
+            while (!need.fitsIn(free) && next != worker.placedRuns.end() && next->endsAt != never) {
                 free += next->need;
                 at = std::max(at, next->endsAt);
                 ++next;
@@ -97,7 +97,7 @@
 /// begun.
 bool placement_round::wouldSoonBeStopped(const candidate& item) const
 {
-    return m_options.weighsPreemptions && item.job->priority > 0 && !item.isGuaranteed
+    return m_options.weighsPreemptions && item.job->priority > 0 && !item.isGuaranteed && !item.isOwedRoom
         && item.estimatedRunTime > longRunTime && m_claimingServices.contains(*item.service);
 }
 
@@ -115,7 +115,7 @@
     for (const auto& rack : placementScopes(item)) {
         std::vector<start_slot> slots;
         for (const auto number : eligibleWorkers(item, rack, filter)) {
-            if (at(number).reservedFrom == instant::max())
+            if (!at(number).reservedFrom)
                 appendStartSlots(slots, number, at(number), need, m_input.now, members);
         }
         if (slots.size() < members)
--- a/packages/jobs/tests/expected_times_test.cpp
+++ b/packages/jobs/tests/expected_times_test.cpp
@@ -23,7 +23,7 @@
         }
     }
 
-    job_decisions decide() const { return planJobs(options, { table, workers, {}, {}, now, at(ms) }); }
+    job_decisions decide() const { return planJobs(options, { table, workers, {}, {}, now, at(ms), {} }); }
 
     /// Ids of the workers of all starts, in order.
     std::string usedWorkers() const
--- a/packages/jobs/tests/interference_placement_test.cpp
+++ b/packages/jobs/tests/interference_placement_test.cpp
@@ -78,7 +78,7 @@
     workers.at(worker_id("w1")).isDraining = !row.hasRoomElsewhere;
     planner_options options;
     options.separatesInterfering = row.separates;
-    const auto decisions = planJobs(options, { next, workers, {}, {}, at(50000), at(f.ms) });
+    const auto decisions = planJobs(options, { next, workers, {}, {}, at(50000), at(f.ms), {} });
     for (const auto& command : decisions.starts) {
         for (const auto& start : command.starts) {
             if (start.task.job == submission_id("bulk"))
--- a/packages/jobs/tests/planner_test.cpp
+++ b/packages/jobs/tests/planner_test.cpp
@@ -13,6 +13,7 @@
     std::map<worker_id, worker_view> workers;
     std::set<run_key> stopping;
     capacity_claims claims;
+    held_back_steps heldBack;
     instant now { at(50000) };
 
     explicit cluster_fixture(int racks = 1)
@@ -25,13 +26,14 @@
         }
     }
 
-    job_decisions decide() { return planJobs({}, { table, workers, stopping, claims, now, at(ms) }); }
+    job_decisions decide() { return planJobs({}, { table, workers, stopping, claims, now, at(ms), heldBack }); }
 
     /// Plans and applies all starts, as if the workers had begun the runs at once.
     job_decisions decideAndApply()
     {
         auto decisions = decide();
         claims = decisions.claims;
+        heldBack = decisions.heldBack;
         for (const auto& command : decisions.starts) {
             apply(command);
             for (const auto& start : command.starts)
@@ -548,7 +550,81 @@
     submit("bulk", "other", { step(1, need(1), row.estimateMs) });
     planner_options options;
     options.weighsPreemptions = row.weighs;
-    const auto decisions = planJobs(options, { table, workers, stopping, claims, now, at(ms) });
+    const auto decisions = planJobs(options, { table, workers, stopping, claims, now, at(ms), heldBack });
     BOOST_TEST(decisions.claims.size() == 1U);
     BOOST_TEST(startCount(decisions) == row.starts);
 }
+
+namespace {
+
+step_spec longRunningStep(std::uint32_t count, std::int64_t accelerator, std::int64_t estimateMs)
+{
+    auto out = step(count, need(accelerator), estimateMs);
+    out.longRunning = true;
+    return out;
+}
+
+struct endless_row {
+    const char* name;
+    std::int64_t estimateMs; ///< Declared for the long-running task.
+    std::int64_t age; ///< Milliseconds for which it has run.
+    std::int64_t otherEstimateMs; ///< Of the task that looks for room.
+};
+std::ostream& operator<<(std::ostream& out, const endless_row& row) { return out << row.name; }
+
+const endless_row endlessRows[] = {
+    { "no declared time", 0, 4000, 1000 },
+    { "declared time not yet reached", 60000, 4000, 100000 },
+    { "declared time long over", 1000, 30000, 1000 },
+};
+
+struct wait_row {
+    const char* name;
+    step_spec step;
+    std::int64_t busyAccelerators; ///< On each worker with a run; the gang needs whole workers.
+    std::uint32_t busyWorkers;
+    bool startsInTime;
+};
+std::ostream& operator<<(std::ostream& out, const wait_row& row) { return out << row.name; }
+
+const wait_row waitRows[] = {
+    { "long-running task", longRunningStep(1, 1, 3600000), 8, 1, true },
+    { "long-running task in a service that is over half full", longRunningStep(1, 1, 3600000), 8, 4, true },
+    { "task longer than the gap", step(1, need(1), 200000), 8, 1, true },
+    { "task longer than the gap in a service that is over half full", step(1, need(1), 200000), 8, 4, false },
+};
+
+} // namespace
+
+// Review case 8: a gang that needs the accelerators of a long-running task reserved all workers from an end that never
+// came. Guards against reservations that rest on the end of a run without one.
+BOOST_DATA_TEST_CASE(a_run_without_end_is_no_ground_for_a_reservation, endlessRows, row)
+{
+    cluster_fixture f;
+    f.submit("service", "bulk", { longRunningStep(1, 1, row.estimateMs) });
+    f.decideAndApply();
+    f.advance(row.age);
+    f.submit("gang", "normal", { gangStep(3, 8) });
+    f.submit("other", "bulk", { step(1, need(1), row.otherEstimateMs) });
+    const auto decisions = f.decide();
+    BOOST_REQUIRE(decisions.starts.size() == 1U);
+    BOOST_TEST(decisions.starts[0].starts[0].task.job.value() == "other");
+}
+
+// The relative of review case 8 (`reserved`): six idle workers are kept for a gang that waits 100 s for the seventh.
+// Guards against reserved room that lies idle for longer than the platform lets a task wait beside ample room.
+BOOST_DATA_TEST_CASE(reserved_room_is_lent_before_the_platforms_bound, waitRows, row)
+{
+    cluster_fixture f(2);
+    f.submit("busy", "normal", { step(row.busyWorkers, need(row.busyAccelerators), 100000) });
+    f.decideAndApply();
+    f.submit("gang", "normal", { gangStep(6, 8) });
+    f.submit("other", "bulk", { row.step });
+    BOOST_TEST(startCount(f.decideAndApply()) == 0U);
+    bool started = false;
+    for (int waited = 200; waited <= 2400 && !started; waited += 200) {
+        f.advance(200);
+        started = startCount(f.decideAndApply()) > 0;
+    }
+    BOOST_TEST(started == row.startsInTime);
+}
--- a/packages/jobs/tests/run_cost_test.cpp
+++ b/packages/jobs/tests/run_cost_test.cpp
@@ -67,7 +67,7 @@
         workers.at(worker_id("w")).running[task("bulk")]
             = { run_number(1), checkpoint("s"), 8, 0, at(45000), now, now, at(49900) };
     f.submit("now", "urgent", { step(1, need(8), 1000) }, "club");
-    const auto decisions = planJobs({}, { f.table, workers, {}, {}, now, at(f.ms) });
+    const auto decisions = planJobs({}, { f.table, workers, {}, {}, now, at(f.ms), {} });
     BOOST_REQUIRE(decisions.stops.size() == 1U);
     const double cores = 11 + 8 * 8;
     const double lost = isReported ? 0.1 : 5;
--- a/packages/jobs/tests/work_order_test.cpp
+++ b/packages/jobs/tests/work_order_test.cpp
@@ -140,7 +140,7 @@
 
     endless_load() { options.order.order = work_order::value; }
 
-    job_decisions decide() const { return planJobs(options, { table, workers, {}, claims, at(ms), at(ms) }); }
+    job_decisions decide() const { return planJobs(options, { table, workers, {}, claims, at(ms), at(ms), {} }); }
 
     /// Plays 0.5 s; runs end after 1 s.
     void play()
