jobs: failures are attributed to workers or to jobs

Cause: a worker on which a task fails gets no tasks for up to 8 s. Only the count of the task's own failures told whose fault it was. Those of long-running tasks are not counted, so each worker in turn was blamed for the same task. Tasks that were stopped without progress took the same path, and nothing limited how many workers were avoided at once.

Change: failure_attribution weighs a failure by the job's runs on other workers. Blame counts as far as it exceeds the median of the other workers of the service, takes at most a third of them away, is taken back when the job fails elsewhere too, and is forgotten after 20 s. Metric poplardeal_workers_avoided.

--- a/packages/emulator/tests/idle_play_test.cpp
+++ b/packages/emulator/tests/idle_play_test.cpp
@@ -66,6 +66,34 @@
     return out;
 }
 
+/// Review case 9, with small jobs before so that all workers have been used.
+idle_scenario failingLongRunning(std::size_t tasks, duration failsAfter)
+{
+    idle_scenario out;
+    out.workers = 10;
+    addSmallJobs(out, 20, milliseconds(500), milliseconds(10), milliseconds(300));
+    for (std::size_t i = 0; i < tasks; ++i) {
+        out.jobs.push_back(makeLongRunning(seconds(4), 2, seconds(60)));
+        out.jobs.back().runTime = failsAfter;
+        out.jobs.back().fails = true;
+    }
+    out.jobs.push_back(makeGang(seconds(16), 1, 5, 5, milliseconds(1500)));
+    return out;
+}
+
+/// A form of review case 9: a job that can never be done each second.
+idle_scenario hopelessJobs()
+{
+    idle_scenario out;
+    out.workers = 10;
+    for (int second = 1; second < 30; ++second) {
+        out.jobs.push_back(makeJob(seconds(second), 2, 1, 1, milliseconds(300)));
+        out.jobs.back().fails = true;
+    }
+    out.jobs.push_back(makeGang(seconds(16), 1, 8, 5, milliseconds(1500)));
+    return out;
+}
+
 struct idle_row {
     const char* name;
     idle_scenario scenario;
@@ -77,6 +105,9 @@
     { "hopeless gang, declared time of a minute", hopelessGangs(1, seconds(60), seconds(90)) },
     { "two hopeless gangs", hopelessGangs(2, duration::zero(), seconds(1)) },
     { "gang waits for a busy worker", gangBesideBusyWorker() },
+    { "long-running task that fails", failingLongRunning(1, milliseconds(300)) },
+    { "three long-running tasks that fail", failingLongRunning(3, milliseconds(700)) },
+    { "hopeless job each second", hopelessJobs() },
 };
 
 planner_options makeOptions()
@@ -97,5 +128,40 @@
 
 } // namespace
 
-// Review case 8. Guards against a task that waits for more than 3 s while there is capacity for it twice over.
+// Review cases 8 and 9. Guards against a task that waits for more than 3 s while there is capacity for it twice over.
 BOOST_DATA_TEST_CASE(no_task_waits_beside_ample_room, idleRows, row) { checkPlay(row.scenario, row.name); }
+
+// Review case 9: a task that fails at once had each of its workers kept from all others. Guards against a gang of a
+// higher rank that isn't started at once beside it.
+BOOST_AUTO_TEST_CASE(a_failing_task_does_not_hold_up_a_gang)
+{
+    auto scenario = failingLongRunning(1, milliseconds(300));
+    scenario.length = milliseconds(16500);
+    BOOST_TEST(playIdle(scenario, makeOptions()).startsByJob.back() == 5U);
+}
+
+// Guards against a long-running task that is started several times a second while it fails at once.
+BOOST_AUTO_TEST_CASE(a_task_that_fails_at_once_is_restarted_after_a_pause)
+{
+    auto scenario = failingLongRunning(1, milliseconds(300));
+    scenario.jobs.pop_back();
+    scenario.length = seconds(24);
+    const auto starts = playIdle(scenario, makeOptions()).startsByJob.back();
+    BOOST_TEST(starts >= 7U); // Within 3 s of each end.
+    BOOST_TEST(starts <= 17U);
+}
+
+// Guards against a failing worker that takes the blame off itself by failing many jobs: the attempts of jobs that can
+// be done must not be used up there.
+BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_uses_up_no_job)
+{
+    idle_scenario scenario;
+    scenario.workers = 5;
+    scenario.badWorkers = { 2 };
+    for (int i = 0; i < 60; ++i)
+        scenario.jobs.push_back(makeJob(milliseconds(500 + 250 * i), 2, 1, 4, milliseconds(900)));
+    const auto result = playIdle(scenario, makeOptions());
+    BOOST_TEST(result.violations.empty());
+    for (const auto starts : result.startsByJob)
+        BOOST_TEST(starts <= 2U);
+}
--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -1,4 +1,5 @@
 #include "job_leader.h"
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <poplardeal/base/log.h>
 #include <poplardeal/jobs/codec.h>
@@ -83,7 +84,10 @@
     , m_released(metrics.getCounter("poplardeal_runs_released_total", "Runs given up without a listed end"))
     , m_discarded(metrics)
     , m_planTime(metrics.getTiming("poplardeal_plan_seconds", "Time to make one plan"))
-    , m_heldBackSteps(metrics.getGauge("poplardeal_steps_held_back", "Steps that wait although there is ample room"))
+    , m_heldBackSteps(metrics.getGauge("poplardeal_steps_held_back",
+          "Steps, and each task of long-running ones, that wait although there is ample room"))
+    , m_avoidedWorkers(metrics.getGauge(
+          "poplardeal_workers_avoided", "Workers without new tasks because tasks failed or were refused there"))
     , m_measuredWorkers(metrics.getGauge("poplardeal_workers_measured", "Workers of which the speed is estimated"))
     , m_leastSlowness(metrics.getGauge(
           "poplardeal_worker_slowness", "Run time relative to an ordinary worker", { { "worker", "fastest" } }))
@@ -172,6 +176,8 @@
     m_heldBack = std::move(decisions.heldBack);
     m_heldBackSteps.set(static_cast<double>(m_heldBack.size()));
     m_planTime.observe(m_loop.now() - now);
+    m_avoidedWorkers.set(static_cast<double>(std::count_if(
+        workerViews.begin(), workerViews.end(), [now](const auto& item) { return item.second.avoidUntil > now; })));
     showSpeeds(workerViews);
     applyDecisions(decisions);
 }
--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -109,6 +109,7 @@
     discarded_work m_discarded;
     timing& m_planTime;
     gauge& m_heldBackSteps;
+    gauge& m_avoidedWorkers;
     gauge& m_measuredWorkers;
     gauge& m_leastSlowness;
     gauge& m_mostSlowness;
--- a/packages/jobs/include/poplardeal/jobs/worker_registry.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <poplardeal/jobs/failure_attribution.h>
 #include <poplardeal/jobs/job_table.h>
 #include <poplardeal/jobs/planner.h>
 #include <poplardeal/jobs/progress_speeds.h>
@@ -102,7 +103,7 @@
     /// Runs whose leases are certain to have expired.
     std::vector<released_run> expiredRuns(const job_table&, instant now);
 
-    /// Refreshes `isReachable`, `isSilent`, `slowness` and `speed`; call before planning.
+    /// Refreshes `isReachable`, `isSilent`, `avoidUntil`, `slowness` and `speed`; call before planning.
     const std::map<worker_id, worker_view>& workerViews(const job_table&, instant now);
     const std::set<run_key>& stoppingRuns() const { return m_stopping; }
 
@@ -123,7 +124,7 @@
         instant instructedAt; ///< When the last instructions were made.
         bool hasLists { false };
         std::map<run_key, std::int64_t> startUntilMs;
-        std::uint32_t consecutiveFailures { 0 }; ///< Failures since the last success.
+        instant refusedUntil; ///< End of the pause after a refused start.
         /// Runs ordered from an earlier boot of this id that never listed them. A worker cannot tell for which boot of
         /// its id an order was meant, so this boot has to refuse them by a stop before they are over.
         std::set<run_key> inheritedRuns;
@@ -152,8 +153,8 @@
     void updateRunning(const worker_status&, worker_view&, instant now) const;
     void updateSlowness(const job_table&);
     void updateSpeeds(const job_table&);
-    void countFailedEnds(const record_ends&, const job_table&, session&, worker_view&, instant now);
-    void countFailure(session&, worker_view&, instant now);
+    void attributeEnds(const record_ends&, instant now);
+    void updateAvoided(instant now);
     std::int64_t estimatedClockMs(const session&, instant now) const;
     instant latestLeaseEnd(const session&) const;
     void eraseFinishedRuns(const job_table&);
@@ -175,6 +176,7 @@
     /// Runs that were given up with their lease and were never listed: the start may be carried out once the worker has
     /// a lease again. It gets none before it refuses them. With the time after which no start is carried out any more.
     std::map<worker_boot, std::map<run_key, instant>> m_lateStarts;
+    failure_attribution m_failures;
     progress_speeds m_progressSpeeds;
     instant m_slownessUpdatedAt; ///< When the speeds of workers were last brought up to date.
 };
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <poplardeal/jobs/worker_registry.h>
 
@@ -7,11 +6,6 @@
 
 namespace {
 
-    /// Pauses of a worker after 1, 2 and 3 or more failures in a row. A worker that fails everything at once would use
-    /// up the attempts of every waiting job.
-    constexpr std::array<duration, 3> failurePauses { std::chrono::milliseconds(1500), std::chrono::seconds(5),
-        std::chrono::seconds(8) };
-
     /// Of progress for a sample of a worker's speed. Reports come every quarter of a second, which is under a tenth of
     /// that part of a run of 10 s.
     constexpr double minimumSamplePercent = 30;
@@ -34,6 +28,7 @@
 {
     m_leadershipStartedAt = now;
     m_slownessUpdatedAt = {};
+    m_failures = {};
     m_progressSpeeds = {};
     m_views.clear();
     m_sessions.clear();
@@ -198,24 +193,13 @@
     view.running = std::move(fresh);
 }
 
-void worker_registry::countFailure(session& workerSession, worker_view& view, instant now)
-{
-    const auto level = std::min<std::size_t>(workerSession.consecutiveFailures, failurePauses.size() - 1);
-    ++workerSession.consecutiveFailures;
-    view.avoidUntil = now + failurePauses[level];
-}
-
-void worker_registry::countFailedEnds(
-    const record_ends& fresh, const job_table& table, session& workerSession, worker_view& view, instant now)
+void worker_registry::attributeEnds(const record_ends& fresh, instant now)
 {
     for (const auto& end : fresh.ends) {
-        const auto* unit = table.findUnit(end.task);
         if (end.kind == end_kind::done)
-            workerSession.consecutiveFailures = 0;
-        // A task that has failed elsewhere says more about the task than about the worker.
-        else if (end.kind == end_kind::failed
-            && (workerSession.consecutiveFailures > 0 || unit == nullptr || unit->failures == 0))
-            countFailure(workerSession, view, now);
+            m_failures.didComplete(end.task.job, fresh.worker, now);
+        else if (end.kind == end_kind::failed)
+            m_failures.didFail(end.task.job, fresh.worker, now);
     }
 }
 
@@ -323,7 +307,7 @@
         out.released.push_back(makeRelease(refused.run, status.boot, table));
         // Without a pause the next plan chooses the same worker again, and again.
         if (isOwn && !m_stopping.contains(refused.run))
-            view.avoidUntil = std::max(view.avoidUntil, now + m_options.refusalPause);
+            workerSession.refusedUntil = now + m_options.refusalPause;
     }
     if (!status.hasLists || status.clockMs < workerSession.clockMs)
         return out;
@@ -346,7 +330,7 @@
         workerSession.lastProposedEnd = std::max(workerSession.lastProposedEnd, end.number);
     for (const auto& run : listed)
         eraseLateStart(status.boot, run); // It has begun, and is stopped as one that the table does not know.
-    countFailedEnds(out.ends, table, workerSession, view, now);
+    attributeEnds(out.ends, now);
     for (const auto& run : table.runsOn(status.boot)) {
         const auto until = workerSession.startUntilMs.find(run);
         if (listed.contains(run))
@@ -387,9 +371,8 @@
 void worker_registry::didOrderStop(const planned_stop& stop, instant now)
 {
     m_stopping.insert(stop.run);
-    const auto found = m_sessions.find(stop.worker.worker);
-    if (stop.reason == stop_reason::no_progress && found != m_sessions.end())
-        countFailure(found->second, m_views.at(stop.worker.worker), now);
+    if (stop.reason == stop_reason::no_progress)
+        m_failures.didFail(stop.run.task.job, stop.worker, now);
 }
 
 /// Runs that a worker lists though they are over for the table, such as a start that was given up and carried out late.
@@ -565,6 +548,23 @@
         view.speed.slowness = 1 + (view.speed.slowness * factor - 1) * (view.speed.certainty > 0 ? 1 : 0);
 }
 
+void worker_registry::updateAvoided(instant now)
+{
+    for (auto& [id, view] : m_views)
+        view.avoidUntil = m_sessions.at(id).refusedUntil;
+    if (m_failures.isEmpty())
+        return;
+    std::map<service_name, std::vector<worker_boot>> services;
+    for (const auto& [id, view] : m_views)
+        services[view.service].push_back(view.boot);
+    for (const auto& [service, workers] : services) {
+        for (const auto& [boot, until] : m_failures.avoidedWorkers(workers, now)) {
+            auto& view = m_views.at(boot.worker);
+            view.avoidUntil = std::max(view.avoidUntil, until);
+        }
+    }
+}
+
 const std::map<worker_id, worker_view>& worker_registry::workerViews(const job_table& table, instant now)
 {
     if (now - m_slownessUpdatedAt >= slownessUpdateInterval) {
@@ -572,6 +572,7 @@
         updateSlowness(table);
         updateSpeeds(table);
     }
+    updateAvoided(now);
     for (auto& [id, view] : m_views) {
         const auto& workerSession = m_sessions.at(id);
         view.isReachable = workerSession.hasLists && now - workerSession.lastTimelyReportAt < m_options.reachableTimeout
