jobs: the bound on waiting beside ample room holds in drawn schedules

A wait was noted for a whole step, so that one long-running task that started took the others' turn away; a run that failed at once ended the wait of others; a unit that was owed room was passed over if the one before it in its step was not; and runs on lost or blamed workers made a service look half full.

Change: waits are noted for each task of a long-running step, outlast a gap of half a second without room, and the units of a step are tried again once one of them is owed room. Half use is judged by the workers that are heard, with and without the avoided ones.

--- a/packages/emulator/src/idle_cluster.cpp
+++ b/packages/emulator/src/idle_cluster.cpp
@@ -191,12 +191,19 @@
     return out;
 }
 
+bool idle_cluster::isSound(const simulated_worker& worker) const
+{
+    const auto& bad = m_scenario.badWorkers;
+    const auto number = static_cast<std::size_t>(&worker - m_workers.data());
+    return worker.isUp && std::find(bad.begin(), bad.end(), number) == bad.end();
+}
+
 bool idle_cluster::hasRoom(const demand& need, std::size_t tasks) const
 {
     std::size_t slots = 0;
     for (const auto& worker : m_workers) {
         auto free = freeOn(worker);
-        for (; worker.isUp && need.fitsIn(free) && slots < tasks; ++slots)
+        for (; isSound(worker) && need.fitsIn(free) && slots < tasks; ++slots)
             free -= need;
     }
     return slots >= tasks;
--- a/packages/emulator/src/idle_cluster.h
+++ b/packages/emulator/src/idle_cluster.h
@@ -29,6 +29,7 @@
     /// Whether so many tasks fit beside what runs on the workers that are up.
     bool hasRoom(const demand& need, std::size_t tasks) const;
     bool isUnderHalfUsed() const;
+    bool isSound(const simulated_worker&) const;
     demand freeOn(const simulated_worker&) const;
 
     idle_scenario m_scenario;
--- a/packages/emulator/src/leader_model.h
+++ b/packages/emulator/src/leader_model.h
@@ -63,7 +63,7 @@
     std::uint64_t m_term;
     worker_registry m_registry;
     capacity_claims m_claims;
-    held_back_steps m_heldBack;
+    held_back_units m_heldBack;
     std::size_t m_startsInFlight { 0 };
     bool m_isPlanScheduled { false };
     std::set<run_key> m_pendingReleases;
--- a/packages/emulator/tests/idle_play_test.cpp
+++ b/packages/emulator/tests/idle_play_test.cpp
@@ -119,6 +119,12 @@
     return out;
 }
 
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr std::uint64_t drawnSchedules = 40; // A play takes up to fifteen times as long.
+#else
+constexpr std::uint64_t drawnSchedules = 2000;
+#endif
+
 void checkPlay(const idle_scenario& scenario, const std::string& name)
 {
     const auto result = playIdle(scenario, makeOptions());
@@ -165,3 +171,11 @@
     for (const auto starts : result.startsByJob)
         BOOST_TEST(starts <= 2U);
 }
+
+// Each seed is a schedule of gangs, long-running tasks, tasks that fail or overrun, hopeless jobs and lost workers.
+// Guards against a task that waits beside ample room for a reason that no row above has.
+BOOST_AUTO_TEST_CASE(no_task_waits_beside_ample_room_in_drawn_schedules)
+{
+    for (std::uint64_t seed = 1; seed <= drawnSchedules; ++seed)
+        checkPlay(drawIdleScenario(seed), "seed " + std::to_string(seed));
+}
--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -89,7 +89,7 @@
     worker_registry m_workers;
     planner_options m_plannerOptions;
     capacity_claims m_claims;
-    held_back_steps m_heldBack;
+    held_back_units m_heldBack;
     instruction_sender m_send;
     std::set<worker_boot> m_instructionsDue;
     event_loop::timer m_instructionTimer;
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -79,15 +79,21 @@
 
 using capacity_claims = std::map<unit_key, capacity_claim>;
 
-/// Steps that are kept waiting although there is ample room for them, and since when on the leader's clock.
-using held_back_steps = std::map<step_key, instant>;
+/// A wait beside ample room, on the leader's clock.
+struct hold_back {
+    instant since;
+    instant seenAt; ///< Last plan with ample room.
+};
+
+/// Units that are kept waiting although there is ample room for them: each of a long-running step, the first of others.
+using held_back_units = std::map<unit_key, hold_back>;
 
 /// Result of a plan.
 struct job_decisions {
     std::vector<start_tasks> starts; ///< Each command may be applied on its own.
     std::vector<planned_stop> stops;
     capacity_claims claims; ///< Input of the next plan.
-    held_back_steps heldBack; ///< Input of the next plan.
+    held_back_units heldBack; ///< Input of the next plan.
 };
 
 struct planner_options {
@@ -123,7 +129,7 @@
     const capacity_claims& claims; ///< From the last plan.
     instant now; ///< Steady clock of the leader.
     instant wallClock;
-    const held_back_steps& heldBack; ///< From the last plan.
+    const held_back_units& heldBack; ///< From the last plan.
 };
 
 /// A demand in cores, for comparing and counting work; an accelerator counts as 8. A worker has 16 cores for each
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -649,7 +649,8 @@
     // Other units of a step are placed like the one before: if that one found no place, they find none either.
     const bool mayLeaveRack = item.waitingTime >= item.estimatedRunTime;
     const bool isHopeless = m_blockedStep == item.step && m_blockedOccurrence == item.key.occurrence
-        && (m_blockedMayLeaveRack || !mayLeaveRack) && !m_decisions.claims.contains(item.key);
+        && (m_blockedMayLeaveRack || !mayLeaveRack) && (m_blockedIsOwedRoom || !item.isOwedRoom)
+        && !m_decisions.claims.contains(item.key);
     auto placement = isHopeless ? std::nullopt : findPlacement(item);
     if (!placement && !isHopeless && item.isOwedRoom)
         placement = findOwedPlacement(item);
@@ -680,6 +681,7 @@
     m_blockedStep = item.step;
     m_blockedOccurrence = item.key.occurrence;
     m_blockedMayLeaveRack = mayLeaveRack;
+    m_blockedIsOwedRoom = item.isOwedRoom;
     if (m_reservations++ < m_options.maxReservations)
         reserveWorkers(earliestStarts(item, worker_filter::all));
     return false;
@@ -689,9 +691,12 @@
 {
     for (auto& item : collectCandidates()) {
         item.isOwedRoom = isOwedRoom(item);
-        if (!placeUnit(item))
+        if (placeUnit(item))
+            m_placed.insert(holdBackKey(item));
+        else
             recordHoldBack(item);
     }
+    keepRecentHoldBacks();
 }
 
 } // namespace poplardeal::detail
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -90,10 +90,22 @@
     std::vector<std::vector<worker_number>> byRack; ///< By `rack_number`.
 };
 
-/// Capacity of all workers of a service, and what runs there.
-struct service_use {
+/// Capacity of workers, and what runs there.
+struct capacity_use {
     demand capacity;
     demand used;
+
+    void add(const round_worker&);
+    bool isUnderHalf(const demand& need) const;
+};
+
+/// The workers of a service that are heard. Those that are avoided may or may not be sound.
+struct service_use {
+    capacity_use heard;
+    capacity_use trusted; ///< Not avoided.
+
+    /// Of what the tasks need most.
+    bool isUnderHalf(const demand& need) const { return heard.isUnderHalf(need) || trusted.isUnderHalf(need); }
 };
 
 /// Times of one occurrence of a job that all of its units share.
@@ -201,8 +213,10 @@
     const service_use& useOf(const service_name&);
     /// Whether there is capacity for the unit twice over while under half of its service is in use.
     bool hasAmpleRoom(const candidate&);
+    static unit_key holdBackKey(const candidate&);
     bool isOwedRoom(const candidate&);
     void recordHoldBack(const candidate&);
+    void keepRecentHoldBacks();
     /// Keeps the claim of a unit that can't start yet.
     void waitForClaim(const candidate&);
     /// Whether the unit starts.
@@ -232,8 +246,10 @@
     const step_spec* m_blockedStep { nullptr }; ///< A unit of it has just found no place.
     std::uint32_t m_blockedOccurrence { 0 };
     std::set<service_name> m_claimingServices; ///< Of units that wait for their victims to end.
+    bool m_blockedIsOwedRoom { false };
     bool m_blockedMayLeaveRack { false }; ///< That unit had waited long enough to run off its rack.
     std::map<service_name, service_use> m_use;
+    std::set<unit_key> m_placed; ///< By `holdBackKey`.
     const step_spec* m_crampedStep { nullptr }; ///< The last one found without ample room.
     std::uint32_t m_crampedOccurrence { 0 };
     job_decisions m_decisions;
--- a/packages/jobs/tests/planner_test.cpp
+++ b/packages/jobs/tests/planner_test.cpp
@@ -13,7 +13,7 @@
     std::map<worker_id, worker_view> workers;
     std::set<run_key> stopping;
     capacity_claims claims;
-    held_back_steps heldBack;
+    held_back_units heldBack;
     instant now { at(50000) };
 
     explicit cluster_fixture(int racks = 1)
