platform: steps are counted before they are built

Cause: a job may have 256 steps, but that was checked after the entry had built and encoded all of them with all their members, and the leader had decoded them.

--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -401,8 +401,8 @@
         accept_submission command { submission_id(id), queue->name, workspace ? workspace->name : workspace_name(),
             {} };
         try {
-            command.spec
-                = fromCbor<submission_spec>({ reinterpret_cast<const char*>(call.job.data()), call.job.size() });
+            command.spec = fromCbor<submission_spec>(
+                { reinterpret_cast<const char*>(call.job.data()), call.job.size() }, maxSubmissionValues);
         } catch (const std::exception& error) {
             return respond(makeAnswer(queue_outcome::malformed, error.what()));
         }
--- a/packages/jobs/include/poplardeal/jobs/codec.h
+++ b/packages/jobs/include/poplardeal/jobs/codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <poplardeal/base/json.h>
 #include <poplardeal/jobs/model.h>
@@ -32,14 +33,18 @@
 /// Deepest nesting of arrays and objects that is decoded. Our own types need less than ten levels.
 inline constexpr std::size_t maxCborDepth = 64;
 
-/// Throws `std::runtime_error` if the bytes are not CBOR or nested deeper than `maxCborDepth`: the decoder calls itself
-/// for each level, so a small message could exhaust the stack.
-void requireShallowCbor(std::string_view);
+/// Values in a submission: 256 steps of about 20 members and up to 255 earlier steps.
+inline constexpr std::size_t maxSubmissionValues = 100'000;
+
+/// Throws `std::runtime_error` if the bytes are not CBOR, nested deeper than `maxCborDepth` or hold more than
+/// `maxValues` values. The decoder calls itself for each level, so a small message could exhaust the stack, and takes
+/// up to a hundred bytes of memory for each byte.
+void requireBoundedCbor(std::string_view, std::size_t maxValues);
 
 /// Throws `std::exception` if the bytes do not encode a `T`.
-template <class T> T fromCbor(std::string_view bytes)
+template <class T> T fromCbor(std::string_view bytes, std::size_t maxValues = std::numeric_limits<std::size_t>::max())
 {
-    requireShallowCbor(bytes);
+    requireBoundedCbor(bytes, maxValues);
     return nlohmann::json::from_cbor(bytes.begin(), bytes.end()).template get<T>();
 }
 
--- a/packages/jobs/tests/command_test.cpp
+++ b/packages/jobs/tests/command_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
+#include <poplardeal/jobs/codec.h>
 #include <poplardeal/jobs/command.h>
 
 using namespace poplardeal;
@@ -88,3 +89,20 @@
         BOOST_TEST(decodeCommand(bytes.substr(0, length)).has_error());
     BOOST_TEST(decodeCommand("nonsense").has_error());
 }
+
+// Review case 10: a job of 85,000 empty steps took each leading control over its memory before the steps were counted.
+// Guards against a submission that is decoded although it holds more than any valid one.
+BOOST_AUTO_TEST_CASE(oversized_submissions_are_not_decoded)
+{
+    submission_spec widest;
+    widest.steps.assign(maxSteps, step(1, need(1)));
+    for (std::uint32_t s = 0; s < maxSteps; ++s) {
+        for (std::uint32_t earlier = 0; earlier < s; ++earlier)
+            widest.steps[s].after.push_back(earlier);
+    }
+    BOOST_TEST((fromCbor<submission_spec>(toCbor(widest), maxSubmissionValues) == widest));
+    submission_spec oversized;
+    oversized.steps.assign(10000, step_spec());
+    BOOST_CHECK_EXCEPTION(fromCbor<submission_spec>(toCbor(oversized), maxSubmissionValues), std::runtime_error,
+        [](const auto& error) { return std::string(error.what()).find("more than") != std::string::npos; });
+}
