--- a/packages/emulator/src/idle_cluster.cpp
+++ b/packages/emulator/src/idle_cluster.cpp
@@ -19,7 +19,6 @@
     constexpr duration longestWait = 3s; ///< Platform figure.
     constexpr duration longestRestart = 6s; ///< Of a long-running task after its last run; platform figure.
     constexpr demand workerCapacity { millicores(128000), mebibytes(262144), accelerators(8) };
-    constexpr double wholePercent = 100;
 
 } // namespace
 
