jobs: failures are weighed by task, and a success ends no pause

Cause: the weights by job of took random failures in wide jobs for the job's fault, and any success on a worker ended its pause.

Change: a failure is weighed by the failures of the same task, or gang, on other workers. A success ends a row of failures, as before, and no pause in force.

--- a/packages/emulator/src/leader_model.cpp
+++ b/packages/emulator/src/leader_model.cpp
@@ -76,7 +76,7 @@
         ++m_statistics.stops;
         if (m_stopped)
             m_stopped(stop);
-        m_registry.didOrderStop(stop, now);
+        m_registry.didOrderStop(stop, m_table, now);
         affected.insert(stop.worker);
     }
     for (const auto& boot : affected)
--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -209,7 +209,7 @@
                 { "reason", toString(stop.reason) } });
         m_stops.add();
         m_discarded.addStop(stop);
-        m_workers.didOrderStop(stop, m_loop.now());
+        m_workers.didOrderStop(stop, m_stateMachine.table(), m_loop.now());
         affected.insert(stop.worker);
     }
     for (const auto& boot : affected)
--- a/packages/jobs/include/poplardeal/jobs/worker_registry.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -93,7 +93,7 @@
     void didFinishRecordingEnds(const worker_boot&, std::uint64_t upTo, bool recorded);
 
     void didOrderStart(const task_start&, instant now);
-    void didOrderStop(const planned_stop&, instant now);
+    void didOrderStop(const planned_stop&, const job_table&, instant now);
 
     /// Orders for a boot, with a lease counted from its last report. Nothing if the boot is not the current one.
     std::optional<worker_instructions> instructionsFor(const worker_boot&, const job_table&, instant now);
@@ -153,7 +153,7 @@
     void updateRunning(const worker_status&, worker_view&, instant now) const;
     void updateSlowness(const job_table&);
     void updateSpeeds(const job_table&);
-    void attributeEnds(const record_ends&, instant now);
+    void attributeEnds(const record_ends&, const job_table&, instant now);
     void updateAvoided(instant now);
     std::int64_t estimatedClockMs(const session&, instant now) const;
     instant latestLeaseEnd(const session&) const;
--- a/packages/jobs/src/failure_attribution.cpp
+++ b/packages/jobs/src/failure_attribution.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <array>
 #include <poplardeal/jobs/failure_attribution.h>
+#include <utility>
 
 namespace poplardeal {
 
@@ -15,12 +16,11 @@
         duration pause { 0 };
     };
 
-    /// A worker that fails everything at once would use up the attempts of every waiting job. The bounds are below 1, 2
-    /// and 3, as a failure weighs less than 1 once its job has failed elsewhere too.
+    /// A worker that fails everything at once would use up the attempts of every waiting job.
     constexpr std::array<pause_level, 3> pauseLevels { {
-        { 2.6, std::chrono::seconds(8) },
-        { 1.7, std::chrono::seconds(5) },
-        { 0.8, std::chrono::milliseconds(1500) },
+        { 3, std::chrono::seconds(8) },
+        { 2, std::chrono::seconds(5) },
+        { 1, std::chrono::milliseconds(1500) },
     } };
 
     constexpr std::size_t avoidedPart = 3; ///< At most one worker of a service in so many is avoided.
@@ -47,27 +47,23 @@
 
 } // namespace
 
-void failure_attribution::didFail(const submission_id& job, const worker_boot& worker, instant now)
+void failure_attribution::didFail(const unit_key& unit, const worker_boot& worker, instant now)
 {
     eraseOld(now);
-    auto& jobRecord = m_jobs[job];
-    jobRecord.failedOn[worker] = now;
-    jobRecord.completedOn.erase(worker);
-    jobRecord.lastFailureAt = now;
+    auto& unitRecord = m_units[unit];
+    unitRecord.failedOn.insert(worker);
+    unitRecord.lastFailureAt = now;
     auto& workerRecord = m_workers[worker];
-    ++workerRecord.failures[job];
+    if (std::exchange(workerRecord.isRowOver, false))
+        workerRecord.failures.clear();
+    ++workerRecord.failures[unit];
     workerRecord.lastFailureAt = now;
 }
 
-void failure_attribution::didComplete(const submission_id& job, const worker_boot& worker, instant now)
+void failure_attribution::didComplete(const worker_boot& worker)
 {
-    eraseOld(now);
-    m_workers.erase(worker);
-    const auto found = m_jobs.find(job);
-    if (found == m_jobs.end())
-        return;
-    found->second.failedOn.erase(worker);
-    found->second.completedOn.insert(worker);
+    if (const auto found = m_workers.find(worker); found != m_workers.end())
+        found->second.isRowOver = true;
 }
 
 void failure_attribution::eraseOld(instant now)
@@ -76,21 +72,18 @@
         return;
     m_erasedAt = now;
     const auto isOld = [now](const auto& item) { return now - item.second.lastFailureAt > retention; };
-    std::erase_if(m_jobs, isOld);
+    std::erase_if(m_units, isOld);
     std::erase_if(m_workers, isOld);
 }
 
-/// The chance that a failure of the job there was the worker's fault, judged by the job's runs on other workers.
-double failure_attribution::weightOf(const submission_id& job, const worker_boot& worker) const
+/// The chance that a failure there was the worker's fault: half if the task has failed on one other worker, and so on.
+double failure_attribution::weightOf(const unit_key& unit, const worker_boot& worker) const
 {
-    const auto found = m_jobs.find(job);
-    if (found == m_jobs.end())
+    const auto found = m_units.find(unit);
+    if (found == m_units.end())
         return 1;
-    const auto& record = found->second;
-    const auto failed = record.failedOn.size() - record.failedOn.count(worker);
-    const auto completed = record.completedOn.size() - record.completedOn.count(worker);
-    const double prior = 1; // Success of a job of which nothing is known.
-    return (prior + static_cast<double>(completed)) / (prior + static_cast<double>(completed + failed));
+    const auto& failedOn = found->second.failedOn;
+    return 1 / static_cast<double>(1 + failedOn.size() - failedOn.count(worker));
 }
 
 double failure_attribution::blameOf(const worker_boot& worker, instant now) const
@@ -99,8 +92,8 @@
     if (found == m_workers.end() || now - found->second.lastFailureAt > retention)
         return 0;
     double out = 0;
-    for (const auto& [job, failures] : found->second.failures)
-        out += failures * weightOf(job, worker);
+    for (const auto& [unit, failures] : found->second.failures)
+        out += failures * weightOf(unit, worker);
     return out;
 }
 
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -193,13 +193,21 @@
     view.running = std::move(fresh);
 }
 
-void worker_registry::attributeEnds(const record_ends& fresh, instant now)
+static unit_key unitOf(const task_key& task, const job_table& table)
+{
+    const auto* job = table.find(task.job);
+    const bool isKnown = job != nullptr && task.step < job->spec.steps.size();
+    return { task.job, task.occurrence, task.step,
+        isKnown ? unitIndexOf(job->spec.steps[task.step], task.index) : task.index };
+}
+
+void worker_registry::attributeEnds(const record_ends& fresh, const job_table& table, instant now)
 {
     for (const auto& end : fresh.ends) {
         if (end.kind == end_kind::done)
-            m_failures.didComplete(end.task.job, fresh.worker, now);
+            m_failures.didComplete(fresh.worker);
         else if (end.kind == end_kind::failed)
-            m_failures.didFail(end.task.job, fresh.worker, now);
+            m_failures.didFail(unitOf(end.task, table), fresh.worker, now);
     }
 }
 
@@ -330,7 +338,7 @@
         workerSession.lastProposedEnd = std::max(workerSession.lastProposedEnd, end.number);
     for (const auto& run : listed)
         eraseLateStart(status.boot, run); // It has begun, and is stopped as one that the table does not know.
-    attributeEnds(out.ends, now);
+    attributeEnds(out.ends, table, now);
     for (const auto& run : table.runsOn(status.boot)) {
         const auto until = workerSession.startUntilMs.find(run);
         if (listed.contains(run))
@@ -368,11 +376,11 @@
         = estimatedClockMs(found->second, now) + toMilliseconds(m_options.startWindow);
 }
 
-void worker_registry::didOrderStop(const planned_stop& stop, instant now)
+void worker_registry::didOrderStop(const planned_stop& stop, const job_table& table, instant now)
 {
     m_stopping.insert(stop.run);
     if (stop.reason == stop_reason::no_progress)
-        m_failures.didFail(stop.run.task.job, stop.worker, now);
+        m_failures.didFail(unitOf(stop.run.task, table), stop.worker, now);
 }
 
 /// Runs that a worker lists though they are over for the table, such as a start that was given up and carried out late.
