fleet: a control that asks to join, and the voters that are needed, are shown

Cause: nothing told that a control asks to join the group, whom it asks, for how long, and which leader it is told of, and nothing compared the voters with the losses that the deployment has to bear.

The setting tolerated_losses names the controls that may be lost at once; it is only shown so far. Controls note the leader that hints name, for the log line.

--- a/packages/fleet/include/poplardeal/fleet/settings.h
+++ b/packages/fleet/include/poplardeal/fleet/settings.h
@@ -34,6 +34,7 @@
     std::vector<address> seeds; ///< HTTP addresses of some controls; may be out of date.
     std::string dataFolder; ///< Control only.
     bool bootstrap { false }; ///< Control only: this is the first start of a new control group.
+    std::size_t toleratedLosses { 1 }; ///< Control only: controls that may be lost at once, with their disks.
     std::uint64_t snapshotEvery {
         4000
     }; ///< Control only: in log entries. A restart replays them in well under a second.
--- a/packages/fleet/src/control_metrics.cpp
+++ b/packages/fleet/src/control_metrics.cpp
@@ -1,16 +1,19 @@
 #include "control_metrics.h"
+#include "membership_manager.h"
 #include "replica_address.h"
 
 namespace poplardeal::detail {
 
 static double secondsOf(duration time) { return std::chrono::duration<double>(time).count(); }
 
-control_metrics::control_metrics(metrics_registry& metrics)
+control_metrics::control_metrics(metrics_registry& metrics, std::size_t toleratedLosses)
     : m_metrics(metrics)
     , m_leads(metrics.getGauge("poplardeal_control_leads", "1 while this control leads and holds its lease"))
     , m_mayVote(metrics.getGauge("poplardeal_control_may_vote", "1 if this control may vote"))
     , m_voters(metrics.getGauge("poplardeal_control_voters", "Voting members that this control knows"))
     , m_learners(metrics.getGauge("poplardeal_control_learners", "Members without a vote that this control knows"))
+    , m_joining(metrics.getGauge("poplardeal_control_joining_seconds",
+          "Time for which this control has been asking to join the group; 0 if it does not ask"))
     , m_answering(
           metrics.getGauge("poplardeal_control_voters_answering", "Voters that answer this leader, itself included"))
     , m_margin(metrics.getGauge("poplardeal_control_quorum_margin", "Answering voters that this leader can spare"))
@@ -22,6 +25,9 @@
 {
     m_answering.set(unknown);
     m_margin.set(unknown);
+    metrics
+        .getGauge("poplardeal_control_voters_needed", "Voters that bear the losses of controls that the settings name")
+        .set(static_cast<double>(membership_manager::votersNeeded(toleratedLosses)));
 }
 
 void control_metrics::recordRecovery(const recovery_facts& facts)
@@ -39,6 +45,8 @@
 
 void control_metrics::recordDiskFull(bool full) { m_diskFull.set(full ? 1 : 0); }
 
+void control_metrics::recordJoining(duration time) { m_joining.set(secondsOf(time)); }
+
 void control_metrics::recordWrite(duration time) { m_writeTime.observe(time); }
 
 void control_metrics::update(const replica& self, instant now)
--- a/packages/fleet/src/control_metrics.h
+++ b/packages/fleet/src/control_metrics.h
@@ -9,12 +9,15 @@
 /// Metrics of a control as a replica. Those that only a leader knows are `unknown` on the others.
 class control_metrics {
 public:
-    explicit control_metrics(metrics_registry&);
+    /// `toleratedLosses`: of controls that may be lost at the same time.
+    control_metrics(metrics_registry&, std::size_t toleratedLosses);
 
     /// The data folder has been opened.
     void recordRecovery(const recovery_facts&);
     /// The disk has, or has not, room for what this control has to write.
     void recordDiskFull(bool);
+    /// How long this control has been asking to join the group; zero if it does not ask.
+    void recordJoining(duration);
     /// A write to the log and its sync have ended.
     void recordWrite(duration);
     void update(const replica&, instant now);
@@ -35,6 +38,7 @@
     gauge& m_mayVote;
     gauge& m_voters;
     gauge& m_learners;
+    gauge& m_joining;
     gauge& m_answering;
     gauge& m_margin;
     gauge& m_term;
--- a/packages/fleet/src/group_membership.cpp
+++ b/packages/fleet/src/group_membership.cpp
@@ -1,16 +1,26 @@
 #include "group_membership.h"
 #include "replica_address.h"
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <poplardeal/base/log.h>
 #include <poplardeal/wire/message.h>
+#include <set>
 
 namespace poplardeal::detail {
 
 namespace {
 
     constexpr duration joinRequestInterval = std::chrono::milliseconds(400);
+    /// A group with a leader answers a request to join within this time.
+    constexpr duration joinLogDelay = std::chrono::seconds(2);
+    constexpr duration joinLogInterval = std::chrono::seconds(5);
     constexpr duration leaveRequestInterval = std::chrono::milliseconds(100);
 
+    std::int64_t millisecondsOf(duration time)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    }
+
     std::vector<std::uint32_t> idsOf(const membership& members)
     {
         std::vector<std::uint32_t> out;
@@ -26,6 +36,7 @@
     , m_self(self)
     , m_send(std::move(send))
     , m_manager(self)
+    , m_joiningLines(joinLogInterval)
 {
 }
 
@@ -60,16 +71,47 @@
 void group_membership::requestToJoin(const replica& group, instant now)
 {
     const bool isVoter = group.members().isVoter(m_self) && group.mayVote();
-    if ((group.leader() && isVoter) || m_leavingSince || now - m_requestedAt < joinRequestInterval)
+    if ((group.leader() && isVoter) || m_leavingSince) {
+        if (const auto since = std::exchange(m_askingSince, std::nullopt); since && now - *since >= joinLogDelay)
+            logEvent(log_level::info, "join_ended",
+                { { "waited_ms", millisecondsOf(now - *since) }, { "term", group.term() } });
+        return;
+    }
+    if (!m_askingSince)
+        m_askingSince = now;
+    if (now - m_requestedAt < joinRequestInterval)
         return;
     m_requestedAt = now;
     message::join_groupT request;
     request.replica = m_self.value();
     const auto out = packMessage(frame_kind::join_group, 0, request);
+    std::vector<replica_id> asked;
     for (const auto& seed : m_settings.seeds)
-        m_send(replicaIdFromIp(seed.ip), out);
+        asked.push_back(replicaIdFromIp(seed.ip));
     for (const auto& each : group.members().members)
-        m_send(each.id, out);
+        asked.push_back(each.id);
+    for (const auto to : asked)
+        m_send(to, out);
+    noteJoining(group, asked, now);
+}
+
+void group_membership::noteJoining(const replica& group, const std::vector<replica_id>& asked, instant now)
+{
+    const auto waited = joiningFor(now);
+    if (waited < joinLogDelay || !m_joiningLines.admit(now))
+        return;
+    std::set<std::string> names;
+    for (const auto to : asked)
+        names.insert(ipFromReplicaId(to));
+    logEvent(log_level::warning, "join_unanswered",
+        { { "waited_ms", millisecondsOf(waited) }, { "asked", names }, { "leader_named", m_namedLeader },
+            { "term", group.term() }, { "may_vote", group.mayVote() } });
+}
+
+void group_membership::recordHint(const message::control_hintT& hint)
+{
+    if (!hint.leader.empty())
+        m_namedLeader = hint.leader;
 }
 
 std::optional<frame> group_membership::receive(replica& group, bool leads, const frame& received, instant now)
--- a/packages/fleet/src/group_membership.h
+++ b/packages/fleet/src/group_membership.h
@@ -2,8 +2,11 @@
 
 #include "membership_manager.h"
 #include <functional>
+#include <poplardeal/base/line_limiter.h>
 #include <poplardeal/fleet/settings.h>
 #include <poplardeal/wire/frame.h>
+#include <poplardeal/wire/messages_generated.h>
+#include <string>
 
 namespace poplardeal::detail {
 
@@ -22,6 +25,10 @@
     void tick(replica&, bool leads, instant now);
     /// Handles `join_group` and `leave_group`. Returns the answer, if there is one yet.
     std::optional<frame> receive(replica&, bool leads, const frame&, instant now);
+    /// Another control has told what it knows of the group.
+    void recordHint(const message::control_hintT&);
+    /// How long this replica has been asking to join; zero if it does not ask.
+    duration joiningFor(instant now) const { return m_askingSince ? now - *m_askingSince : duration::zero(); }
     /// A `leave_answer` has arrived.
     void recordLeaveAnswer() { m_hasLeft = true; }
     /// For a replica that stops and does not lead, called until it returns true: asks the leader not to count on it
@@ -33,6 +40,7 @@
 private:
     void propose(replica&, instant now);
     void requestToJoin(const replica&, instant now);
+    void noteJoining(const replica&, const std::vector<replica_id>& asked, instant now);
 
     const fleet_settings& m_settings;
     replica_id m_self;
@@ -40,6 +48,9 @@
     membership_manager m_manager;
     std::uint64_t m_ledTerm { 0 }; ///< Term that this replica leads, 0 if it does not lead.
     instant m_requestedAt; ///< When this replica last asked to join or to leave.
+    std::optional<instant> m_askingSince; ///< When this replica began to ask to join, if it does.
+    std::string m_namedLeader; ///< By the last hint that named one.
+    line_limiter m_joiningLines;
     std::optional<instant> m_leavingSince;
     bool m_hasLeft { false };
 };
--- a/packages/fleet/src/membership_manager.h
+++ b/packages/fleet/src/membership_manager.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <poplardeal/consensus/replica.h>
 
@@ -37,6 +38,11 @@
     static constexpr duration learnerAbsenceLimit = std::chrono::seconds(6);
     static constexpr std::size_t minVoters = 3; ///< Fewer are left only by replicas that lost their data folder.
     static constexpr std::size_t maxVoters = 7; ///< The design reserves at most 7 instances for control.
+    /// Voters of which that many may be lost, with their data, while a majority is left; as far as the group may grow.
+    static constexpr std::size_t votersNeeded(std::size_t losses)
+    {
+        return std::clamp(2 * losses + 1, minVoters, maxVoters);
+    }
     /// With learners. A learner that is absent makes room for a new one.
     static constexpr std::size_t maxMembers = maxVoters + 2;
 
--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -150,7 +150,7 @@
     , mesh(eventLoop, settings, self)
     , groupMembership(settings, self, [this](replica_id to, const frame& out) { mesh.send(to, out, loop.now()); })
     , refusal(settings, self, metrics)
-    , controlMetrics(metrics)
+    , controlMetrics(metrics, settings.toleratedLosses)
 {
     jobLeader.onInstructions([this](const worker_id& worker, std::uint64_t term, const worker_instructions& out) {
         return sendInstructions(worker, term, out);
@@ -160,9 +160,14 @@
             return handleForwardedAnswer(received);
         if (received.kind == frame_kind::leave_answer)
             return groupMembership.recordLeaveAnswer();
-        if (received.kind != frame_kind::control_hint || raftReplica)
+        if (received.kind != frame_kind::control_hint)
             return;
-        if (const auto parsed = unpackMessage<message::control_hint>(received.body); parsed.has_value())
+        const auto parsed = unpackMessage<message::control_hint>(received.body);
+        if (parsed.has_error())
+            return;
+        if (raftReplica)
+            groupMembership.recordHint(parsed.value());
+        else
             refusal.recordHint(parsed.value());
     });
 }
@@ -274,6 +279,7 @@
     if (now - metricsUpdatedAt >= metricsInterval) {
         metricsUpdatedAt = now;
         controlMetrics.update(*raftReplica, now);
+        controlMetrics.recordJoining(groupMembership.joiningFor(now));
     }
 }
 
--- a/packages/fleet/src/settings.cpp
+++ b/packages/fleet/src/settings.cpp
@@ -217,6 +217,7 @@
     case fleet_role::queue_control:
         out.dataFolder = reader.readString("data_folder", true);
         out.bootstrap = reader.readBool("bootstrap");
+        out.toleratedLosses = reader.readCount("tolerated_losses", out.toleratedLosses, 0, 1000);
         out.snapshotEvery = static_cast<std::uint64_t>(
             reader.readNumber("snapshot_every", static_cast<double>(out.snapshotEvery), 1, 1e9));
         out.timing = readRunTiming(reader);
--- a/packages/fleet/tests/control_metrics_test.cpp
+++ b/packages/fleet/tests/control_metrics_test.cpp
@@ -16,7 +16,7 @@
     const auto lost = leader % 3 + 1;
     const auto shows = [&](std::uint32_t number, const std::string& line) {
         metrics_registry metrics;
-        detail::control_metrics(metrics).update(*group.replicas.at(number), group.now);
+        detail::control_metrics(metrics, 1).update(*group.replicas.at(number), group.now);
         return ("\n" + metrics.exposition()).find("\npoplardeal_control_" + line + "\n") != std::string::npos;
     };
     BOOST_REQUIRE(group.runUntil([&] { return shows(leader, "quorum_margin 1"); }));
@@ -41,7 +41,7 @@
     group.startAll(true);
     BOOST_REQUIRE(group.waitForLeader());
     metrics_registry metrics;
-    detail::control_metrics shown(metrics);
+    detail::control_metrics shown(metrics, 1);
     const auto shows = [&](int value) {
         return metrics.exposition().find("\npoplardeal_disk_full " + std::to_string(value) + "\n") != std::string::npos;
     };
@@ -58,3 +58,18 @@
     full_folders::empty(group.folderOf(1));
     BOOST_TEST(group.runUntil([&] { return showsNext(0); }));
 }
+
+// Guards against a control that asks to join in vain, and a group that is too small for the losses that it has to bear,
+// which no metric shows.
+BOOST_AUTO_TEST_CASE(a_control_that_asks_to_join_and_the_voters_needed_are_metrics)
+{
+    metrics_registry metrics;
+    detail::control_metrics shown(metrics, 2);
+    const auto shows = [&](const std::string& line) {
+        return ("\n" + metrics.exposition()).find("\npoplardeal_control_" + line + "\n") != std::string::npos;
+    };
+    BOOST_TEST(shows("voters_needed 5"));
+    BOOST_TEST(shows("joining_seconds 0"));
+    shown.recordJoining(std::chrono::milliseconds(2500));
+    BOOST_TEST(shows("joining_seconds 2.5"));
+}
--- a/packages/fleet/tests/settings_test.cpp
+++ b/packages/fleet/tests/settings_test.cpp
@@ -32,6 +32,8 @@
     { "string as lease", "6000", "\"6000\"", "x:8: lease_ms" },
     { "no data folder", "data_folder = \"/data\"\n", "", "data_folder" },
     { "no entries between snapshots", "bootstrap = true", "snapshot_every = 0", "x:7: snapshot_every" },
+    { "losses that are tolerated", "bootstrap = true", "tolerated_losses = 2", "" },
+    { "text as tolerated losses", "bootstrap = true", "tolerated_losses = \"two\"", "x:7: tolerated_losses" },
     { "expected times", "bootstrap = true", "uses_expected_times = true", "" },
     { "text as expected times", "bootstrap = true", "uses_expected_times = \"yes\"", "x:7: uses_expected_times" },
     { "stop of 0", "bootstrap = true", "stop_ms = 0", "x:7: stop_ms" },
