fleet: the loss of two disks in a group of five, reproduced

Callers saw a group of five controls that nobody leads any more after the loss of two disks. The simulated controls are given the hints that real ones get as answers to their probes.

--- a/packages/fleet/tests/group_membership_test.cpp
+++ b/packages/fleet/tests/group_membership_test.cpp
@@ -3,6 +3,7 @@
 #include "replica_group.h"
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <poplardeal/wire/message.h>
 
 using namespace poplardeal;
@@ -14,13 +15,15 @@
 
 constexpr duration catchUpTime = 4s; ///< A successor counts as a member this long after its start.
 constexpr duration recoveryTime = 12s; ///< Service is back this long after all machines are.
+constexpr duration hintDelay = 20ms; ///< Of the answer to a probe on a new connection.
 
-/// Controls on a simulated clock, reduced to their replicas and what decides on the members.
+/// Controls on a simulated clock, reduced to their replicas and what decides on the members. Seeds form the group.
 class control_group {
 public:
-    explicit control_group(std::uint32_t seeds)
+    explicit control_group(std::uint32_t seeds, std::size_t toleratedLosses = 1)
         : m_group(seeds)
     {
+        m_settings.toleratedLosses = toleratedLosses;
         for (std::uint32_t id = 1; id <= seeds; ++id)
             m_settings.seeds.push_back({ ipFromReplicaId(replica_id(id)), 1 });
         m_group.delivered = [this](std::uint32_t to, replica_id from) { m_parts.at(to).recordContact(from, now()); };
@@ -36,8 +39,55 @@
         m_group.start(id, bootstrap).value();
     }
 
+    /// Starts controls that are no seeds, one after the other, until all are voters.
+    void grow(std::uint32_t controls)
+    {
+        for (auto id = static_cast<std::uint32_t>(m_settings.seeds.size()) + 1; id <= controls; ++id)
+            start(id);
+        BOOST_REQUIRE(reachVoters(controls, recoveryTime));
+    }
+
+    bool reachVoters(std::size_t count, duration limit)
+    {
+        return runUntil([&] { return voters() == count; }, limit);
+    }
+
     void kill(std::uint32_t id) { m_group.kill(id); }
 
+    /// All controls that run lose power and are back half a second later, those in `wiped` with empty disks.
+    void losePowerOfAll(const std::vector<std::uint32_t>& wiped)
+    {
+        std::vector<std::uint32_t> all;
+        for (const auto& item : m_group.replicas)
+            all.push_back(item.first);
+        for (const auto id : all)
+            kill(id);
+        for (const auto id : wiped)
+            std::filesystem::remove_all(m_group.folderOf(id));
+        run(500ms);
+        for (const auto id : all)
+            start(id);
+    }
+
+    void wipe(std::uint32_t id) { std::filesystem::remove_all(m_group.folderOf(id)); }
+
+    /// Leaders are killed and started again until one leads that is a seed, or that is none.
+    void letLead(bool isSeed)
+    {
+        const auto isWanted = [&] { return (leader() <= m_settings.seeds.size()) == isSeed; };
+        for (int attempt = 0; attempt < 100; ++attempt) {
+            BOOST_REQUIRE(runUntil([&] { return leader() != 0; }, recoveryTime));
+            if (isWanted())
+                return;
+            const auto before = leader();
+            kill(before);
+            BOOST_REQUIRE(runUntil([&] { return leader() != 0; }, recoveryTime));
+            start(before);
+            run(catchUpTime);
+        }
+        BOOST_REQUIRE(isWanted());
+    }
+
     /// As a control does on SIGTERM: hands over leadership, leaves, ends.
     void stop(std::uint32_t id)
     {
@@ -72,6 +122,7 @@
             m_group.step();
             if (now() == before)
                 continue;
+            deliverHints();
             for (auto& [id, member] : m_group.replicas)
                 m_parts.at(id).tick(*member, member->holdsLeaderLease(now()), now());
         }
@@ -85,6 +136,18 @@
 
     std::uint32_t leader() const { return m_group.leader(); }
 
+    std::vector<std::uint32_t> followers() const
+    {
+        std::vector<std::uint32_t> out;
+        for (const auto& item : m_group.replicas) {
+            if (item.first != leader())
+                out.push_back(item.first);
+        }
+        return out;
+    }
+
+    duration joiningFor(std::uint32_t id) const { return m_parts.at(id).joiningFor(now()); }
+
     /// A running voter other than the leader, the one with the smallest or the largest id.
     std::uint32_t follower(bool smallest = true) const
     {
@@ -133,13 +196,43 @@
         const auto target = m_group.replicas.find(to);
         if (target == m_group.replicas.end() || to == from)
             return;
+        m_hints.push_back({ now() + hintDelay, to, from });
         const bool leads = target->second->holdsLeaderLease(now());
         if (m_parts.at(to).receive(*target->second, leads, out, now()))
             m_parts.at(from).recordLeaveAnswer();
     }
 
+    /// Controls probe those that they send to, and are told what these know of the group.
+    void deliverHints()
+    {
+        while (!m_hints.empty() && m_hints.front().due <= now()) {
+            const auto out = m_hints.front();
+            m_hints.pop_front();
+            const auto from = m_group.replicas.find(out.from);
+            if (from == m_group.replicas.end() || !m_group.replicas.contains(out.to))
+                continue;
+            message::control_hintT hint;
+            hint.leads = from->second->holdsLeaderLease(now());
+            hint.term = from->second->term();
+            if (const auto known = from->second->leader())
+                hint.leader = toString(addressOf(*known));
+            for (const auto& each : from->second->members().members)
+                hint.controls.push_back(toString(addressOf(each.id)));
+            m_parts.at(out.to).recordHint(hint);
+        }
+    }
+
+    static address addressOf(replica_id id) { return { ipFromReplicaId(id), 1 }; }
+
+    struct hint_delivery {
+        instant due;
+        std::uint32_t from;
+        std::uint32_t to;
+    };
+
     fleet_settings m_settings;
     replica_group m_group;
+    std::deque<hint_delivery> m_hints;
     std::map<std::uint32_t, group_membership> m_parts;
     std::size_t m_recorded { 0 };
 };
@@ -331,3 +424,110 @@
     }
     BOOST_TEST(group.voters() == seeds);
 }
+
+struct return_row {
+    const char* name;
+    std::uint32_t seeds; ///< Of five controls.
+    bool isLedBySeed;
+    bool isSeed; ///< Whether the control that returns is one.
+    bool isWiped; ///< Whether it returns with an empty disk.
+};
+
+static std::ostream& operator<<(std::ostream& out, const return_row& row) { return out << row.name; }
+
+static const return_row returnRows[] = {
+    { "a seed returns to a leader that is a seed", 3, true, true, false },
+    { "a seed returns with an empty disk to a leader that is a seed", 3, true, true, true },
+    { "another control returns to a leader that is a seed", 3, true, false, false },
+    { "another control returns with an empty disk to a leader that is a seed", 3, true, false, true },
+    { "a seed returns to a leader that is no seed", 3, false, true, false },
+    { "a seed returns with an empty disk to a leader that is no seed", 3, false, true, true },
+    { "another control returns to a leader that is no seed", 3, false, false, false },
+    { "another control returns with an empty disk to a leader that is no seed", 3, false, false, true },
+    { "a seed returns with an empty disk to a leader that is not the only seed", 1, false, true, true },
+};
+
+// Guards against a control that was removed while it was away and never becomes a voter again, because it asks only its
+// seeds to join and the leader is none of them.
+BOOST_DATA_TEST_CASE(a_control_that_was_removed_joins_any_leader, boost::unit_test::data::make(returnRows), row)
+{
+    control_group group(row.seeds);
+    group.grow(5);
+    group.letLead(row.isLedBySeed);
+    std::uint32_t away = 0;
+    for (const auto id : group.followers()) {
+        if ((id <= row.seeds) == row.isSeed)
+            away = id;
+    }
+    BOOST_REQUIRE(away != 0);
+    group.kill(away);
+    if (row.isWiped)
+        group.wipe(away);
+    BOOST_REQUIRE(group.reachVoters(4, catchUpTime));
+    group.start(away);
+    BOOST_TEST(group.reachVoters(5, catchUpTime));
+    group.run(1s);
+    BOOST_TEST(group.joiningFor(away).count() == 0);
+}
+
+struct two_disks_row {
+    const char* name;
+    std::uint32_t seeds; ///< Of five controls.
+    duration away; ///< For which two controls are gone before.
+    bool areWiped; ///< Whether these two return with empty disks.
+    duration returned; ///< From their return to the loss of two other disks.
+};
+
+static std::ostream& operator<<(std::ostream& out, const two_disks_row& row) { return out << row.name; }
+
+static const two_disks_row twoDisksRows[] = {
+    { "nothing before", 3, 0s, false, 0s },
+    { "two controls return at that moment", 5, 7s, false, 0ms },
+    { "two controls return at that moment, three seeds", 3, 7s, false, 0ms },
+    { "two controls returned 50 ms ago", 5, 7s, false, 50ms },
+    { "two controls returned 50 ms ago, three seeds", 3, 7s, false, 50ms },
+    { "two controls returned 1 s ago, three seeds", 3, 7s, false, 1s },
+    { "two controls returned with empty disks and have caught up", 5, 7s, true, 6s },
+    { "two controls returned with empty disks and have caught up, three seeds", 3, 7s, true, 6s },
+    { "two controls return after a short absence", 3, 1500ms, false, 0ms },
+};
+
+// Guards against a group of five that lost its quorum, or entries, with two disks, because it counted fewer voters than
+// it has machines: the loss of two controls is to be borne.
+BOOST_DATA_TEST_CASE(two_disks_lost_in_a_group_of_five_are_survived,
+    boost::unit_test::data::make(twoDisksRows) * boost::unit_test::data::make({ false, true }), row, losesLeader)
+{
+    control_group group(row.seeds, 2);
+    group.grow(5);
+    if (row.seeds < 5)
+        group.letLead(false);
+    std::vector<std::uint32_t> gone;
+    if (row.away > 0s) {
+        gone = group.followers();
+        gone.resize(2);
+        for (const auto id : gone) {
+            group.kill(id);
+            if (row.areWiped)
+                group.wipe(id);
+        }
+        group.run(row.away);
+        BOOST_REQUIRE(group.propose(recoveryTime));
+        for (const auto id : gone)
+            group.start(id);
+        group.run(row.returned);
+    }
+    // Entries of this moment are on the three controls that were there.
+    if (group.leader() != 0)
+        group.propose(500ms);
+    std::vector<std::uint32_t> wiped;
+    if (losesLeader && group.leader() != 0)
+        wiped.push_back(group.leader());
+    for (const auto id : group.followers()) {
+        if (wiped.size() < 2 && std::find(gone.begin(), gone.end(), id) == gone.end())
+            wiped.push_back(id);
+    }
+    group.losePowerOfAll(wiped);
+    BOOST_REQUIRE(group.propose(recoveryTime));
+    BOOST_TEST(group.hasAllEntries());
+    BOOST_TEST(group.reachVoters(5, catchUpTime));
+}
