fleet: a control joins the group through whoever it can ask

Callers saw a group of five without a leader after two disks were lost, for good: no change of the configuration was in force, accepted jobs got no answer.

Cause: a control that lost its disk, or was removed while it was away, asks to join. A control that does not lead drops the request, and one with an empty disk knows nobody but its seeds. When the leader is none of them, the request never reaches it, and the group has a voter less from then on. It is the class of faults in which a request that only the leader serves depends on addresses that may be old.

Change: a control that asks to join keeps the controls that others name in their hints (known_controls, at most 16, the latest), which each control has always sent as answers to probes, and asks them too, at once when one is new. No request is passed on, so none can go round. A control that cannot open its folder looks for a leader by the same list. A request in the name of another control is refused.

--- a/packages/fleet/src/folder_refusal.cpp
+++ b/packages/fleet/src/folder_refusal.cpp
@@ -1,12 +1,11 @@
 #include "folder_refusal.h"
 #include "replica_address.h"
+#include <set>
 
 namespace poplardeal::detail {
 
 namespace {
 
-    constexpr std::size_t maxHinted = 16;
-
     gauge& refusalGauge(metrics_registry& metrics, failure_code code)
     {
         return metrics.getGauge("poplardeal_data_folder_refused",
@@ -57,7 +56,7 @@
     if (now - m_refusedSince < holdOff || (m_probedAt && now - *m_probedAt < probeInterval))
         return out;
     m_probedAt = now;
-    auto asked = m_hinted;
+    std::set<replica_id> asked(m_known.list().begin(), m_known.list().end());
     for (const auto& seed : m_settings.seeds)
         asked.insert(replicaIdFromIp(seed.ip));
     asked.erase(m_self);
@@ -68,11 +67,7 @@
 void folder_refusal::recordHint(const message::control_hintT& hint)
 {
     m_otherLeads = m_otherLeads || hint.leads;
-    for (const auto& control : hint.controls) {
-        const auto parsed = parseAddress(control);
-        if (parsed.has_value() && m_hinted.size() < maxHinted)
-            m_hinted.insert(replicaIdFromIp(parsed.value().ip));
-    }
+    m_known.record(hint);
 }
 
 http_response folder_refusal::answer()
--- a/packages/fleet/src/folder_refusal.h
+++ b/packages/fleet/src/folder_refusal.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "known_controls.h"
 #include <array>
 #include <optional>
 #include <poplardeal/base/metrics.h>
 #include <poplardeal/fleet/settings.h>
 #include <poplardeal/wire/http.h>
 #include <poplardeal/wire/messages_generated.h>
-#include <set>
 #include <vector>
 
 namespace poplardeal::detail {
@@ -59,7 +59,7 @@
     instant m_refusedSince;
     instant m_attemptedAt;
     std::optional<instant> m_probedAt;
-    std::set<replica_id> m_hinted; ///< Members that hints have named.
+    known_controls m_known;
     bool m_otherLeads { false };
 };
 
--- a/packages/fleet/src/group_membership.cpp
+++ b/packages/fleet/src/group_membership.cpp
@@ -14,6 +14,7 @@
     /// A group with a leader answers a request to join within this time.
     constexpr duration joinLogDelay = std::chrono::seconds(2);
     constexpr duration joinLogInterval = std::chrono::seconds(5);
+    constexpr duration refusalLogInterval = std::chrono::seconds(1);
     constexpr duration leaveRequestInterval = std::chrono::milliseconds(100);
 
     std::int64_t millisecondsOf(duration time)
@@ -37,6 +38,7 @@
     , m_send(std::move(send))
     , m_manager(self)
     , m_joiningLines(joinLogInterval)
+    , m_refusalLines(refusalLogInterval)
 {
 }
 
@@ -66,6 +68,19 @@
         });
 }
 
+/// A leader need not be a seed, and a replica with an empty folder knows no members: the hints of those that it asks
+/// name the others.
+std::vector<replica_id> group_membership::askedToJoin(const replica& group) const
+{
+    std::set<replica_id> asked(m_known.list().begin(), m_known.list().end());
+    for (const auto& seed : m_settings.seeds)
+        asked.insert(replicaIdFromIp(seed.ip));
+    for (const auto& each : group.members().members)
+        asked.insert(each.id);
+    asked.erase(m_self);
+    return { asked.begin(), asked.end() };
+}
+
 /// A voter that hears no leader asks as well: it may have been removed while it was away, which its own log doesn't
 /// show. The leader ignores requests of its members.
 void group_membership::requestToJoin(const replica& group, instant now)
@@ -85,11 +100,7 @@
     message::join_groupT request;
     request.replica = m_self.value();
     const auto out = packMessage(frame_kind::join_group, 0, request);
-    std::vector<replica_id> asked;
-    for (const auto& seed : m_settings.seeds)
-        asked.push_back(replicaIdFromIp(seed.ip));
-    for (const auto& each : group.members().members)
-        asked.push_back(each.id);
+    const auto asked = askedToJoin(group);
     for (const auto to : asked)
         m_send(to, out);
     noteJoining(group, asked, now);
@@ -100,9 +111,9 @@
     const auto waited = joiningFor(now);
     if (waited < joinLogDelay || !m_joiningLines.admit(now))
         return;
-    std::set<std::string> names;
+    std::vector<std::string> names;
     for (const auto to : asked)
-        names.insert(ipFromReplicaId(to));
+        names.push_back(ipFromReplicaId(to));
     logEvent(log_level::warning, "join_unanswered",
         { { "waited_ms", millisecondsOf(waited) }, { "asked", names }, { "leader_named", m_namedLeader },
             { "term", group.term() }, { "may_vote", group.mayVote() } });
@@ -110,23 +121,37 @@
 
 void group_membership::recordHint(const message::control_hintT& hint)
 {
+    if (m_known.record(hint) && m_askingSince)
+        m_requestedAt = {}; // Asks the new ones at the next tick.
     if (!hint.leader.empty())
         m_namedLeader = hint.leader;
 }
 
-std::optional<frame> group_membership::receive(replica& group, bool leads, const frame& received, instant now)
+bool group_membership::isFromSender(const frame& received, replica_id named, replica_id from, instant now)
+{
+    if (named == from)
+        return true;
+    if (const auto leftOut = m_refusalLines.admit(now))
+        logEvent(log_level::warning, "message_refused",
+            { { "kind", static_cast<int>(received.kind) }, { "peer", ipFromReplicaId(from) },
+                { "replica", ipFromReplicaId(named) }, { "left_out", *leftOut } });
+    return false;
+}
+
+std::optional<frame> group_membership::receive(
+    replica& group, bool leads, replica_id from, const frame& received, instant now)
 {
     if (!leads)
         return std::nullopt;
     if (received.kind == frame_kind::join_group) {
-        if (const auto request = unpackMessage<message::join_group>(received.body); request.has_value())
-            m_manager.recordJoinRequest(replica_id(request.value().replica), now);
+        const auto request = unpackMessage<message::join_group>(received.body);
+        if (request.has_value() && isFromSender(received, replica_id(request.value().replica), from, now))
+            m_manager.recordJoinRequest(from, now);
         return std::nullopt;
     }
     const auto request = unpackMessage<message::leave_group>(received.body);
-    if (request.has_error())
+    if (request.has_error() || !isFromSender(received, replica_id(request.value().replica), from, now))
         return std::nullopt;
-    const replica_id from(request.value().replica);
     m_manager.recordLeaveRequest(from, now);
     propose(group, now);
     if (!m_manager.mayStop(group.members(), from, now))
--- a/packages/fleet/src/group_membership.h
+++ b/packages/fleet/src/group_membership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "known_controls.h"
 #include "membership_manager.h"
 #include <functional>
 #include <poplardeal/base/line_limiter.h>
@@ -23,9 +24,11 @@
     void recordContact(replica_id from, instant now) { m_manager.recordContact(from, now); }
     /// Proposes what is due if this replica leads; otherwise asks to join if it takes no part in the group.
     void tick(replica&, bool leads, instant now);
-    /// Handles `join_group` and `leave_group`. Returns the answer, if there is one yet.
-    std::optional<frame> receive(replica&, bool leads, const frame&, instant now);
-    /// Another control has told what it knows of the group.
+    /// Handles `join_group` and `leave_group` from the replica that the connection belongs to. Returns the answer, if
+    /// there is one yet.
+    std::optional<frame> receive(replica&, bool leads, replica_id from, const frame&, instant now);
+    /// Another control has told what it knows of the group. A replica that asks to join asks the controls named there,
+    /// too.
     void recordHint(const message::control_hintT&);
     /// How long this replica has been asking to join; zero if it does not ask.
     duration joiningFor(instant now) const { return m_askingSince ? now - *m_askingSince : duration::zero(); }
@@ -40,6 +43,8 @@
 private:
     void propose(replica&, instant now);
     void requestToJoin(const replica&, instant now);
+    std::vector<replica_id> askedToJoin(const replica&) const;
+    bool isFromSender(const frame&, replica_id named, replica_id from, instant now);
     void noteJoining(const replica&, const std::vector<replica_id>& asked, instant now);
 
     const fleet_settings& m_settings;
@@ -49,8 +54,10 @@
     std::uint64_t m_ledTerm { 0 }; ///< Term that this replica leads, 0 if it does not lead.
     instant m_requestedAt; ///< When this replica last asked to join or to leave.
     std::optional<instant> m_askingSince; ///< When this replica began to ask to join, if it does.
+    known_controls m_known;
     std::string m_namedLeader; ///< By the last hint that named one.
     line_limiter m_joiningLines;
+    line_limiter m_refusalLines;
     std::optional<instant> m_leavingSince;
     bool m_hasLeft { false };
 };
--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -380,7 +380,8 @@
     }
     case frame_kind::join_group:
     case frame_kind::leave_group:
-        if (const auto answer = groupMembership.receive(*raftReplica, jobLeader.leads(), received, now))
+        if (const auto answer
+            = groupMembership.receive(*raftReplica, jobLeader.leads(), replica_id(open.hello->replica), received, now))
             open.link->send(*answer);
         return;
     case frame_kind::control_probe:
--- a/packages/fleet/tests/group_membership_test.cpp
+++ b/packages/fleet/tests/group_membership_test.cpp
@@ -198,7 +198,7 @@
             return;
         m_hints.push_back({ now() + hintDelay, to, from });
         const bool leads = target->second->holdsLeaderLease(now());
-        if (m_parts.at(to).receive(*target->second, leads, out, now()))
+        if (m_parts.at(to).receive(*target->second, leads, replica_id(from), out, now()))
             m_parts.at(from).recordLeaveAnswer();
     }
 
@@ -531,3 +531,28 @@
     BOOST_TEST(group.hasAllEntries());
     BOOST_TEST(group.reachVoters(5, catchUpTime));
 }
+
+// Guards against a control that makes the leader add or remove another one by a message in its name.
+BOOST_DATA_TEST_CASE(a_request_counts_only_for_its_sender, boost::unit_test::data::make({ true, false }), isJoin)
+{
+    replica_group group(4);
+    group.startAll(true);
+    BOOST_REQUIRE(group.propose("entry").has_value());
+    const auto leads = group.leader();
+    auto& leader = *group.replicas.at(leads);
+    const fleet_settings settings;
+    group_membership membership(settings, replica_id(leads), [](replica_id, const frame&) {});
+    membership.tick(leader, true, group.now);
+    const auto named = replica_id(isJoin ? 9 : leads % 4 + 1);
+    const auto other = replica_id((leads + 1) % 4 + 1);
+    message::join_groupT request; // Both kinds have the same fields.
+    request.replica = named.value();
+    const auto out = packMessage(isJoin ? frame_kind::join_group : frame_kind::leave_group, 0, request);
+    for (const auto from : { other, named }) {
+        membership.receive(leader, true, from, out, group.now);
+        membership.tick(leader, true, group.now);
+        for (int i = 0; i < 20; ++i)
+            group.step();
+        BOOST_TEST((leader.members().members.size() != 4) == (from == named));
+    }
+}
