fleet: a group keeps the voters that bear the losses of the deployment

Callers saw a group of five controls that nobody leads any more, or that forgot an acknowledged entry, after two disks were lost at once, as the deployment has to bear.

Cause: a leader removed voters that were silent for 1 s until three were left, also when they came back moments later with their disks. With three voters an entry is acknowledged when it is on two disks, and a majority is two: the loss of two disks took the majority, and could take the only copies. The floor of three is right for groups that bear the loss of one. It is the class of faults in which a group counts fewer voters than its machines, so that the losses that it bears shrink without anybody having decided it.

Change: a group that has to bear F losses (tolerated_losses, from the platform's fault tolerance) needs 2F + 1 voters and removes none of them, neither a silent one nor one that stops. A larger group removes as before, down to that. A full group takes the successor of an absent voter, which can go then.

New rows of unavailable_voters_are_removed_if_that_helps and a_disk_lost_after_a_replacement_is_survived, a_full_group_takes_the_successor_of_an_absent_voter. The soak sets two losses for five controls or more.

--- a/packages/fleet/src/group_membership.cpp
+++ b/packages/fleet/src/group_membership.cpp
@@ -36,7 +36,7 @@
     : m_settings(settings)
     , m_self(self)
     , m_send(std::move(send))
-    , m_manager(self)
+    , m_manager(self, settings.toleratedLosses)
     , m_joiningLines(joinLogInterval)
     , m_refusalLines(refusalLogInterval)
 {
@@ -165,8 +165,7 @@
         m_leavingSince = now;
     if (m_hasLeft || now - *m_leavingSince >= leaveTimeout)
         return true;
-    const bool isNeeded = group.members().voterCount() <= membership_manager::minVoters;
-    if (isNeeded || !group.members().isVoter(m_self))
+    if (m_manager.needsAllVoters(group.members()) || !group.members().isVoter(m_self))
         return true;
     if (group.leader() && now - m_requestedAt >= leaveRequestInterval) {
         m_requestedAt = now;
--- a/packages/fleet/src/membership_manager.cpp
+++ b/packages/fleet/src/membership_manager.cpp
@@ -11,8 +11,9 @@
 
 } // namespace
 
-membership_manager::membership_manager(replica_id self)
+membership_manager::membership_manager(replica_id self, std::size_t toleratedLosses)
     : m_self(self)
+    , m_votersNeeded(votersNeeded(toleratedLosses))
 {
 }
 
@@ -44,7 +45,8 @@
 {
     std::erase_if(m_joinRequests,
         [&](const auto& item) { return now - item.second > requestLifetime || current.find(item.first) != nullptr; });
-    if (m_joinRequests.empty() || current.voterCount() >= maxVoters)
+    // The successor of an absent voter joins a group of any size, and then the absent one can go.
+    if (m_joinRequests.empty() || countPresentVoters(current, now) >= maxVoters)
         return std::nullopt;
     auto changed = current;
     if (changed.members.size() >= maxMembers) {
@@ -68,17 +70,25 @@
     return now - last > limit;
 }
 
+std::size_t membership_manager::countPresentVoters(const membership& current, instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(current.members.begin(), current.members.end(), [&](const member& each) {
+            return each.role == member_role::voter && !isAbsent(each, voterAbsenceLimit, now);
+        }));
+}
+
 bool membership_manager::isLeaving(const member& each, instant now) const
 {
     const auto asked = m_leaveRequests.find(each.id);
     return each.id != m_self && asked != m_leaveRequests.end() && now - asked->second <= requestLifetime;
 }
 
-/// Without an unavailable voter, the group tolerates at least as many failures of the others. The smallest group keeps
-/// its voters, since they may come back.
+/// Without an unavailable voter, the group tolerates at least as many failures of the others, but its entries are on
+/// fewer disks. A group that needs all its voters keeps them.
 std::optional<membership> membership_manager::removeUnavailableVoter(const membership& current, instant now) const
 {
-    if (current.voterCount() <= minVoters)
+    if (needsAllVoters(current))
         return std::nullopt;
     const auto& all = current.members;
     const auto findVoter = [&all](const auto& condition) {
--- a/packages/fleet/src/membership_manager.h
+++ b/packages/fleet/src/membership_manager.h
@@ -11,7 +11,8 @@
 /// failures without it.
 class membership_manager {
 public:
-    explicit membership_manager(replica_id self);
+    /// `toleratedLosses`: of replicas that may be lost at once, with their data.
+    membership_manager(replica_id self, std::size_t toleratedLosses);
 
     /// A message of the replica has arrived.
     void recordContact(replica_id, instant now);
@@ -20,6 +21,8 @@
     void recordJoinRequest(replica_id, instant now);
     /// The replica is about to stop. It may come back.
     void recordLeaveRequest(replica_id, instant now);
+    /// True if the group needs all its voters: none is removed, since it may come back.
+    bool needsAllVoters(const membership& current) const { return current.voterCount() <= m_votersNeeded; }
     /// True if the group no longer counts on the replica, or keeps its place although it stops.
     bool mayStop(const membership&, replica_id, instant now) const;
 
@@ -36,9 +39,10 @@
     static constexpr duration voterAbsenceLimit = std::chrono::seconds(1);
     /// A learner silent for longer may make room for another one.
     static constexpr duration learnerAbsenceLimit = std::chrono::seconds(6);
-    static constexpr std::size_t minVoters = 3; ///< Fewer are left only by replicas that lost their data folder.
+    static constexpr std::size_t minVoters = 3; ///< Of any group.
     static constexpr std::size_t maxVoters = 7; ///< The design reserves at most 7 instances for control.
-    /// Voters of which that many may be lost, with their data, while a majority is left; as far as the group may grow.
+    /// Voters of which that many may be lost, with their data, while a majority is left that has each committed entry;
+    /// as far as the group may grow. Fewer are left only by replicas that lost their data folder.
     static constexpr std::size_t votersNeeded(std::size_t losses)
     {
         return std::clamp(2 * losses + 1, minVoters, maxVoters);
@@ -50,9 +54,11 @@
     std::optional<membership> addLearner(const membership&, instant now);
     std::optional<membership> removeUnavailableVoter(const membership&, instant now) const;
     bool isAbsent(const member&, duration limit, instant now) const;
+    std::size_t countPresentVoters(const membership&, instant now) const;
     bool isLeaving(const member&, instant now) const;
 
     replica_id m_self;
+    std::size_t m_votersNeeded;
     instant m_leadsSince;
     std::map<replica_id, instant> m_lastContact;
     std::map<replica_id, instant> m_joinRequests;
--- a/packages/fleet/tests/group_membership_test.cpp
+++ b/packages/fleet/tests/group_membership_test.cpp
@@ -244,11 +244,13 @@
     std::uint32_t seeds;
     scenario before; ///< Ends at the moment from which the pages allow another loss.
     bool losesLeader; ///< Whether the leader's disk is lost, or a follower's.
+    std::size_t toleratedLosses { 1 };
 };
 
 std::ostream& operator<<(std::ostream& out, const loss_row& row)
 {
-    return out << row.name << (row.losesLeader ? ", the leader's disk" : "");
+    return out << row.name << (row.losesLeader ? ", the leader's disk" : "") << ", " << row.toleratedLosses
+               << " losses tolerated";
 }
 
 void replaceAsPlanned(control_group& group, std::uint32_t old, std::uint32_t successor)
@@ -391,6 +393,11 @@
     { "a rolling restart of four", 3, rollingRestart, false },
     { "planned replacement in a group of five", 5, plannedFollower, false },
     { "two planned replacements in a group of five", 5, twoInTurn, true },
+    { "a follower killed beside its successor in a group of five", 5, killedBesideSuccessor, false, 2 },
+    { "planned replacement in a group of five", 5, plannedFollower, false, 2 },
+    { "two planned replacements in a group of five", 5, twoInTurn, true, 2 },
+    { "two successors in a group of five, then both old ones stop", 5, twoSuccessorsFirst, false, 2 },
+    { "the leader of five killed, its successor a second later", 5, killedLeader, true, 2 },
 };
 
 } // namespace
@@ -398,7 +405,7 @@
 // Guards against a group that still counts a replaced member and loses its quorum for good with the next disk.
 BOOST_DATA_TEST_CASE(a_disk_lost_after_a_replacement_is_survived, boost::unit_test::data::make(lossRows), row)
 {
-    control_group group(row.seeds);
+    control_group group(row.seeds, row.toleratedLosses);
     BOOST_REQUIRE(group.propose(recoveryTime));
     row.before(group);
     if (group.leader() != 0)
@@ -411,9 +418,10 @@
 }
 
 // Guards against a rolling restart that interrupts the group or leaves it with fewer voters than machines.
-BOOST_DATA_TEST_CASE(a_rolling_restart_keeps_all_voters, boost::unit_test::data::make({ 3U, 5U }), seeds)
+BOOST_DATA_TEST_CASE(a_rolling_restart_keeps_all_voters,
+    boost::unit_test::data::make({ 3U, 5U }) * boost::unit_test::data::make({ 1U, 2U }), seeds, toleratedLosses)
 {
-    control_group group(seeds);
+    control_group group(seeds, toleratedLosses);
     BOOST_REQUIRE(group.propose(recoveryTime));
     for (std::uint32_t id = 1; id <= seeds; ++id) {
         group.stop(id);
--- a/packages/fleet/tests/membership_manager_test.cpp
+++ b/packages/fleet/tests/membership_manager_test.cpp
@@ -22,7 +22,7 @@
 // Guards against a replica that asks to join and is never added.
 BOOST_AUTO_TEST_CASE(a_joining_replica_becomes_a_learner_to_be_promoted)
 {
-    membership_manager manager(replica_id(1));
+    membership_manager manager(replica_id(1), 1);
     manager.leadershipBegan(at(0));
     manager.recordJoinRequest(replica_id(9), at(100));
     const auto change = manager.nextChange(makeVoters({ 1, 2, 3 }), at(100));
@@ -35,7 +35,7 @@
 // Guards against removing an absent voter before a new one has replaced it.
 BOOST_AUTO_TEST_CASE(an_absent_voter_of_the_smallest_group_stays)
 {
-    membership_manager manager(replica_id(1));
+    membership_manager manager(replica_id(1), 1);
     manager.leadershipBegan(at(0));
     manager.recordContact(replica_id(2), at(60000));
     BOOST_TEST(!manager.nextChange(makeVoters({ 1, 2, 3 }), at(60000)).has_value());
@@ -44,7 +44,7 @@
 // Guards against a lost machine that counts towards the quorum for ever, and against removing a voter that only stalls.
 BOOST_AUTO_TEST_CASE(an_absent_voter_is_removed_when_others_suffice)
 {
-    membership_manager manager(replica_id(1));
+    membership_manager manager(replica_id(1), 1);
     manager.leadershipBegan(at(0));
     for (const std::uint32_t id : { 2U, 4U })
         manager.recordContact(replica_id(id), at(900));
@@ -55,6 +55,7 @@
 }
 
 struct unavailable_row {
+    std::size_t losses; ///< That are tolerated.
     std::uint32_t voters;
     std::vector<std::uint32_t> absent;
     std::vector<std::uint32_t> leaving;
@@ -63,30 +64,43 @@
 
 static std::ostream& operator<<(std::ostream& out, const unavailable_row& row)
 {
-    return out << row.voters << " voters, " << row.absent.size() << " absent, " << row.leaving.size() << " leaving";
+    return out << row.voters << " voters, " << row.absent.size() << " absent, " << row.leaving.size() << " leaving, "
+               << row.losses << " losses";
 }
 
 static const unavailable_row unavailableRows[] = {
-    { 2, {}, { 2 }, 0 },
-    { 3, {}, { 2 }, 0 },
-    { 3, { 2 }, { 3 }, 0 },
-    { 4, {}, {}, 0 },
-    { 4, {}, { 2 }, 2 },
-    { 4, { 4 }, { 2 }, 4 },
-    { 5, { 4 }, {}, 4 },
-    { 5, {}, { 4 }, 4 },
-    { 5, { 3, 4 }, {}, 3 },
-    { 5, { 4 }, { 2 }, 4 },
-    { 5, {}, { 2, 3 }, 2 },
-    { 6, { 5 }, {}, 5 },
-    { 7, {}, {}, 0 },
-    { 7, { 5 }, {}, 5 },
+    { 1, 2, {}, { 2 }, 0 },
+    { 1, 3, {}, { 2 }, 0 },
+    { 1, 3, { 2 }, { 3 }, 0 },
+    { 1, 4, {}, {}, 0 },
+    { 1, 4, {}, { 2 }, 2 },
+    { 1, 4, { 4 }, { 2 }, 4 },
+    { 1, 5, { 4 }, {}, 4 },
+    { 1, 5, {}, { 4 }, 4 },
+    { 1, 5, { 3, 4 }, {}, 3 },
+    { 1, 5, { 4 }, { 2 }, 4 },
+    { 1, 5, {}, { 2, 3 }, 2 },
+    { 1, 6, { 5 }, {}, 5 },
+    { 1, 7, {}, {}, 0 },
+    { 1, 7, { 5 }, {}, 5 },
+    { 0, 3, { 2 }, {}, 0 },
+    { 0, 4, { 2 }, {}, 2 },
+    { 2, 4, { 4 }, { 3 }, 0 },
+    { 2, 5, { 3, 4 }, {}, 0 },
+    { 2, 5, {}, { 4 }, 0 },
+    { 2, 6, { 5 }, {}, 5 },
+    { 2, 6, {}, { 5 }, 5 },
+    { 2, 7, { 3, 5 }, {}, 3 },
+    { 3, 6, { 5 }, {}, 0 },
+    { 3, 7, { 5 }, { 4 }, 0 },
+    { 4, 7, { 5 }, {}, 0 },
+    { 4, 8, { 5 }, {}, 5 },
 };
 
 // Guards against a group that shrinks without need, or keeps a voter whose removal makes it tolerate more failures.
 BOOST_DATA_TEST_CASE(unavailable_voters_are_removed_if_that_helps, boost::unit_test::data::make(unavailableRows), row)
 {
-    membership_manager manager(replica_id(1));
+    membership_manager manager(replica_id(1), row.losses);
     manager.leadershipBegan(at(0));
     membership group;
     for (std::uint32_t id = 1; id <= row.voters; ++id) {
@@ -112,7 +126,7 @@
 // Guards against a leave request that still removes a replica after it has come back.
 BOOST_AUTO_TEST_CASE(a_leave_request_expires)
 {
-    membership_manager manager(replica_id(1));
+    membership_manager manager(replica_id(1), 1);
     manager.leadershipBegan(at(0));
     manager.recordLeaveRequest(replica_id(2), at(100));
     for (const std::uint32_t id : { 2U, 3U, 4U })
@@ -123,7 +137,7 @@
 // Guards against a join request with an id that no process can have, which adds a member that never answers.
 BOOST_AUTO_TEST_CASE(an_id_that_is_no_address_does_not_join)
 {
-    membership_manager manager(replica_id(1));
+    membership_manager manager(replica_id(1), 1);
     manager.leadershipBegan(at(0));
     for (const std::uint32_t odd : { 0U, 0xe0000001U, 0xffffffffU })
         manager.recordJoinRequest(replica_id(odd), at(100));
@@ -133,7 +147,7 @@
 // Guards against learners that never come up and fill the group without end, or keep a good replica out.
 BOOST_AUTO_TEST_CASE(absent_learners_make_room_when_the_group_is_full)
 {
-    membership_manager manager(replica_id(1));
+    membership_manager manager(replica_id(1), 1);
     manager.leadershipBegan(at(0));
     auto group = makeVoters({ 1, 2, 3 });
     std::uint32_t next = 100;
@@ -150,3 +164,40 @@
         BOOST_TEST(change->find(replica_id(kept)) != nullptr);
     BOOST_TEST(change->find(replica_id(101)) == nullptr);
 }
+
+struct successor_row {
+    std::size_t losses; ///< That are tolerated.
+    std::uint32_t voters;
+    std::vector<std::uint32_t> absent;
+    bool isAdded;
+};
+
+static std::ostream& operator<<(std::ostream& out, const successor_row& row)
+{
+    return out << row.voters << " voters, " << row.absent.size() << " absent, " << row.losses << " losses";
+}
+
+static const successor_row successorRows[] = {
+    { 2, 5, { 5 }, true },
+    { 3, 6, {}, true },
+    { 3, 7, {}, false },
+    { 3, 7, { 5 }, true },
+    { 3, 8, { 5 }, false },
+};
+
+// Guards against a group that keeps an absent voter because it needs all, and refuses its successor because it is full.
+BOOST_DATA_TEST_CASE(
+    a_full_group_takes_the_successor_of_an_absent_voter, boost::unit_test::data::make(successorRows), row)
+{
+    membership_manager manager(replica_id(1), row.losses);
+    manager.leadershipBegan(at(0));
+    membership group;
+    for (std::uint32_t id = 1; id <= row.voters; ++id) {
+        group.members.push_back({ replica_id(id), member_role::voter, 0, false });
+        if (std::find(row.absent.begin(), row.absent.end(), id) == row.absent.end())
+            manager.recordContact(replica_id(id), at(2000));
+    }
+    manager.recordJoinRequest(replica_id(20), at(2000));
+    const auto change = manager.nextChange(group, at(2000));
+    BOOST_TEST((change && change->find(replica_id(20)) != nullptr) == row.isAdded);
+}
--- a/packages/soak/src/soak.cpp
+++ b/packages/soak/src/soak.cpp
@@ -506,10 +506,9 @@
 /// perhaps all other machines lose power.
 void soak::loseAtTheEnd()
 {
-    constexpr std::size_t groupOfTwoLosses = 5;
     auto controls = m_cluster.controls();
     std::shuffle(controls.begin(), controls.end(), m_extraRandom);
-    const std::size_t losses = controls.size() >= groupOfTwoLosses ? 2 : 1;
+    const auto losses = m_options.size.toleratedLosses();
     const bool losesPower = extraBetween(0, 1) == 0;
     std::string names;
     for (std::size_t i = 0; i < losses; ++i) {
--- a/packages/soak/src/soak_cluster.h
+++ b/packages/soak/src/soak_cluster.h
@@ -21,6 +21,13 @@
     /// Processes have the shares of a core, and entries the links, of the platform's grown deployments.
     bool isLimited { false };
     std::uint32_t network { 30 }; ///< All addresses are in 127.NETWORK.0.0/16, so that soaks can run side by side.
+
+    /// Controls that may lose their disks at once, as on the platform.
+    std::size_t toleratedLosses() const
+    {
+        constexpr std::uint32_t groupOfTwoLosses = 5;
+        return controls >= groupOfTwoLosses ? 2 : 1;
+    }
 };
 
 /// One process of the system, with the proxies before its sockets. Others only know its advertised address.
