fleet: a silent voter becomes a learner, so the leader goes on sending to it

Cause: the removal of a silent voter also ended all that the leader sent to it, so coming back depended on the removed one alone.

Change: a silent voter becomes a learner that is a voter again once it has caught up; it needs no request to join. A learner that is silent for 10 min is removed, and before that makes room for another one as before. A voter that stops is removed as before.

--- a/packages/fleet/src/membership_manager.cpp
+++ b/packages/fleet/src/membership_manager.cpp
@@ -84,40 +84,57 @@
     return each.id != m_self && asked != m_leaveRequests.end() && now - asked->second <= requestLifetime;
 }
 
-/// Without an unavailable voter, the group tolerates at least as many failures of the others, but its entries are on
-/// fewer disks. A group that needs all its voters keeps them.
-std::optional<membership> membership_manager::removeUnavailableVoter(const membership& current, instant now) const
+/// Without the vote of an unavailable voter, the group tolerates at least as many failures of the others, but its
+/// entries are on fewer disks. A group that needs all its voters keeps them.
+std::optional<membership> membership_manager::withoutUnavailableVoter(const membership& current, instant now) const
 {
     if (needsAllVoters(current))
         return std::nullopt;
-    const auto& all = current.members;
+    auto changed = current;
+    auto& all = changed.members;
     const auto findVoter = [&all](const auto& condition) {
         return std::find_if(all.begin(), all.end(),
             [&](const member& each) { return each.role == member_role::voter && condition(each); });
     };
-    // One that is leaving still votes, so an absent one goes first.
-    auto removed = findVoter([&](const member& each) { return isAbsent(each, voterAbsenceLimit, now); });
-    if (removed == all.end())
-        removed = findVoter([&](const member& each) { return isLeaving(each, now); });
-    if (removed == all.end())
+    // One that is leaving still votes, so an absent one goes first. It may have lost its disk and know no other member.
+    const auto absent = findVoter([&](const member& each) { return isAbsent(each, voterAbsenceLimit, now); });
+    if (absent != all.end()) {
+        absent->role = member_role::learner;
+        absent->promoteWhenCaughtUp = true;
+        return changed;
+    }
+    const auto leaving = findVoter([&](const member& each) { return isLeaving(each, now); });
+    if (leaving == all.end())
         return std::nullopt;
+    all.erase(leaving);
+    return changed;
+}
+
+std::optional<membership> membership_manager::withoutLostLearner(const membership& current, instant now) const
+{
     auto changed = current;
-    std::erase_if(changed.members, [&](const member& each) { return each.id == removed->id; });
+    const auto lost = std::find_if(changed.members.begin(), changed.members.end(),
+        [&](const member& each) { return each.role == member_role::learner && isAbsent(each, learnerLifetime, now); });
+    if (lost == changed.members.end())
+        return std::nullopt;
+    changed.members.erase(lost);
     return changed;
 }
 
 bool membership_manager::mayStop(const membership& current, replica_id id, instant now) const
 {
-    return !m_isChanging && (!current.isVoter(id) || !removeUnavailableVoter(current, now));
+    return !m_isChanging && (!current.isVoter(id) || !withoutUnavailableVoter(current, now));
 }
 
 std::optional<membership> membership_manager::nextChange(const membership& current, instant now)
 {
     if (m_isChanging)
         return std::nullopt;
-    auto change = removeUnavailableVoter(current, now);
+    auto change = withoutUnavailableVoter(current, now);
     if (!change)
         change = addLearner(current, now);
+    if (!change)
+        change = withoutLostLearner(current, now);
     m_isChanging = change.has_value();
     return change;
 }
--- a/packages/fleet/src/membership_manager.h
+++ b/packages/fleet/src/membership_manager.h
@@ -7,8 +7,8 @@
 namespace poplardeal::detail {
 
 /// Decides changes of the control group's membership without an operator. A replica that asks to join becomes a learner
-/// and, once caught up, a voter. A voter that stops or stays unreachable is removed as soon as the group tolerates more
-/// failures without it.
+/// and, once caught up, a voter. A voter that stops is removed, and one that stays unreachable becomes a learner, as
+/// soon as the group tolerates more failures without its vote.
 class membership_manager {
 public:
     /// `toleratedLosses`: of replicas that may be lost at once, with their data.
@@ -34,11 +34,13 @@
     /// This replica has become the leader. Silence of members counts from now.
     void leadershipBegan(instant now);
 
-    /// A voter silent for longer may be removed. Twice the election timeout: a shorter stall costs no vote. A removed
-    /// voter that comes back joins again within moments.
+    /// A voter silent for longer may become a learner. Twice the election timeout: a shorter stall costs no vote. The
+    /// leader goes on sending to it, so one that comes back is a voter again within moments, whatever it has kept.
     static constexpr duration voterAbsenceLimit = std::chrono::seconds(1);
     /// A learner silent for longer may make room for another one.
     static constexpr duration learnerAbsenceLimit = std::chrono::seconds(6);
+    /// A learner silent for longer is taken to be gone for good and removed.
+    static constexpr duration learnerLifetime = std::chrono::minutes(10);
     static constexpr std::size_t minVoters = 3; ///< Of any group.
     static constexpr std::size_t maxVoters = 7; ///< The design reserves at most 7 instances for control.
     /// Voters of which that many may be lost, with their data, while a majority is left that has each committed entry;
@@ -52,7 +54,8 @@
 
 private:
     std::optional<membership> addLearner(const membership&, instant now);
-    std::optional<membership> removeUnavailableVoter(const membership&, instant now) const;
+    std::optional<membership> withoutUnavailableVoter(const membership&, instant now) const;
+    std::optional<membership> withoutLostLearner(const membership&, instant now) const;
     bool isAbsent(const member&, duration limit, instant now) const;
     std::size_t countPresentVoters(const membership&, instant now) const;
     bool isLeaving(const member&, instant now) const;
