fleet: a leader is not shown as asking to join; changes of members name the voters

Cause: the time of asking to join was not ended when the replica that asked became the leader, so its gauge would have grown for ever. membership_change listed all members, in which a silent voter that becomes a learner does not show.

Change: leading ends the asking; membership_change has voters and voters_before.

Measured: a_leader_asks_nobody and all of fleet_test pass (x86-64). The new case was not run on the code before.

--- a/packages/fleet/src/group_membership.cpp
+++ b/packages/fleet/src/group_membership.cpp
@@ -22,11 +22,13 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     }
 
-    std::vector<std::uint32_t> idsOf(const membership& members)
+    std::vector<std::uint32_t> idsOf(const membership& members, std::optional<member_role> role = {})
     {
         std::vector<std::uint32_t> out;
-        for (const auto& each : members.members)
-            out.push_back(each.id.value());
+        for (const auto& each : members.members) {
+            if (!role || each.role == *role)
+                out.push_back(each.id.value());
+        }
         return out;
     }
 
@@ -48,10 +50,10 @@
     if (leads && ledTerm != m_ledTerm)
         m_manager.leadershipBegan(now);
     m_ledTerm = ledTerm;
-    if (leads)
-        propose(group, now);
-    else
-        requestToJoin(group, now);
+    if (!leads)
+        return requestToJoin(group, now);
+    endJoining(group, now);
+    propose(group, now);
 }
 
 void group_membership::propose(replica& group, instant now)
@@ -59,11 +61,13 @@
     const auto change = m_manager.nextChange(group.members(), now);
     if (!change)
         return;
-    group.changeMembership(*change, now,
-        [this, before = idsOf(group.members()), ids = idsOf(*change)](const result<std::string>& outcome) {
+    group.changeMembership(
+        *change, now, [this, before = group.members(), after = *change](const result<std::string>& outcome) {
             m_manager.changeEnded();
             logEvent(log_level::info, "membership_change",
-                { { "before", before }, { "members", ids },
+                { { "before", idsOf(before) }, { "members", idsOf(after) },
+                    { "voters_before", idsOf(before, member_role::voter) },
+                    { "voters", idsOf(after, member_role::voter) },
                     { "outcome", outcome.has_error() ? outcome.error().message : "recorded" } });
         });
 }
@@ -86,12 +90,8 @@
 void group_membership::requestToJoin(const replica& group, instant now)
 {
     const bool isVoter = group.members().isVoter(m_self) && group.mayVote();
-    if ((group.leader() && isVoter) || m_leavingSince) {
-        if (const auto since = std::exchange(m_askingSince, std::nullopt); since && now - *since >= joinLogDelay)
-            logEvent(log_level::info, "join_ended",
-                { { "waited_ms", millisecondsOf(now - *since) }, { "term", group.term() } });
-        return;
-    }
+    if ((group.leader() && isVoter) || m_leavingSince)
+        return endJoining(group, now);
     if (!m_askingSince)
         m_askingSince = now;
     if (now - m_requestedAt < joinRequestInterval)
@@ -106,6 +106,14 @@
     noteJoining(group, asked, now);
 }
 
+void group_membership::endJoining(const replica& group, instant now)
+{
+    const auto since = std::exchange(m_askingSince, std::nullopt);
+    if (since && now - *since >= joinLogDelay)
+        logEvent(
+            log_level::info, "join_ended", { { "waited_ms", millisecondsOf(now - *since) }, { "term", group.term() } });
+}
+
 void group_membership::noteJoining(const replica& group, const std::vector<replica_id>& asked, instant now)
 {
     const auto waited = joiningFor(now);
--- a/packages/fleet/src/group_membership.h
+++ b/packages/fleet/src/group_membership.h
@@ -45,6 +45,7 @@
     void requestToJoin(const replica&, instant now);
     std::vector<replica_id> askedToJoin(const replica&) const;
     bool isFromSender(const frame&, replica_id named, replica_id from, instant now);
+    void endJoining(const replica&, instant now);
     void noteJoining(const replica&, const std::vector<replica_id>& asked, instant now);
 
     const fleet_settings& m_settings;
--- a/packages/fleet/tests/group_membership_test.cpp
+++ b/packages/fleet/tests/group_membership_test.cpp
@@ -540,6 +540,15 @@
     BOOST_TEST(group.reachVoters(5, catchUpTime));
 }
 
+// Guards against a leader that is shown as one that asks to join.
+BOOST_AUTO_TEST_CASE(a_leader_asks_nobody)
+{
+    control_group group(3);
+    BOOST_REQUIRE(group.propose(recoveryTime));
+    for (const std::uint32_t id : { 1, 2, 3 })
+        BOOST_TEST(group.joiningFor(id).count() == 0);
+}
+
 // Guards against a control that makes the leader add or remove another one by a message in its name.
 BOOST_DATA_TEST_CASE(a_request_counts_only_for_its_sender, boost::unit_test::data::make({ true, false }), isJoin)
 {
