consensus, fleet: a failed election says who did not vote for it

Callers saw a group of controls that nobody leads any more, and the logs could not tell why: the last line was that a leader had been lost. Metrics could not, either; those of the members are of a leader, and unknown without one.

Missing: raft_node kept the votes of a campaign only until the next one.

Change: raft_node hands a campaign out after which no leader was heard until the next election timeout: its round and term, the reply of each voter (granted, refused, data_replaced, silent), the votes and the quorum. The replica logs it as election_failed, once a second at most. New metrics on each control: poplardeal_control_leaderless_seconds and poplardeal_control_elections_failed_total. Without a campaign, a message costs a check of an empty optional, and a heartbeat of a leader a reset of it. A voter that still hears a leader gives no answer, as before, and is shown as silent.

--- a/packages/consensus/include/poplardeal/consensus/raft_node.h
+++ b/packages/consensus/include/poplardeal/consensus/raft_node.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <poplardeal/base/failure.h>
 #include <poplardeal/consensus/raft_types.h>
+#include <vector>
 
 namespace poplardeal {
 
@@ -72,6 +74,37 @@
     std::uint64_t matchIndex { 0 }; ///< Last entry that the member has reported as durable.
 };
 
+/// What a voter has answered to a request for its vote.
+enum class vote_reply {
+    silent, ///< It is gone, still hears a leader, or cannot write.
+    granted,
+    refused, ///< Its log is newer, or it has voted for another candidate of the term.
+    data_replaced, ///< Its data folder is not the one that the candidate's membership names.
+};
+
+struct asked_voter {
+    replica_id id;
+    std::uint64_t expectedIncarnation { 0 };
+    vote_reply reply { vote_reply::silent };
+    std::uint64_t lastIndex { 0 }; ///< Of its log, with a refusal.
+};
+
+/// Votes of the voters of one membership.
+struct vote_count {
+    std::size_t granted { 0 };
+    std::size_t quorum { 0 }; ///< Votes that elect a leader.
+};
+
+/// A campaign after which no leader was heard until the next election timeout.
+struct failed_campaign {
+    bool isPreVote { true };
+    std::uint64_t term { 0 }; ///< For which the votes were asked.
+    std::uint64_t lastIndex { 0 }; ///< Of the candidate's log.
+    std::vector<asked_voter> voters; ///< The candidate included: its own vote counts once it is durable.
+    vote_count votes;
+    std::optional<vote_count> earlierVotes; ///< Of the voters before a change that also needs a quorum of them.
+};
+
 /// One Raft member without sockets, clock, disk or threads: the caller brings in time and messages, and carries out
 /// what `takeReady` returns after each input.
 ///
@@ -108,6 +141,8 @@
     /// Hands leadership to the most advanced voter. False if this is not the leader or if there is no other voter.
     bool transferLeadership(instant now);
     raft_ready takeReady(instant now);
+    /// The latest campaign that has failed since the last call.
+    std::optional<failed_campaign> takeFailedCampaign();
 
     bool isLeader() const;
     /// True if a quorum answered within the lease and an entry of this term is committed.
@@ -115,6 +150,8 @@
     /// Index of the no-op that this leader appended first. Once it is applied, so are all entries of earlier terms.
     std::uint64_t termStartIndex() const;
     std::optional<replica_id> leader() const;
+    /// True if this replica leads, or has heard its leader within the longest election timeout.
+    bool hearsLeader(instant now) const;
     std::uint64_t term() const;
     std::uint64_t commitIndex() const;
     std::uint64_t lastIndex() const;
--- a/packages/consensus/include/poplardeal/consensus/replica.h
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -100,6 +100,11 @@
     /// earlier terms have been applied here.
     bool holdsLeaderLease(instant now) const;
     std::optional<replica_id> leader() const;
+    /// True if this replica leads, or has heard its leader within the longest election timeout.
+    bool hearsLeader(instant now) const;
+    /// Campaigns of this replica that have failed since it was opened; each is logged as `election_failed`, at most one
+    /// a second.
+    std::uint64_t failedElections() const;
     std::uint64_t term() const;
     std::uint64_t commitIndex() const;
     std::uint64_t appliedIndex() const;
--- a/packages/consensus/src/raft_election.cpp
+++ b/packages/consensus/src/raft_election.cpp
@@ -64,10 +64,13 @@
     transferTarget.reset();
     transferSent = false;
     uncommittedBytes = 0;
+    if (newLeader)
+        campaign.reset();
 }
 
 void raft_node::impl::startPreVote(instant now)
 {
+    endFailedCampaign();
     retrySoon(now);
     if (!mayCampaign())
         return;
@@ -75,6 +78,7 @@
     leader.reset();
     votes.clear();
     roundBegan = now;
+    beginCampaign(true, hard.term + 1);
     requestVotes(message_kind::pre_vote, hard.term + 1, false);
     recordVote(options.self, { true, options.dataIncarnation }, now);
 }
@@ -90,6 +94,7 @@
     hard.vote = options.self;
     hardChanged = true;
     ownVotePending = true;
+    beginCampaign(false, hard.term);
     requestVotes(message_kind::vote, hard.term, transfer);
 }
 
@@ -114,9 +119,72 @@
     }
 }
 
+void raft_node::impl::beginCampaign(bool isPreVote, std::uint64_t votedTerm)
+{
+    campaign.emplace();
+    campaign->isPreVote = isPreVote;
+    campaign->term = votedTerm;
+    campaign->lastIndex = log.lastIndex();
+    for (const auto* set : decidingSets()) {
+        for (const auto& m : set->members) {
+            const bool isKnown = std::any_of(campaign->voters.begin(), campaign->voters.end(),
+                [&](const auto& asked) { return asked.id == m.id && asked.expectedIncarnation == m.dataIncarnation; });
+            if (m.role == member_role::voter && !isKnown)
+                campaign->voters.push_back({ m.id, m.dataIncarnation });
+        }
+    }
+}
+
+/// Also notes answers that come after this replica has given the campaign up for a newer term.
+void raft_node::impl::noteVoteReply(const raft_message& m)
+{
+    const bool isPreVote = m.kind == message_kind::pre_vote_answer;
+    if (!campaign || (!isPreVote && m.kind != message_kind::vote_answer && m.kind != message_kind::data_replaced))
+        return;
+    if (m.kind != message_kind::data_replaced
+        && (campaign->isPreVote != isPreVote || (!m.rejected && campaign->term != m.term)))
+        return;
+    for (auto& voter : campaign->voters) {
+        if (voter.id != m.from)
+            continue;
+        if (voter.expectedIncarnation != m.dataIncarnation) {
+            voter.reply = vote_reply::data_replaced;
+        } else {
+            voter.reply = m.rejected ? vote_reply::refused : vote_reply::granted;
+            voter.lastIndex = m.rejected ? m.logIndex : 0;
+        }
+    }
+}
+
+void raft_node::impl::endFailedCampaign()
+{
+    if (!campaign)
+        return;
+    const auto count = [this](const membership& set, bool isCommitted) {
+        vote_count out { 0, votesNeeded(set, isCommitted) };
+        for (const auto& voter : campaign->voters) {
+            const auto* known = set.find(voter.id);
+            const bool isAsked
+                = known && known->role == member_role::voter && known->dataIncarnation == voter.expectedIncarnation;
+            out.granted += isAsked && voter.reply == vote_reply::granted ? 1 : 0;
+        }
+        return out;
+    };
+    campaign->votes = count(log.members(), isMembershipSettled());
+    if (isChangeOpen())
+        campaign->earlierVotes = count(log.earlierMembers(), true);
+    failedCampaign = std::exchange(campaign, std::nullopt);
+}
+
 void raft_node::impl::recordVote(replica_id voter, detail::vote given, instant now)
 {
     votes.emplace(voter, given);
+    if (voter == options.self && campaign) {
+        for (auto& asked : campaign->voters) {
+            if (asked.id == voter && asked.expectedIncarnation == given.dataIncarnation)
+                asked.reply = vote_reply::granted;
+        }
+    }
     if (!hasVoteQuorum())
         return;
     if (role == raft_role::pre_candidate)
@@ -179,6 +247,7 @@
 {
     role = raft_role::leader;
     leader = options.self;
+    campaign.reset();
     leaderSince = now;
     membersChangedAt = now;
     lastHeartbeat = now;
--- a/packages/consensus/src/raft_node.cpp
+++ b/packages/consensus/src/raft_node.cpp
@@ -1,6 +1,7 @@
 #include "raft_node_impl.h"
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace poplardeal {
 
@@ -60,6 +61,7 @@
 {
     if (m.to != options.self || m.from == options.self)
         return;
+    noteVoteReply(m);
     if (m.kind == message_kind::data_replaced)
         return onDataReplaced(m, now);
     if (readOnly && !receiveReadOnly(m, now))
@@ -146,6 +148,7 @@
             retrySoon(now);
         return;
     }
+    campaign.reset();
     std::erase_if(deferred, [](const auto& each) { return each.message.kind == message_kind::vote; });
     if (role == raft_role::follower || transferLeadership(now))
         return;
@@ -318,10 +321,18 @@
 void raft_node::compact(shared_snapshot snapshot) { m_impl->compact(std::move(snapshot)); }
 bool raft_node::transferLeadership(instant now) { return m_impl->transferLeadership(now); }
 raft_ready raft_node::takeReady(instant now) { return m_impl->takeReady(now); }
+std::optional<failed_campaign> raft_node::takeFailedCampaign()
+{
+    return std::exchange(m_impl->failedCampaign, std::nullopt);
+}
 bool raft_node::isLeader() const { return m_impl->role == raft_role::leader; }
 bool raft_node::holdsLeaderLease(instant now) const { return m_impl->holdsLeaderLease(now); }
 std::uint64_t raft_node::termStartIndex() const { return m_impl->termStartIndex; }
 std::optional<replica_id> raft_node::leader() const { return m_impl->leader; }
+bool raft_node::hearsLeader(instant now) const
+{
+    return isLeader() || (m_impl->leader && now - m_impl->lastHeard < 2 * m_impl->options.electionTimeout);
+}
 std::uint64_t raft_node::term() const { return m_impl->hard.term; }
 std::uint64_t raft_node::commitIndex() const { return m_impl->commit; }
 std::uint64_t raft_node::lastIndex() const { return m_impl->log.lastIndex(); }
--- a/packages/consensus/src/raft_node_impl.h
+++ b/packages/consensus/src/raft_node_impl.h
@@ -108,6 +108,9 @@
     void startElection(bool transfer, instant now);
     void becomeLeader(instant now);
     void requestVotes(message_kind, std::uint64_t votedTerm, bool transfer);
+    void beginCampaign(bool isPreVote, std::uint64_t votedTerm);
+    void noteVoteReply(const raft_message&);
+    void endFailedCampaign();
     void recordVote(replica_id voter, detail::vote, instant now);
     void onVoteRequest(const raft_message&, instant now);
     void onVoteAnswer(const raft_message&, instant now);
@@ -134,6 +137,7 @@
     void onDataReplaced(const raft_message&, instant now);
     void noteLostData(replica_id, std::uint64_t lost, instant now);
     bool hasVoteQuorum() const;
+    std::size_t votesNeeded(const membership&, bool isCommitted) const;
     std::uint64_t quorumIndex() const;
     std::optional<instant> quorumAnsweredSentAt(instant now) const;
 
@@ -182,6 +186,8 @@
     instant roundBegan; ///< When the votes were asked for.
     std::map<replica_id, detail::lost_data> lostData;
     bool transferElection { false };
+    std::optional<failed_campaign> campaign; ///< Under way, or without a leader that has been heard since.
+    std::optional<failed_campaign> failedCampaign; ///< Not handed out yet.
 
     // Persistence.
     bool hardChanged { false };
--- a/packages/consensus/src/raft_quorum.cpp
+++ b/packages/consensus/src/raft_quorum.cpp
@@ -116,6 +116,13 @@
     });
 }
 
+/// Votes of the present campaign that make a quorum of the set, see `isQuorumOf`.
+std::size_t raft_node::impl::votesNeeded(const membership& set, bool isCommitted) const
+{
+    const auto lossAt = isCommitted && mayBeHalved(set) ? lossLearnedAt(set) : std::nullopt;
+    return set.voterCount() / 2 + (lossAt && roundBegan > *lossAt ? 0 : 1);
+}
+
 /// The last entry that a quorum has made durable; the commit index if there is none after it.
 std::uint64_t raft_node::impl::quorumIndex() const
 {
--- a/packages/consensus/src/raft_replication.cpp
+++ b/packages/consensus/src/raft_replication.cpp
@@ -17,6 +17,7 @@
     if (role != raft_role::follower)
         becomeFollower(hard.term, m.from);
     leader = m.from;
+    campaign.reset();
     lastHeard = now;
     resetElectionTimer(now);
 
--- a/packages/consensus/src/raft_snapshot.cpp
+++ b/packages/consensus/src/raft_snapshot.cpp
@@ -59,6 +59,7 @@
     if (role != raft_role::follower)
         becomeFollower(hard.term, m.from);
     leader = m.from;
+    campaign.reset();
     lastHeard = now;
     resetElectionTimer(now);
     if (readOnly)
--- a/packages/consensus/src/replica.cpp
+++ b/packages/consensus/src/replica.cpp
@@ -1,3 +1,4 @@
+#include "election_report.h"
 #include "message_codec.h"
 #include "replica_impl.h"
 #include <nlohmann/json.hpp>
@@ -184,6 +185,21 @@
     abandonProposals("leadership was lost before the entry was committed", beforeTerm);
 }
 
+void replica::impl::noteFailedElection()
+{
+    const auto failed = node.takeFailedCampaign();
+    if (!failed)
+        return;
+    ++failedElections;
+    const auto leftOut = electionLines.admit(latest);
+    if (!leftOut)
+        return;
+    auto fields = detail::electionFields(*failed);
+    fields["replica"] = options.self.value();
+    fields["left_out"] = *leftOut;
+    logEvent(log_level::warning, "election_failed", fields);
+}
+
 void replica::impl::stop(failure reason)
 {
     if (stopReason)
@@ -215,6 +231,7 @@
         return;
     m_impl->retryDisk();
     m_impl->node.tick(m_impl->latest);
+    m_impl->noteFailedElection();
     m_impl->flush();
 }
 
@@ -254,6 +271,8 @@
     return isLeader() && m_impl->applied >= m_impl->node.termStartIndex() && m_impl->node.holdsLeaderLease(now);
 }
 std::optional<replica_id> replica::leader() const { return m_impl->node.leader(); }
+bool replica::hearsLeader(instant now) const { return !m_impl->stopReason && m_impl->node.hearsLeader(now); }
+std::uint64_t replica::failedElections() const { return m_impl->failedElections; }
 std::uint64_t replica::term() const { return m_impl->node.term(); }
 std::uint64_t replica::commitIndex() const { return m_impl->node.commitIndex(); }
 std::uint64_t replica::lastIndex() const { return m_impl->node.lastIndex(); }
--- a/packages/consensus/src/replica_impl.h
+++ b/packages/consensus/src/replica_impl.h
@@ -3,6 +3,7 @@
 #include "disk_worker.h"
 #include <limits>
 #include <map>
+#include <poplardeal/base/line_limiter.h>
 #include <poplardeal/consensus/replica.h>
 
 namespace poplardeal {
@@ -35,6 +36,7 @@
     void appended(result<log_position>, proposal_callback);
     void abandonProposals(const std::string& reason, std::uint64_t beforeTerm);
     void noteRoleChange();
+    void noteFailedElection();
     void stop(failure);
     void observe(instant now) { latest = std::max(latest, now); }
 
@@ -56,6 +58,8 @@
     bool wasLeader { false };
     bool wasVoter { false };
     std::uint64_t leaderTerm { 0 };
+    std::uint64_t failedElections { 0 };
+    detail::line_limiter electionLines { std::chrono::seconds(1) };
     std::optional<failure> stopReason;
     recovery_facts recovery;
     std::unique_ptr<detail::disk_worker<log_store>> disk;
--- a/packages/fleet/src/control_metrics.cpp
+++ b/packages/fleet/src/control_metrics.cpp
@@ -14,6 +14,10 @@
     , m_learners(metrics.getGauge("poplardeal_control_learners", "Members without a vote that this control knows"))
     , m_joining(metrics.getGauge("poplardeal_control_joining_seconds",
           "Time for which this control has been asking to join the group; 0 if it does not ask"))
+    , m_leaderless(metrics.getGauge("poplardeal_control_leaderless_seconds",
+          "Time for which this control has known no leader; 0 while it knows one"))
+    , m_failedElections(metrics.getCounter(
+          "poplardeal_control_elections_failed_total", "Campaigns of this control that made no leader"))
     , m_answering(
           metrics.getGauge("poplardeal_control_voters_answering", "Voters that answer this leader, itself included"))
     , m_margin(metrics.getGauge("poplardeal_control_quorum_margin", "Answering voters that this leader can spare"))
@@ -65,9 +69,18 @@
     const auto answering = static_cast<double>(self.answeringVoters(now));
     m_answering.set(self.isLeader() ? answering : unknown);
     m_margin.set(self.isLeader() ? answering - static_cast<double>(quorum) : unknown);
+    updateElections(self, now);
     updateMembers(self, now);
 }
 
+void control_metrics::updateElections(const replica& self, instant now)
+{
+    if (!m_leaderHeardAt || self.hearsLeader(now))
+        m_leaderHeardAt = now;
+    m_leaderless.set(secondsOf(now - *m_leaderHeardAt));
+    m_failedElections.add(self.failedElections() - m_failedElections.value());
+}
+
 void control_metrics::updateMembers(const replica& self, instant now)
 {
     for (auto& [id, each] : m_members) {
--- a/packages/fleet/src/control_metrics.h
+++ b/packages/fleet/src/control_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <poplardeal/base/metrics.h>
 #include <poplardeal/consensus/replica.h>
 
@@ -30,6 +31,7 @@
         gauge& lag;
     };
 
+    void updateElections(const replica&, instant now);
     void updateMembers(const replica&, instant now);
     member_gauges& gaugesOf(replica_id);
 
@@ -39,6 +41,8 @@
     gauge& m_voters;
     gauge& m_learners;
     gauge& m_joining;
+    gauge& m_leaderless;
+    counter& m_failedElections;
     gauge& m_answering;
     gauge& m_margin;
     gauge& m_term;
@@ -47,6 +51,7 @@
     gauge& m_diskFull;
     timing& m_writeTime;
     std::map<replica_id, member_gauges> m_members;
+    std::optional<instant> m_leaderHeardAt; ///< Or when the metrics were first updated.
 };
 
 } // namespace poplardeal::detail
--- a/packages/fleet/tests/control_metrics_test.cpp
+++ b/packages/fleet/tests/control_metrics_test.cpp
@@ -1,6 +1,7 @@
 #include "control_metrics.h"
 #include "full_folders.h"
 #include "replica_group.h"
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace poplardeal;
@@ -73,3 +74,43 @@
     shown.recordJoining(std::chrono::milliseconds(2500));
     BOOST_TEST(shows("joining_seconds 2.5"));
 }
+
+struct leaderless_row {
+    const char* name;
+    std::vector<std::uint32_t> lost;
+    bool losesDisk; ///< The control that is shown.
+    bool campaigns;
+};
+std::ostream& operator<<(std::ostream& out, const leaderless_row& row) { return out << row.name; }
+
+const leaderless_row leaderlessRows[] = {
+    { "one control is lost", { 3 }, false, false },
+    { "two controls are lost", { 2, 3 }, false, true },
+    { "two controls are lost, and the disk of the third", { 2, 3 }, true, false },
+};
+
+// Guards against a group without a leader that no metric shows, since those of a leader are unknown then.
+BOOST_DATA_TEST_CASE(a_control_shows_how_long_it_has_known_no_leader, leaderlessRows, row)
+{
+    replica_group group(3);
+    group.startAll(true);
+    BOOST_REQUIRE(group.propose("entry").has_value());
+    for (const auto number : row.lost)
+        group.kill(number);
+    if (row.losesDisk) {
+        group.kill(1);
+        std::filesystem::remove_all(group.folderOf(1));
+        BOOST_REQUIRE(group.start(1, false).has_value());
+    }
+    metrics_registry metrics;
+    detail::control_metrics shown(metrics, 1);
+    const auto end = group.now + std::chrono::seconds(8);
+    while (group.now < end) {
+        group.step();
+        shown.update(*group.replicas[1], group.now);
+    }
+    const auto leaderless = metrics.getGauge("poplardeal_control_leaderless_seconds", "").value();
+    const auto failed = metrics.getCounter("poplardeal_control_elections_failed_total", "").value();
+    BOOST_TEST((row.lost.size() == 1 ? leaderless == 0 : leaderless >= 6 && leaderless <= 8));
+    BOOST_TEST((row.campaigns ? failed > 10 : failed == 0));
+}
