consensus: a learner becomes a voter by rounds, also under load

A control with a new disk stayed without a vote for as long as entries were committed faster than its answers came, so that the group bore a loss fewer, with nothing wrong with the control but 20 ms of distance or of disk.

Cause: a learner was promoted if it held all committed entries at the moment at which its answer arrived. The answer is older than the commit index that it is compared with. It is the class of faults in which a condition compares a report of the past with the present. proposeMembership had the same condition for a learner that is made a voter by a request.

Change: rounds as in Ongaro's dissertation, 4.2.1. A round ends when the member holds what the leader's log held when the round began; a learner is promoted when a round took less than half an election timeout and the next one has not taken longer either. Half, so that a leader that then needs the new voter keeps its lease, which ends after 4/5. A learner that lags by more stays one, as does one that is silent; formerly a silent one could be made a voter by request if it had held everything.

Why it is safe: the agreement of quorums of successive memberships does not depend on what a new voter holds. An entry is committed by copies on a quorum, which a vote needs as well; a voter can vote only by its own log, up to the entry that made it one; the half of an even set counts answers and data incarnations, no progress of learners; an open change away from an even set still needs both quorums.

--- a/packages/consensus/src/raft_membership.cpp
+++ b/packages/consensus/src/raft_membership.cpp
@@ -28,7 +28,7 @@
             continue;
         // An empty voter counts in the quorum before it can help to form one.
         const auto peer = peers.find(m.id);
-        if (peer == peers.end() || peer->second.matchIndex == 0 || peer->second.matchIndex < commit) {
+        if (peer == peers.end() || !isCaughtUp(peer->second, now)) {
             return failure { failure_code::unavailable,
                 "replica " + std::to_string(m.id.value()) + " has to be a learner that has caught up before it votes" };
         }
@@ -77,9 +77,7 @@
         for (const auto& m : set->members) {
             if (m.id == options.self || peers.contains(m.id))
                 continue;
-            progress fresh;
-            fresh.nextIndex = log.lastIndex() + 1;
-            peers.emplace(m.id, std::move(fresh));
+            peers.emplace(m.id, unknownProgress());
         }
     }
     std::erase_if(peers, [this](const auto& item) { return !findMember(item.first); });
@@ -123,10 +121,8 @@
         entry.role = member_role::learner;
         entry.dataIncarnation = m.dataIncarnation;
     }
-    if (appendMembership(changed, now)) {
-        peer = progress {};
-        peer.nextIndex = log.lastIndex() + 1;
-    }
+    if (appendMembership(changed, now))
+        peer = unknownProgress();
     return false;
 }
 
@@ -149,10 +145,41 @@
     return m.startCount == peer.startCount && !forgotten;
 }
 
+/// Of a member that is new to this leader.
+progress raft_node::impl::unknownProgress() const
+{
+    progress out;
+    out.nextIndex = log.lastIndex() + 1;
+    out.roundTarget = log.lastIndex();
+    out.roundBegan = membersChangedAt;
+    return out;
+}
+
+// A round ends when the member holds all that the log held at the beginning of the round (Ongaro's
+// dissertation, 4.2.1).
+void raft_node::impl::noteRound(progress& peer, instant now)
+{
+    while (peer.matchIndex >= peer.roundTarget) {
+        peer.wasRoundShort = now - peer.roundBegan < maxLag();
+        peer.roundTarget = log.lastIndex();
+        peer.roundBegan = now;
+        if (peer.wasRoundShort)
+            return;
+    }
+}
+
+// To hold all committed entries at the moment of an answer is no condition: under load there need not be such a moment,
+// and the safety of a change does not rest on it. With a lag of up to `maxLag`, the leader keeps its lease and commits
+// entries also if it needs the member for a quorum.
+bool raft_node::impl::isCaughtUp(const progress& peer, instant now) const
+{
+    return peer.matchIndex > 0 && peer.wasRoundShort && now - peer.roundBegan < maxLag();
+}
+
 void raft_node::impl::promoteIfCaughtUp(replica_id id, const progress& peer, instant now)
 {
     const auto* known = log.members().find(id);
-    if (!known || !known->promoteWhenCaughtUp || log.membersIndex() > commit || peer.matchIndex < commit)
+    if (!known || !known->promoteWhenCaughtUp || log.membersIndex() > commit || !isCaughtUp(peer, now))
         return;
     auto changed = log.members();
     for (auto& entry : changed.members) {
--- a/packages/consensus/src/raft_node_impl.h
+++ b/packages/consensus/src/raft_node_impl.h
@@ -42,6 +42,9 @@
         std::uint64_t startCount { 0 };
         instant startSeenAt; ///< When `startCount` was first seen.
         std::uint64_t earlierAcknowledged { 0 }; ///< Highest durable index reported by its earlier starts in this term.
+        std::uint64_t roundTarget { 0 }; ///< Last entry of the log when the present round began.
+        instant roundBegan;
+        bool wasRoundShort { false }; ///< The round before took less than `maxLag`.
         shared_snapshot snapshot;
         std::uint64_t snapshotOffset { 0 };
         bool chunkSent { false };
@@ -167,6 +170,10 @@
     std::size_t countAnsweringVoters(const membership&, instant now) const;
     bool checkIncarnation(detail::progress&, const raft_message&, instant now);
     bool checkRegression(detail::progress&, const raft_message&, instant now);
+    duration maxLag() const { return options.electionTimeout / 2; }
+    detail::progress unknownProgress() const;
+    void noteRound(detail::progress&, instant now);
+    bool isCaughtUp(const detail::progress&, instant now) const;
     void promoteIfCaughtUp(replica_id, const detail::progress&, instant now);
     void syncProgressWithMembers();
     void stepDownIfRemoved();
--- a/packages/consensus/src/raft_replication.cpp
+++ b/packages/consensus/src/raft_replication.cpp
@@ -116,6 +116,7 @@
         peer.state = progress_state::replicate;
     }
     peer.nextIndex = std::max(peer.nextIndex, peer.matchIndex + 1);
+    noteRound(peer, now);
     advanceCommit();
     if (role != raft_role::leader)
         return;
