consensus: a learner becomes a voter while the group is under load

Seen in a simulation of losses: with entries committed every 5 to 30 ms, a control that lost its disk, or was silent for long enough to become a learner, has the whole log and remains a learner for as long as the load lasts, so the group bears fewer losses than it has machines.

Cause: a leader promotes a learner only if an answer of it reaches the commit index of the moment in which the answer arrives. Between the sending of an entry and the answer, the voters that are nearer commit the next ones, so the answer of a learner that is farther away than the majority never does.

A learner now also counts as caught up once it reaches, within an election timeout, what was committed when that round began (the rounds of Raft's membership changes). It lacks no more than what is on its way. Safety rests on the commit of the change, not on the state of the learner: the change is committed only with everything before it.

--- a/packages/consensus/src/raft_membership.cpp
+++ b/packages/consensus/src/raft_membership.cpp
@@ -149,10 +149,25 @@
     return m.startCount == peer.startCount && !forgotten;
 }
 
-void raft_node::impl::promoteIfCaughtUp(replica_id id, const progress& peer, instant now)
+/// Under load, entries are committed while an answer is on its way. A learner has caught up as well if it reaches,
+/// within an election timeout, what was committed when that round began: as a voter, it lacks what is on its way only.
+bool raft_node::impl::hasCaughtUp(progress& peer, instant now) const
+{
+    if (peer.matchIndex >= commit)
+        return true;
+    if (peer.matchIndex < peer.roundEnd)
+        return false;
+    if (peer.roundEnd != 0 && now - peer.roundBegan < options.electionTimeout)
+        return true;
+    peer.roundEnd = commit;
+    peer.roundBegan = now;
+    return false;
+}
+
+void raft_node::impl::promoteIfCaughtUp(replica_id id, progress& peer, instant now)
 {
     const auto* known = log.members().find(id);
-    if (!known || !known->promoteWhenCaughtUp || log.membersIndex() > commit || peer.matchIndex < commit)
+    if (!known || !known->promoteWhenCaughtUp || log.membersIndex() > commit || !hasCaughtUp(peer, now))
         return;
     auto changed = log.members();
     for (auto& entry : changed.members) {
--- a/packages/consensus/src/raft_node_impl.h
+++ b/packages/consensus/src/raft_node_impl.h
@@ -42,6 +42,10 @@
         std::uint64_t startCount { 0 };
         instant startSeenAt; ///< When `startCount` was first seen.
         std::uint64_t earlierAcknowledged { 0 }; ///< Highest durable index reported by its earlier starts in this term.
+        std::uint64_t roundEnd {
+            0
+        }; ///< Commit index that a learner is to reach in this round; 0 before the first one.
+        instant roundBegan;
         shared_snapshot snapshot;
         std::uint64_t snapshotOffset { 0 };
         bool chunkSent { false };
@@ -163,7 +167,8 @@
     std::size_t countAnsweringVoters(const membership&, instant now) const;
     bool checkIncarnation(detail::progress&, const raft_message&, instant now);
     bool checkRegression(detail::progress&, const raft_message&, instant now);
-    void promoteIfCaughtUp(replica_id, const detail::progress&, instant now);
+    bool hasCaughtUp(detail::progress&, instant now) const;
+    void promoteIfCaughtUp(replica_id, detail::progress&, instant now);
     void syncProgressWithMembers();
     void stepDownIfRemoved();
     void settleMembership();
--- a/packages/consensus/tests/replica_group.h
+++ b/packages/consensus/tests/replica_group.h
@@ -105,8 +105,11 @@
     {
         replica_options options;
         options.self = replica_id(number);
-        for (std::uint32_t voter = 1; voter <= m_size; ++voter)
-            options.voters.push_back(replica_id(voter));
+        if (const auto given = initialVoters.find(number); given != initialVoters.end())
+            options.voters = given->second;
+        else
+            for (std::uint32_t voter = 1; voter <= m_size; ++voter)
+                options.voters.push_back(replica_id(voter));
         options.dataFolder = folderOf(number);
         options.seed = m_seed;
         options.snapshotEvery = m_snapshotEvery;
@@ -120,34 +123,33 @@
     {
         replicas.erase(number);
         machines.erase(number);
+        std::erase_if(m_inFlight, [number](const auto& item) { return item.second.to.value() == number; });
     }
 
     /// Delivers what is pending, waits for the disk threads, or moves the clock on.
     void step(duration tick = std::chrono::milliseconds(10))
     {
+        if (latency)
+            return stepWithLatency(tick);
         runPosted();
-        for (auto pending = std::exchange(m_messages, {}); auto& m : pending) {
-            const auto to = replicas.find(m.to.value());
-            if (to == replicas.end() || cut.contains(m.to.value()) || cut.contains(m.from.value()))
-                continue;
-            if (delivered)
-                delivered(m.to.value(), m.from);
-            to->second->receive(m.from, m.bytes, now);
-        }
+        for (auto pending = std::exchange(m_messages, {}); auto& m : pending)
+            deliver(m);
         if (!m_messages.empty())
             return;
-        const bool persisting = std::any_of(
-            replicas.begin(), replicas.end(), [](const auto& item) { return item.second->isPersisting(); });
         {
             std::unique_lock lock(m_mutex);
-            if (persisting)
+            if (isAnyPersisting())
                 m_wake.wait(lock, [this] { return !m_posted.empty(); });
             if (!m_posted.empty())
                 return;
         }
-        now += tick;
-        for (auto& [number, r] : replicas)
-            r->tick(now);
+        advanceClock(tick);
+    }
+
+    /// Whether the network is open between two replicas.
+    bool isOpen(std::uint32_t from, std::uint32_t to) const
+    {
+        return !cut.contains(from) && !cut.contains(to) && half.contains(from) == half.contains(to);
     }
 
     /// Runs until the condition holds. False if it does not within the simulated time.
@@ -204,7 +206,12 @@
     instant now { instantFromMicros(1'000'000) };
     std::map<std::uint32_t, std::unique_ptr<list_machine>> machines;
     std::map<std::uint32_t, std::unique_ptr<replica>> replicas;
+    std::map<std::uint32_t, std::vector<replica_id>> initialVoters; ///< That a replica is told, if not all.
     std::set<std::uint32_t> cut; ///< Replicas without network.
+    std::set<std::uint32_t> half; ///< Replicas that reach only each other.
+    /// Of a message; not 0 and constant for each link, whose order it keeps. If set, the disk threads have no influence
+    /// on the order of messages, and messages to a replica that ends are lost.
+    std::function<duration(std::uint32_t from, std::uint32_t to)> latency;
     std::function<void(std::uint32_t to, replica_id from)> delivered; ///< Called before each delivery of a message.
 
 private:
@@ -214,6 +221,56 @@
         std::string bytes;
     };
 
+    void deliver(const packet& m)
+    {
+        const auto to = replicas.find(m.to.value());
+        if (to == replicas.end() || !isOpen(m.from.value(), m.to.value()))
+            return;
+        if (delivered)
+            delivered(m.to.value(), m.from);
+        to->second->receive(m.from, m.bytes, now);
+    }
+
+    bool isAnyPersisting() const
+    {
+        return std::any_of(
+            replicas.begin(), replicas.end(), [](const auto& item) { return item.second->isPersisting(); });
+    }
+
+    void advanceClock(duration tick)
+    {
+        now += tick;
+        for (auto& [number, r] : replicas)
+            r->tick(now);
+    }
+
+    void stepWithLatency(duration tick)
+    {
+        runPosted();
+        while (isAnyPersisting()) {
+            {
+                std::unique_lock lock(m_mutex);
+                m_wake.wait(lock, [this] { return !m_posted.empty(); });
+            }
+            runPosted();
+        }
+        std::stable_sort(
+            m_messages.begin(), m_messages.end(), [](const auto& a, const auto& b) { return a.from < b.from; });
+        for (auto& m : std::exchange(m_messages, {})) {
+            const auto due = now + latency(m.from.value(), m.to.value());
+            m_inFlight.emplace(due, std::move(m));
+        }
+        if (m_inFlight.empty() || m_inFlight.begin()->first > now)
+            return advanceClock(tick);
+        const auto end = m_inFlight.upper_bound(now);
+        std::vector<packet> arrived;
+        for (auto item = m_inFlight.begin(); item != end; ++item)
+            arrived.push_back(std::move(item->second));
+        m_inFlight.erase(m_inFlight.begin(), end);
+        for (const auto& m : arrived)
+            deliver(m);
+    }
+
     void runPosted()
     {
         std::deque<std::function<void()>> posted;
@@ -229,6 +286,7 @@
     std::uint64_t m_snapshotEvery;
     std::uint64_t m_seed;
     std::vector<packet> m_messages;
+    std::multimap<instant, packet> m_inFlight; ///< By the time of arrival.
     std::mutex m_mutex;
     std::condition_variable m_wake;
     std::deque<std::function<void()>> m_posted;
--- a/packages/consensus/tests/replica_test.cpp
+++ b/packages/consensus/tests/replica_test.cpp
@@ -194,6 +194,32 @@
     BOOST_TEST(group.replicas[4]->members().voterCount() == 4U);
 }
 
+// Guards against a learner that never becomes a voter because new entries are committed while its answers are on the
+// way.
+BOOST_DATA_TEST_CASE(a_learner_becomes_a_voter_under_load, boost::unit_test::data::make({ 30, 100, 300 }), roundTripMs)
+{
+    constexpr std::uint32_t learner = 4;
+    replica_group group(3);
+    group.latency = [&](std::uint32_t from, std::uint32_t to) -> duration {
+        const bool isFar = from == learner || to == learner;
+        return std::chrono::milliseconds(isFar ? roundTripMs / 2 : 1);
+    };
+    group.startAll(true);
+    BOOST_REQUIRE(group.propose("first").has_value());
+    BOOST_REQUIRE(group.start(learner, false).has_value());
+    const auto leads = group.leader();
+    auto wanted = group.replicas[leads]->members();
+    wanted.members.push_back({ replica_id(learner), member_role::learner, 0, true });
+    group.replicas[leads]->changeMembership(wanted, group.now, [](const result<std::string>&) {});
+    const bool isVoter = group.runUntil(
+        [&] {
+            group.replicas[leads]->propose("load", group.now, [](const result<std::string>&) {});
+            return group.replicas[learner]->mayVote();
+        },
+        std::chrono::seconds(5));
+    BOOST_TEST(isVoter);
+}
+
 // A payload far larger than one append or snapshot chunk. Guards against large entries that stop at one of the limits
 // on the way to a follower that was away, or to a learner that takes the snapshot.
 BOOST_AUTO_TEST_CASE(large_entries_reach_replicas_that_were_away)
