--- a/packages/consensus/tests/replica_group.h
+++ b/packages/consensus/tests/replica_group.h
@@ -15,9 +15,9 @@
 /// Folder that is removed at the end of the test.
 class temporary_folder {
 public:
-    temporary_folder()
+    explicit temporary_folder(const std::filesystem::path& parent = std::filesystem::temp_directory_path())
     {
-        auto pattern = (std::filesystem::temp_directory_path() / "poplardeal-consensus-XXXXXX").string();
+        auto pattern = (parent / "poplardeal-consensus-XXXXXX").string();
         m_path = ::mkdtemp(pattern.data());
     }
     temporary_folder(const temporary_folder&) = delete;
@@ -60,8 +60,10 @@
 /// Replicas in one process on a simulated clock, which stands still while messages or disk writes are pending.
 class replica_group {
 public:
-    explicit replica_group(std::uint32_t size, std::uint64_t snapshotEvery = 10000, std::uint64_t seed = 1)
-        : m_size(size)
+    explicit replica_group(std::uint32_t size, std::uint64_t snapshotEvery = 10000, std::uint64_t seed = 1,
+        const std::filesystem::path& parent = std::filesystem::temp_directory_path())
+        : folder(parent)
+        , m_size(size)
         , m_snapshotEvery(snapshotEvery)
         , m_seed(seed)
     {
