fleet: the test of a leader that asks nobody waits for the next tick

a_leader_asks_nobody failed in 10 of 20 runs at (x86-64, beside load): an entry may be recorded in the instant of the election, and whether the clock moved on before the check depended on the threads of the disks. The asking ends when the members look again, at the next tick.

The test now lets one tick pass.

--- a/packages/fleet/tests/group_membership_test.cpp
+++ b/packages/fleet/tests/group_membership_test.cpp
@@ -316,6 +316,7 @@
 {
     control_group group(3);
     BOOST_REQUIRE(group.propose(recoveryTime));
+    group.run(10ms); // The entry may be recorded in the instant of the election, before the members look again.
     for (const std::uint32_t id : { 1, 2, 3 })
         BOOST_TEST(group.joiningFor(id).count() == 0);
 }
