--- a/packages/fleet/tests/control_group.h
+++ b/packages/fleet/tests/control_group.h
@@ -179,6 +179,13 @@
         return id == 0 ? 0 : m_group.replicas.at(id)->members().voterCount();
     }
 
+    /// True if the leader counts the control as a voter.
+    bool isVoter(std::uint32_t id) const
+    {
+        const auto leads = leader();
+        return leads != 0 && m_group.replicas.at(leads)->members().isVoter(replica_id(id));
+    }
+
     void transfer()
     {
         const auto before = leader();
