consensus: a successor takes the vote of a silent voter in one change

Callers would see a group that nobody leads: a control was gone for good, its successor became a voter and ended, or lost its disk, in that moment.

The successor was made a voter first, which raised the quorum (four of six), and the silent one lost its vote 10 to 90 ms later. In between, the successor was needed.

Change: with the voters that the group needs (votersNeeded), the learner takes the place of a silent voter in one entry. A majority of the set after need not share a member with a majority of the set before, so this change needs a quorum of both until it is committed, and is repeated afterwards, as changes of sets that may be halved already do. raft_quorum.cpp has the argument.

--- a/packages/consensus/include/poplardeal/consensus/raft_node.h
+++ b/packages/consensus/include/poplardeal/consensus/raft_node.h
@@ -19,6 +19,7 @@
     /// bootstrapped replica was lost, and its settings still ask for the bootstrap. 0: never.
     std::uint64_t rejoinIncarnation { 0 };
     std::uint64_t startCount { 1 };
+    std::size_t votersNeeded { 3 }; ///< With as many, a learner that becomes a voter takes the place of a silent one.
     duration heartbeatInterval { std::chrono::milliseconds(150) };
     duration electionTimeout { std::chrono::milliseconds(700) }; ///< Lower bound; the upper bound is twice it.
     std::uint64_t seed { 0 }; ///< Of the randomised election timeouts.
@@ -126,9 +127,9 @@
     void receive(const raft_message&, instant now);
     /// `not_leader`, `too_large` or `overloaded` if the entry was not appended.
     result<log_position> propose(std::string payload, instant now);
-    /// Changes at most one voter; a new voter has to be a learner that has caught up. The data incarnations are filled
-    /// in here. `conflict` while an earlier change is not committed; `unavailable` if the learner lags, if no quorum of
-    /// the new membership answers, or before the first commit of the term.
+    /// Adds, removes or replaces at most one voter; a new voter has to be a learner that has caught up. The data
+    /// incarnations are filled in here. `conflict` while an earlier change is not committed; `unavailable` if the
+    /// learner lags, if no quorum of the new membership answers, or before the first commit of the term.
     result<log_position> proposeMembership(membership, instant now);
     /// All batches up to this number are durable.
     void persisted(std::uint64_t number, instant now);
--- a/packages/consensus/include/poplardeal/consensus/replica.h
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -43,6 +43,7 @@
 struct replica_options {
     replica_id self;
     std::vector<replica_id> voters; ///< First membership, the same on every replica.
+    std::size_t votersNeeded { 3 }; ///< `raft_options::votersNeeded`.
     std::filesystem::path dataFolder;
     duration heartbeatInterval { std::chrono::milliseconds(150) };
     duration electionTimeout { std::chrono::milliseconds(700) }; ///< Lower bound; the upper bound is twice it.
@@ -109,9 +110,9 @@
     std::uint64_t commitIndex() const;
     std::uint64_t appliedIndex() const;
 
-    /// Replaces the membership; at most one voter may be added or removed, and a new voter has to be a learner that
-    /// has caught up (`unavailable` otherwise). New members start with an empty folder and without `bootstrap`. Answers
-    /// like `propose`; `conflict` while an earlier change is not committed.
+    /// Replaces the membership; at most one voter may be added, removed or replaced, and a new voter has to be a
+    /// learner that has caught up (`unavailable` otherwise). New members start with an empty folder and without
+    /// `bootstrap`. Answers like `propose`; `conflict` while an earlier change is not committed.
     void changeMembership(membership, instant now, std::function<void(result<std::string>)> done);
     const membership& members() const;
     /// False while this replica has an empty or outdated data folder or is a learner.
--- a/packages/consensus/src/raft_membership.cpp
+++ b/packages/consensus/src/raft_membership.cpp
@@ -7,7 +7,7 @@
 using detail::progress;
 using detail::raft_role;
 
-static std::size_t changedVoters(const membership& a, const membership& b)
+std::size_t changedVoters(const membership& a, const membership& b)
 {
     std::size_t changed = 0;
     for (const auto& m : a.members)
@@ -61,8 +61,11 @@
         return failure { failure_code::unavailable, "the leader has not committed an entry of its term yet" };
     if (log.membersIndex() > commit)
         return failure { failure_code::conflict, "an earlier membership change is not committed" };
-    if (changedVoters(log.members(), wanted) > 1)
-        return failure { failure_code::invalid_argument, "a membership change may add or remove one voter at a time" };
+    const auto changed = changedVoters(log.members(), wanted);
+    const bool isReplacement = changed == 2 && log.members().voterCount() == wanted.voterCount();
+    if (changed > 1 && !isReplacement)
+        return failure { failure_code::invalid_argument,
+            "a membership change may add, remove or replace one voter at a time" };
     auto appended = propose(entry_kind::membership, detail::encodeMembership(wanted));
     if (appended) {
         membersChangedAt = now;
@@ -176,17 +179,31 @@
     return peer.matchIndex > 0 && peer.wasRoundShort && now - peer.roundBegan < maxLag();
 }
 
+/// A voter that has not answered this leader for twice the election timeout.
+std::optional<replica_id> raft_node::impl::silentVoter(instant now) const
+{
+    for (const auto& [id, peer] : peers) {
+        const auto last = std::max(peer.answeredSentAt.value_or(leaderSince), leaderSince);
+        if (log.members().isVoter(id) && now - last > options.electionTimeout * 2)
+            return id;
+    }
+    return std::nullopt;
+}
+
+/// In a group that has the voters that it needs, the learner takes the vote of a silent voter in the same change. As a
+/// voter beside it, it would raise the quorum before the silent one has lost its vote.
 void raft_node::impl::promoteIfCaughtUp(replica_id id, const progress& peer, instant now)
 {
     const auto* known = log.members().find(id);
     if (!known || !known->promoteWhenCaughtUp || log.membersIndex() > commit || !isCaughtUp(peer, now))
         return;
     auto changed = log.members();
+    const auto replaced = changed.voterCount() >= options.votersNeeded ? silentVoter(now) : std::nullopt;
     for (auto& entry : changed.members) {
-        if (entry.id != id)
+        if (entry.id != id && entry.id != replaced)
             continue;
-        entry.role = member_role::voter;
-        entry.promoteWhenCaughtUp = false;
+        entry.role = entry.id == id ? member_role::voter : member_role::learner;
+        entry.promoteWhenCaughtUp = entry.id != id;
     }
     // A refusal is not an error: the next answer of the learner repeats the attempt.
     static_cast<void>(appendMembership(changed, now));
--- a/packages/consensus/src/raft_node_impl.h
+++ b/packages/consensus/src/raft_node_impl.h
@@ -83,6 +83,9 @@
 
 } // namespace detail
 
+/// Voters that only one of the two has.
+std::size_t changedVoters(const membership&, const membership&);
+
 struct raft_node::impl {
     impl(raft_options, raft_saved_state, instant now);
 
@@ -174,6 +177,7 @@
     detail::progress unknownProgress() const;
     void noteRound(detail::progress&, instant now);
     bool isCaughtUp(const detail::progress&, instant now) const;
+    std::optional<replica_id> silentVoter(instant now) const;
     void promoteIfCaughtUp(replica_id, const detail::progress&, instant now);
     void syncProgressWithMembers();
     void stepDownIfRemoved();
--- a/packages/consensus/src/raft_quorum.cpp
+++ b/packages/consensus/src/raft_quorum.cpp
@@ -8,6 +8,10 @@
 // what is counted was given after the loss was learned: a voter that was lost meanwhile could otherwise be counted in
 // both.
 //
+// A majority of a set has a member in common with each majority of the set after one voter is added or removed, but not
+// after one is replaced. The change that replaces one therefore needs a quorum of both sets until it is committed, too:
+// its entry is then on a majority of the set before, which lets nobody lead who does not have it.
+//
 // The half of a set has a member in common with a majority of the set before or after it only if that majority holds a
 // majority of the set itself. That is so for changes from an odd to an even number, whose majorities do; a change
 // away from a set that may be halved therefore needs a quorum of both sets until it is committed. Only a set that is
@@ -22,7 +26,11 @@
 }
 
 /// Whether the voters before the last change decide as well.
-bool raft_node::impl::isChangeOpen() const { return !isMembershipSettled() && mayBeHalved(log.earlierMembers()); }
+bool raft_node::impl::isChangeOpen() const
+{
+    const auto& before = log.earlierMembers();
+    return !isMembershipSettled() && (mayBeHalved(before) || changedVoters(before, log.members()) > 1);
+}
 
 /// Whether the last change of the voters is known to be committed.
 bool raft_node::impl::isMembershipSettled() const
@@ -30,12 +38,13 @@
     return log.membersIndex() <= commit || log.members().hasSameVoters(log.earlierMembers());
 }
 
-/// Once a change of the voters from or to a set that may be halved is committed, the leader repeats it: a replica that
-/// has the second entry knows that the first one is committed, also after a restart.
+/// Once a change of the voters is committed that replaces one, or from or to a set that may be halved, the leader
+/// repeats it: a replica that has the second entry knows that the first one is committed, also after a restart.
 bool raft_node::impl::isRepetitionDue() const
 {
-    return log.membersIndex() <= commit && !log.members().hasSameVoters(log.earlierMembers())
-        && (mayBeHalved(log.members()) || mayBeHalved(log.earlierMembers()));
+    const auto& before = log.earlierMembers();
+    return log.membersIndex() <= commit && !log.members().hasSameVoters(before)
+        && (mayBeHalved(log.members()) || mayBeHalved(before) || changedVoters(before, log.members()) > 1);
 }
 
 std::vector<const membership*> raft_node::impl::decidingSets() const
--- a/packages/consensus/src/replica_open.cpp
+++ b/packages/consensus/src/replica_open.cpp
@@ -19,6 +19,7 @@
     out.dataIncarnation = folder.dataIncarnation;
     out.rejoinIncarnation = randomNumber() | 1;
     out.startCount = folder.startCount;
+    out.votersNeeded = options.votersNeeded;
     out.heartbeatInterval = options.heartbeatInterval;
     out.electionTimeout = options.electionTimeout;
     out.seed = options.seed;
--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -202,6 +202,7 @@
     options.self = self;
     for (const auto& seed : settings.seeds)
         options.voters.push_back(detail::replicaIdFromIp(seed.ip));
+    options.votersNeeded = detail::membership_manager::votersNeeded(settings.toleratedLosses);
     options.dataFolder = settings.dataFolder;
     options.heartbeatInterval = heartbeatInterval;
     options.electionTimeout = electionTimeout;
