fleet: any silent learner makes room for a successor

Callers would see a group that bears a loss less after each further replaced control, and nobody leads in the end: after the 3rd (7 controls), 5th (5) or 7th (3) replacement with a hand-over of leadership, the successor was not taken in within the catch-up time.

Cause: since a silent voter stays as a learner. The nine places filled up, a learner made room only after 6 s of silence, and each new leader counts silence anew.

Change: in a full group, the learner that has been silent for longest makes room, from 1 s on. It can join again if it comes back.

--- a/packages/fleet/src/membership_manager.cpp
+++ b/packages/fleet/src/membership_manager.cpp
@@ -50,10 +50,13 @@
         return std::nullopt;
     auto changed = current;
     if (changed.members.size() >= maxMembers) {
-        const auto absent = std::find_if(changed.members.begin(), changed.members.end(), [&](const member& each) {
-            return each.role == member_role::learner && isAbsent(each, learnerAbsenceLimit, now);
-        });
-        if (absent == changed.members.end())
+        const auto rank = [&](const member& each) {
+            const bool mayGo = each.role == member_role::learner && isAbsent(each, learnerAbsenceLimit, now);
+            return std::pair(!mayGo, heardAt(each));
+        };
+        const auto absent = std::min_element(changed.members.begin(), changed.members.end(),
+            [&](const member& a, const member& b) { return rank(a) < rank(b); });
+        if (rank(*absent).first)
             return std::nullopt;
         changed.members.erase(absent);
     }
@@ -61,13 +64,15 @@
     return changed;
 }
 
-bool membership_manager::isAbsent(const member& each, duration limit, instant now) const
+instant membership_manager::heardAt(const member& each) const
 {
-    if (each.id == m_self)
-        return false;
     const auto heard = m_lastContact.find(each.id);
-    const auto last = heard == m_lastContact.end() ? m_leadsSince : std::max(heard->second, m_leadsSince);
-    return now - last > limit;
+    return heard == m_lastContact.end() ? m_leadsSince : std::max(heard->second, m_leadsSince);
+}
+
+bool membership_manager::isAbsent(const member& each, duration limit, instant now) const
+{
+    return each.id != m_self && now - heardAt(each) > limit;
 }
 
 std::size_t membership_manager::countPresentVoters(const membership& current, instant now) const
--- a/packages/fleet/src/membership_manager.h
+++ b/packages/fleet/src/membership_manager.h
@@ -37,9 +37,9 @@
     /// A voter silent for longer may become a learner. Twice the election timeout: a shorter stall costs no vote. The
     /// leader goes on sending to it, so one that comes back is a voter again within moments, whatever it has kept.
     static constexpr duration voterAbsenceLimit = std::chrono::seconds(1);
-    /// A learner silent for longer may make room for another one.
-    static constexpr duration learnerAbsenceLimit = std::chrono::seconds(6);
-    /// A learner silent for longer is taken to be gone for good and removed.
+    /// A learner silent for longer may make room for another one. It joins again if it comes back.
+    static constexpr duration learnerAbsenceLimit = std::chrono::seconds(1);
+    /// A learner silent towards one leader for longer is taken to be gone for good and removed.
     static constexpr duration learnerLifetime = std::chrono::minutes(10);
     static constexpr std::size_t minVoters = 3; ///< Of any group.
     static constexpr std::size_t maxVoters = 7; ///< The design reserves at most 7 instances for control.
@@ -56,6 +56,8 @@
     std::optional<membership> addLearner(const membership&, instant now);
     std::optional<membership> withoutUnavailableVoter(const membership&, instant now) const;
     std::optional<membership> withoutLostLearner(const membership&, instant now) const;
+    /// When the member was last heard, or when this replica began to lead.
+    instant heardAt(const member&) const;
     bool isAbsent(const member&, duration limit, instant now) const;
     std::size_t countPresentVoters(const membership&, instant now) const;
     bool isLeaving(const member&, instant now) const;
