fleet: a control that stops waits for the answer to its request to leave

Callers would see a group that nobody leads: one of 2F + 2 controls is told to stop, and F others end in the same moment, which is one loss too few to matter.

Cause: a control that has asked to leave took the membership of its log for its answer. The log shows the removal before it is committed, and the control ended while its vote was still needed for that commit.

Change: once it has asked, it waits for the answer, which the leader gives after the commit, for at most 2 s as before.

--- a/packages/fleet/src/group_membership.cpp
+++ b/packages/fleet/src/group_membership.cpp
@@ -173,10 +173,14 @@
         m_leavingSince = now;
     if (m_hasLeft || now - *m_leavingSince >= leaveTimeout)
         return true;
-    if (m_manager.needsAllVoters(group.members()) || !group.members().isVoter(m_self))
+    // The membership shows the removal before it is committed, which may need this replica. The answer comes after
+    // that.
+    const bool stays = m_manager.needsAllVoters(group.members()) || !group.members().isVoter(m_self);
+    if (stays && !m_hasAskedToLeave)
         return true;
     if (group.leader() && now - m_requestedAt >= leaveRequestInterval) {
         m_requestedAt = now;
+        m_hasAskedToLeave = true;
         message::leave_groupT request;
         request.replica = m_self.value();
         m_send(*group.leader(), packMessage(frame_kind::leave_group, 0, request));
--- a/packages/fleet/src/group_membership.h
+++ b/packages/fleet/src/group_membership.h
@@ -60,6 +60,7 @@
     line_limiter m_joiningLines;
     line_limiter m_refusalLines;
     std::optional<instant> m_leavingSince;
+    bool m_hasAskedToLeave { false };
     bool m_hasLeft { false };
 };
 
