consensus: a replica without a vote names no leader that it does not hear

Callers' calls were passed on to a leader that was gone for as long as the control had no vote, and its hints named it to others.

Cause: a replica forgot its leader when it began a campaign, and one without a vote never does.

Change: the end of the election timeout forgets the leader, whether a campaign follows or not.

Measured (x86-64): a_replica_that_hears_no_leader_names_none passes in both rows; the row without a vote was not run on the code before, where startPreVote returned first.

--- a/packages/consensus/src/raft_election.cpp
+++ b/packages/consensus/src/raft_election.cpp
@@ -72,10 +72,10 @@
 {
     endFailedCampaign();
     retrySoon(now);
+    leader.reset();
     if (!mayCampaign())
         return;
     role = raft_role::pre_candidate;
-    leader.reset();
     votes.clear();
     roundBegan = now;
     beginCampaign(true, hard.term + 1);
--- a/packages/consensus/tests/raft_node_test.cpp
+++ b/packages/consensus/tests/raft_node_test.cpp
@@ -391,6 +391,19 @@
     BOOST_TEST(!driver.node.mayVote());
 }
 
+// Guards against a replica without a vote that names its last leader for ever, to others and as the target of calls.
+BOOST_DATA_TEST_CASE(a_replica_that_hears_no_leader_names_none, boost::unit_test::data::make({ true, false }), mayVote)
+{
+    raft_options options;
+    options.dataIncarnation = mayVote ? 0 : 9;
+    node_driver driver(1, {}, options);
+    driver.receive(driver.append(2, 1, {}, 0));
+    BOOST_TEST((driver.node.leader() == replica_id(2)));
+    driver.advance(3 * options.electionTimeout);
+    driver.node.tick(driver.now);
+    BOOST_TEST(!driver.node.leader().has_value());
+}
+
 // Guards against a lost folder whose replica bootstraps again, as its settings still say, and votes without its log.
 BOOST_AUTO_TEST_CASE(a_bootstrap_in_a_group_with_a_history_joins_with_a_new_incarnation)
 {
