fleet: hints of different age do not make a control ask at each tick

Cause: known_controls held 16 addresses, fewer than two memberships with their leaders, so that hints of an old and a new one took each other's places, and each such hint made the control ask again at its next tick, every 25 ms. Found by review.

Change: 20 places, and 100 ms between two requests while a control was not asked yet.

--- a/packages/fleet/src/group_membership.cpp
+++ b/packages/fleet/src/group_membership.cpp
@@ -11,6 +11,7 @@
 namespace {
 
     constexpr duration joinRequestInterval = std::chrono::milliseconds(400);
+    constexpr duration newControlInterval = std::chrono::milliseconds(100); ///< The same while one was not asked yet.
     /// A group with a leader answers a request to join within this time.
     constexpr duration joinLogDelay = std::chrono::seconds(2);
     constexpr duration joinLogInterval = std::chrono::seconds(5);
@@ -94,9 +95,10 @@
         return endJoining(group, now);
     if (!m_askingSince)
         m_askingSince = now;
-    if (now - m_requestedAt < joinRequestInterval)
+    if (now - m_requestedAt < (m_hasNewControl ? newControlInterval : joinRequestInterval))
         return;
     m_requestedAt = now;
+    m_hasNewControl = false;
     message::join_groupT request;
     request.replica = m_self.value();
     const auto out = packMessage(frame_kind::join_group, 0, request);
@@ -129,8 +131,7 @@
 
 void group_membership::recordHint(const message::control_hintT& hint)
 {
-    if (m_known.record(hint) && m_askingSince)
-        m_requestedAt = {}; // Asks the new ones at the next tick.
+    m_hasNewControl = m_known.record(hint) || m_hasNewControl;
     if (!hint.leader.empty())
         m_namedLeader = hint.leader;
 }
--- a/packages/fleet/src/group_membership.h
+++ b/packages/fleet/src/group_membership.h
@@ -56,6 +56,7 @@
     instant m_requestedAt; ///< When this replica last asked to join or to leave.
     std::optional<instant> m_askingSince; ///< When this replica began to ask to join, if it does.
     known_controls m_known;
+    bool m_hasNewControl { false }; ///< One of `m_known` has not been asked yet.
     std::string m_namedLeader; ///< By the last hint that named one.
     line_limiter m_joiningLines;
     line_limiter m_refusalLines;
--- a/packages/fleet/src/known_controls.h
+++ b/packages/fleet/src/known_controls.h
@@ -16,7 +16,8 @@
     /// The latest ones, at most `maxKnown`; the one named last is at the end.
     const std::vector<replica_id>& list() const { return m_known; }
 
-    static constexpr std::size_t maxKnown = 16;
+    /// Two memberships of different age, with their leaders.
+    static constexpr std::size_t maxKnown = 20;
 
 private:
     bool recordOne(const std::string& address);
--- a/packages/fleet/tests/known_controls_test.cpp
+++ b/packages/fleet/tests/known_controls_test.cpp
@@ -1,4 +1,5 @@
 #include "known_controls.h"
+#include "membership_manager.h"
 #include "replica_address.h"
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -49,3 +50,20 @@
     BOOST_TEST((known.list().back() == replicaIdFromIp("10.0.1.1")));
     BOOST_TEST((known.list().front() == replicaIdFromIp("10.0.0.5")));
 }
+
+// Guards against a control that asks again and again at once, because old and new hints take each other's places.
+BOOST_AUTO_TEST_CASE(hints_of_two_memberships_are_known_beside_each_other)
+{
+    known_controls known;
+    const auto recordMembers = [&](const std::string& network) {
+        message::control_hintT hint;
+        for (std::size_t i = 1; i <= membership_manager::maxMembers; ++i)
+            hint.controls.push_back(network + std::to_string(i) + ":70");
+        hint.leader = network + "100:70";
+        return known.record(hint);
+    };
+    BOOST_TEST(recordMembers("10.0.0."));
+    BOOST_TEST(recordMembers("10.0.1."));
+    BOOST_TEST(!recordMembers("10.0.0."));
+    BOOST_TEST(!recordMembers("10.0.1."));
+}
