--- a/packages/fleet/src/folder_refusal.h
+++ b/packages/fleet/src/folder_refusal.h
@@ -37,7 +37,7 @@
     static http_response answer();
 
     static constexpr duration attemptInterval = std::chrono::seconds(5);
-    /// Shorter than the silence after which a leader removes a voter.
+    /// Shorter than the silence after which a voter may lose its vote.
     static constexpr duration fullDiskAttemptInterval = std::chrono::milliseconds(500);
     /// Longer than a leader's lease and the loss of its connections: a leader whose lease is newer has a quorum without
     /// this control.
