--- a/packages/fleet/tests/group_loss_test.cpp
+++ b/packages/fleet/tests/group_loss_test.cpp
@@ -33,6 +33,8 @@
     return out;
 }
 
+constexpr duration contactTime = 4s; ///< Service is back this long after a disturbance that is tolerated.
+
 struct group_row {
     const char* name;
     std::uint32_t controls;
@@ -112,6 +114,11 @@
         bool isOwn; ///< False for the disk of the control that `heir` replaces.
     };
 
+    struct removed_control {
+        std::uint32_t heir;
+        instant since;
+    };
+
     static constexpr std::uint32_t maxSeeds = 3;
 
     instant now() const { return m_group.now(); }
@@ -129,6 +136,7 @@
 
     void note(const std::string& event)
     {
+        m_disturbedAt = now();
         m_events.push_back(textOf(seconds(), " s: ", event, " (leader ", m_group.leader(), ")"));
     }
 
@@ -188,6 +196,7 @@
         bringBack();
         continueStops();
         countLosses();
+        requireService();
         proposeIfDue();
     }
 
@@ -207,6 +216,7 @@
             state.isUp = true;
             state.seeds = m_seeds;
             state.steadySince = now();
+            m_disturbedAt = now();
             m_group.start(id);
         }
     }
@@ -235,8 +245,8 @@
         return network.cut.contains(id) || network.half.contains(id);
     }
 
-    /// Controls that are away or whose disk counts as lost.
-    std::size_t countLost() const
+    /// Controls that are away or whose disk counts as lost; or also those that went for good in this window.
+    std::size_t countLost(bool withRemoved = false) const
     {
         std::set<std::uint32_t> lost;
         for (const auto& [id, state] : m_controls) {
@@ -245,7 +255,11 @@
         }
         for (const auto& each : m_lost)
             lost.insert(each.heir);
-        return lost.size();
+        const auto removed = std::count_if(m_removed.begin(), m_removed.end(), [this](const removed_control& gone) {
+            return std::none_of(m_lost.begin(), m_lost.end(),
+                [&](const lost_disk& each) { return !each.isOwn && each.heir == gone.heir; });
+        });
+        return lost.size() + (withRemoved ? static_cast<std::size_t>(removed) : 0);
     }
 
     bool reachesSeed(std::uint32_t id) const
@@ -265,22 +279,48 @@
             if (isSuspended || !state.isUp || isCutOff(id) || (!reachesSeed(id) && isEmpty(id)))
                 state.steadySince = now();
         }
-        if (countLost() + m_goneSince.size() > m_row.toleratedLosses) {
-            for (auto& since : m_goneSince)
-                since = now();
+        if (countLost(true) > m_row.toleratedLosses) {
+            for (auto& each : m_removed)
+                each.since = now();
         }
-        std::erase_if(m_goneSince, [&](instant since) { return now() - since >= lossCatchUpTime; });
+        std::erase_if(m_removed, [&](const removed_control& each) { return now() - each.since >= lossCatchUpTime; });
         std::erase_if(m_lost, [&](const lost_disk& each) {
             const auto found = m_controls.find(each.heir);
             return found != m_controls.end() && hasCaughtUp(found->second);
         });
     }
 
+    /// Once more are lost than tolerated, service may be suspended until some time after all are back.
+    void requireService()
+    {
+        const auto lost = countLost(true);
+        if (lost > 0)
+            m_lastLost = now();
+        m_mayBeSuspended = lost > m_row.toleratedLosses || (m_mayBeSuspended && now() - m_lastLost < lossRecoveryTime);
+        if (m_group.leader() != 0 || m_mayBeSuspended)
+            m_lastServed = now();
+        if (now() - std::max(m_lastServed, m_disturbedAt) > contactTime)
+            fail("no leader, although no more controls are lost than tolerated");
+    }
+
     bool hasCaughtUp(const control_state& state) const
     {
         return state.isUp && now() - state.steadySince >= lossCatchUpTime;
     }
 
+    /// Controls that are away or have not caught up since, and disks whose heirs have not started.
+    std::size_t countNotCaughtUp() const
+    {
+        std::set<std::uint32_t> lost;
+        for (const auto& [id, state] : m_controls) {
+            if (!hasCaughtUp(state))
+                lost.insert(id);
+        }
+        for (const auto& each : m_lost)
+            lost.insert(each.heir);
+        return lost.size();
+    }
+
     bool isEmpty(std::uint32_t id) const
     {
         return std::any_of(m_lost.begin(), m_lost.end(), [id](const lost_disk& each) { return each.heir == id; });
@@ -290,7 +330,7 @@
     /// beyond what is tolerated: the group cannot know yet which of the absent ones will come back.
     std::size_t disksToLose() const
     {
-        const auto lost = m_goneSince.empty() ? m_lost.size() : countLost();
+        const auto lost = m_removed.empty() ? m_lost.size() : countNotCaughtUp();
         return m_row.toleratedLosses - std::min(m_row.toleratedLosses, lost);
     }
 
@@ -298,9 +338,14 @@
     /// others that their data is lost, so a group without a leader cannot do without their votes.
     std::size_t countRemoved() const
     {
-        return m_goneSince.size()
-            + static_cast<std::size_t>(
-                std::count_if(m_lost.begin(), m_lost.end(), [](const lost_disk& each) { return !each.isOwn; }));
+        std::set<std::uint32_t> heirs;
+        for (const auto& each : m_removed)
+            heirs.insert(each.heir);
+        for (const auto& each : m_lost) {
+            if (!each.isOwn)
+                heirs.insert(each.heir);
+        }
+        return heirs.size();
     }
 
     /// Running controls in random order; often the leader first.
@@ -437,7 +482,10 @@
         const auto time = between(300ms, 8s);
         note(textOf(joined(chosen), " are cut off for ", secondsOf(time), " s"));
         m_group.replicas().*which = chosen;
-        after(time, [this, which] { (m_group.replicas().*which).clear(); });
+        after(time, [this, which] {
+            (m_group.replicas().*which).clear();
+            m_disturbedAt = now();
+        });
     }
 
     void cutOne()
@@ -503,17 +551,16 @@
         const auto found = m_controls.find(successor);
         const bool counts = found == m_controls.end() || !hasCaughtUp(found->second);
         const auto& state = m_controls.at(old);
-        const bool overlaps = !m_lost.empty() && countLost() > m_row.toleratedLosses;
+        const bool overlaps = !m_lost.empty() && countNotCaughtUp() > m_row.toleratedLosses;
         const bool mayGo
-            = countRemoved() < m_row.toleratedLosses && (counts ? disksToLose() > 0 : m_goneSince.empty() && !overlaps);
+            = countRemoved() < m_row.toleratedLosses && (counts ? disksToLose() > 0 : m_removed.empty() && !overlaps);
         if (!mayGo || state.isStopping || isEmpty(old)) {
             after(500ms, [=, this] { takeAway(old, successor, stops); });
             return;
         }
         if (counts)
             m_lost.push_back({ successor, false });
-        else
-            m_goneSince.push_back(now());
+        m_removed.push_back({ successor, now() });
         m_isReplacing = false;
         if (stops && state.isUp) {
             beginStop(old);
@@ -614,11 +661,15 @@
     control_group m_group;
     std::map<std::uint32_t, control_state> m_controls;
     std::vector<lost_disk> m_lost;
-    std::vector<instant> m_goneSince; ///< Of controls that are gone for good and may still be counted by the group.
+    std::vector<removed_control> m_removed; ///< Those that the group may still count.
     std::multimap<instant, std::function<void()>> m_due;
     ids m_seeds;
     std::uint32_t m_nextSuccessor { 11 };
     bool m_isReplacing { false };
+    bool m_mayBeSuspended { false };
+    instant m_lastLost;
+    instant m_lastServed;
+    instant m_disturbedAt;
     duration m_loadInterval {};
     instant m_nextProposal;
     std::uint64_t m_proposed { 0 };
