fleet: a full group takes a successor in as a learner

Callers would see a group of seven controls without a leader after three disks: a control was replaced as planned, its successor first.

Cause: the leader let nobody join while seven voters were there, so the successor never became a member while the old one ran. The old one went, and the three disks were lost before the successor had joined. Found by drawn losses of seven controls.

Change: a control always joins as a learner. With seven voters it waits and takes the vote of the first one that is silent; never are there more than seven voters (maxVoters).

The new a_full_group_takes_a_successor_in_the_place_of_its_voter asks the group for the same and for its bound.

--- a/packages/consensus/include/poplardeal/consensus/raft_node.h
+++ b/packages/consensus/include/poplardeal/consensus/raft_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <limits>
 #include <memory>
 #include <optional>
 #include <poplardeal/base/failure.h>
@@ -20,6 +21,7 @@
     std::uint64_t rejoinIncarnation { 0 };
     std::uint64_t startCount { 1 };
     std::size_t votersNeeded { 3 }; ///< With as many, a learner that becomes a voter takes the place of a silent one.
+    std::size_t maxVoters { std::numeric_limits<std::size_t>::max() }; ///< Further learners wait for a silent voter.
     duration heartbeatInterval { std::chrono::milliseconds(150) };
     duration electionTimeout { std::chrono::milliseconds(700) }; ///< Lower bound; the upper bound is twice it.
     std::uint64_t seed { 0 }; ///< Of the randomised election timeouts.
--- a/packages/consensus/include/poplardeal/consensus/replica.h
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <poplardeal/base/failure.h>
@@ -44,6 +45,7 @@
     replica_id self;
     std::vector<replica_id> voters; ///< First membership, the same on every replica.
     std::size_t votersNeeded { 3 }; ///< `raft_options::votersNeeded`.
+    std::size_t maxVoters { std::numeric_limits<std::size_t>::max() }; ///< `raft_options::maxVoters`.
     std::filesystem::path dataFolder;
     duration heartbeatInterval { std::chrono::milliseconds(150) };
     duration electionTimeout { std::chrono::milliseconds(700) }; ///< Lower bound; the upper bound is twice it.
--- a/packages/consensus/src/raft_membership.cpp
+++ b/packages/consensus/src/raft_membership.cpp
@@ -198,7 +198,10 @@
     if (!known || !known->promoteWhenCaughtUp || log.membersIndex() > commit || !isCaughtUp(peer, now))
         return;
     auto changed = log.members();
-    const auto replaced = changed.voterCount() >= options.votersNeeded ? silentVoter(now) : std::nullopt;
+    const auto voters = changed.voterCount();
+    const auto replaced = voters >= options.votersNeeded ? silentVoter(now) : std::nullopt;
+    if (!replaced && voters >= options.maxVoters)
+        return;
     for (auto& entry : changed.members) {
         if (entry.id != id && entry.id != replaced)
             continue;
--- a/packages/consensus/src/replica_open.cpp
+++ b/packages/consensus/src/replica_open.cpp
@@ -20,6 +20,7 @@
     out.rejoinIncarnation = randomNumber() | 1;
     out.startCount = folder.startCount;
     out.votersNeeded = options.votersNeeded;
+    out.maxVoters = options.maxVoters;
     out.heartbeatInterval = options.heartbeatInterval;
     out.electionTimeout = options.electionTimeout;
     out.seed = options.seed;
--- a/packages/consensus/tests/replica_group.h
+++ b/packages/consensus/tests/replica_group.h
@@ -113,6 +113,7 @@
             for (std::uint32_t voter = 1; voter <= m_size; ++voter)
                 options.voters.push_back(replica_id(voter));
         options.votersNeeded = votersNeeded;
+        options.maxVoters = maxVoters;
         options.dataFolder = folderOf(number);
         options.seed = m_seed;
         options.snapshotEvery = m_snapshotEvery;
@@ -211,6 +212,7 @@
     std::map<std::uint32_t, std::unique_ptr<replica>> replicas;
     std::map<std::uint32_t, std::vector<replica_id>> initialVoters; ///< That a replica is told, if not all.
     std::size_t votersNeeded { 3 };
+    std::size_t maxVoters { 9 };
     std::set<std::uint32_t> cut; ///< Replicas without network.
     std::set<std::uint32_t> half; ///< Replicas that reach only each other.
     /// Of a message; not 0 and constant for each link, whose order it keeps. If set, the disk threads have no influence
--- a/packages/fleet/src/membership_manager.cpp
+++ b/packages/fleet/src/membership_manager.cpp
@@ -45,8 +45,7 @@
 {
     std::erase_if(m_joinRequests,
         [&](const auto& item) { return now - item.second > requestLifetime || current.find(item.first) != nullptr; });
-    // The successor of an absent voter joins a group of any size, and then the absent one can go.
-    if (m_joinRequests.empty() || countPresentVoters(current, now) >= maxVoters)
+    if (m_joinRequests.empty())
         return std::nullopt;
     auto changed = current;
     if (changed.members.size() >= maxMembers) {
@@ -75,14 +74,6 @@
     return each.id != m_self && now - heardAt(each) > limit;
 }
 
-std::size_t membership_manager::countPresentVoters(const membership& current, instant now) const
-{
-    return static_cast<std::size_t>(
-        std::count_if(current.members.begin(), current.members.end(), [&](const member& each) {
-            return each.role == member_role::voter && !isAbsent(each, voterAbsenceLimit, now);
-        }));
-}
-
 bool membership_manager::isLeaving(const member& each, instant now) const
 {
     const auto asked = m_leaveRequests.find(each.id);
--- a/packages/fleet/src/membership_manager.h
+++ b/packages/fleet/src/membership_manager.h
@@ -42,7 +42,8 @@
     /// A learner silent towards one leader for longer is taken to be gone for good and removed.
     static constexpr duration learnerLifetime = std::chrono::minutes(10);
     static constexpr std::size_t minVoters = 3; ///< Of any group.
-    static constexpr std::size_t maxVoters = 7; ///< The design reserves at most 7 instances for control.
+    /// The design reserves at most 7 instances for control. A further one waits as a learner to replace a voter.
+    static constexpr std::size_t maxVoters = 7;
     /// Voters of which that many may be lost, with their data, while a majority is left that has each committed entry;
     /// as far as the group may grow. Fewer are left only by replicas that lost their data folder.
     static constexpr std::size_t votersNeeded(std::size_t losses)
@@ -59,7 +60,6 @@
     /// When the member was last heard, or when this replica began to lead.
     instant heardAt(const member&) const;
     bool isAbsent(const member&, duration limit, instant now) const;
-    std::size_t countPresentVoters(const membership&, instant now) const;
     bool isLeaving(const member&, instant now) const;
 
     replica_id m_self;
--- a/packages/fleet/src/queue_control.cpp
+++ b/packages/fleet/src/queue_control.cpp
@@ -203,6 +203,7 @@
     for (const auto& seed : settings.seeds)
         options.voters.push_back(detail::replicaIdFromIp(seed.ip));
     options.votersNeeded = detail::membership_manager::votersNeeded(settings.toleratedLosses);
+    options.maxVoters = detail::membership_manager::maxVoters;
     options.dataFolder = settings.dataFolder;
     options.heartbeatInterval = heartbeatInterval;
     options.electionTimeout = electionTimeout;
--- a/packages/fleet/tests/control_group.h
+++ b/packages/fleet/tests/control_group.h
@@ -25,6 +25,7 @@
     {
         m_settings.toleratedLosses = toleratedLosses;
         m_group.votersNeeded = membership_manager::votersNeeded(toleratedLosses);
+        m_group.maxVoters = membership_manager::maxVoters;
         for (std::uint32_t id = 1; id <= seeds; ++id)
             m_settings.seeds.push_back({ ipFromReplicaId(replica_id(id)), 1 });
         m_group.delivered = [this](std::uint32_t to, replica_id from) { m_parts.at(to).recordContact(from, now()); };
--- a/packages/fleet/tests/successor_test.cpp
+++ b/packages/fleet/tests/successor_test.cpp
@@ -196,3 +196,38 @@
         group.kill(others[i]);
     BOOST_TEST(group.propose(recoveryTime));
 }
+
+struct full_row {
+    std::size_t toleratedLosses;
+    std::uint32_t seeds;
+    bool comesFirst; ///< The successor starts before the control that it replaces ends.
+};
+
+static std::ostream& operator<<(std::ostream& out, const full_row& row)
+{
+    return out << row.toleratedLosses << " losses, the successor comes " << (row.comesFirst ? "first" : "later");
+}
+
+static const full_row fullRows[] = { { 2, 7, true }, { 2, 7, false }, { 3, 7, true }, { 3, 7, false } };
+
+// Guards against a full group that takes no successor in, or more voters than are reserved.
+BOOST_DATA_TEST_CASE(
+    a_full_group_takes_a_successor_in_the_place_of_its_voter, boost::unit_test::data::make(fullRows), row)
+{
+    control_group group(row.seeds, row.toleratedLosses);
+    BOOST_REQUIRE(group.propose(recoveryTime));
+    const auto old = group.follower();
+    if (row.comesFirst) {
+        group.start(11);
+        group.run(catchUpTime);
+        BOOST_TEST(group.voters() == membership_manager::maxVoters);
+        BOOST_TEST(!group.isVoter(11));
+    }
+    group.kill(old);
+    if (!row.comesFirst) {
+        group.run(2s);
+        group.start(11);
+    }
+    BOOST_TEST(reachVoter(group, 11));
+    BOOST_TEST(!group.isVoter(old));
+}
