soak: a group that bears fewer losses than its deployment is seen at the end

A run ended green when controls that had lost their disks were no voters again, as long as the others answered. So the soak did not show a group that shrinks, which the next losses then end.

Cause: the end of a run checked what callers, operators and workers see, and each control's answer to a read, not its vote.

Change: after healing, and after the loss of disks at the end of an extra schedule, each control has to say that it may vote, by its log and its metrics, and the leader has to spare the losses of the deployment, within catch_up_s of the platform (6 s for five controls, 4 s for fewer) after all machines are back. The bound holds from the start of the last process. Schedules stay as they were.

--- a/packages/soak/src/soak.cpp
+++ b/packages/soak/src/soak.cpp
@@ -1,4 +1,5 @@
 #include "soak.h"
+#include "metric_text.h"
 #include <algorithm>
 #include <csignal>
 #include <iomanip>
@@ -29,6 +30,7 @@
     constexpr duration graceTime = std::chrono::seconds(4);
     constexpr duration recoveryTime = std::chrono::seconds(12);
     constexpr duration finishTime = std::chrono::seconds(14);
+    constexpr duration longestEndAbsence = std::chrono::milliseconds(1500);
     constexpr duration lookUpLimit = std::chrono::seconds(12); ///< For four attempts of a client.
 
 } // namespace
@@ -523,7 +525,7 @@
         if (losesPower && !hasLostDisk)
             each->losePower(m_random);
         if (losesPower || hasLostDisk)
-            startLater(*each, 500, 1500);
+            startLater(*each, 500, static_cast<int>(longestEndAbsence / std::chrono::milliseconds(1)));
     }
 }
 
@@ -637,6 +639,51 @@
         });
 }
 
+void soak::readGroup()
+{
+    const auto send = [this](const member* each) {
+        m_client.send(m_cluster.metricsAddress(*each), { "GET", "/metrics", "", {}, "" }, operatorTimeout,
+            [this, name = each->name](const http_result& out) {
+                if (!out.has_value() || out.value().status != 200)
+                    return;
+                const auto& text = out.value().body;
+                if (readMetric(text, "poplardeal_control_may_vote") == 1.0)
+                    m_votingControls.insert(name);
+                else
+                    m_votingControls.erase(name);
+                if (readMetric(text, "poplardeal_control_leads") == 1.0)
+                    m_quorumMargin = readMetric(text, "poplardeal_control_quorum_margin");
+            });
+    };
+    for (const auto* each : m_cluster.controls())
+        send(each);
+}
+
+bool soak::isGroupWhole()
+{
+    const auto controls = m_cluster.controls();
+    const auto needed = static_cast<double>(neededMargin(controls.size(), m_options.size.toleratedLosses()));
+    return m_quorumMargin.has_value() && *m_quorumMargin >= needed
+        && std::all_of(controls.begin(), controls.end(),
+            [this](const member* each) { return m_votingControls.contains(each->name) && each->mayVote(); });
+}
+
+void soak::checkGroup(const std::string& when, instant deadline)
+{
+    m_votingControls.clear();
+    m_quorumMargin.reset();
+    const auto reads = m_loop.every(std::chrono::milliseconds(100), [this] { readGroup(); });
+    wait(deadline - m_loop.now(), [this] { return isGroupWhole(); });
+    if (isGroupWhole())
+        return;
+    for (const auto* each : m_cluster.controls()) {
+        if (!m_votingControls.contains(each->name) || !each->mayVote())
+            m_groupFaults.push_back(each->name + " may not vote " + when);
+    }
+    const auto margin = m_quorumMargin ? std::to_string(*m_quorumMargin) : "no leader";
+    m_groupFaults.push_back("the group does not bear the losses of its deployment " + when + "; margin: " + margin);
+}
+
 void soak::checkEnd(soak_report& out)
 {
     for (const auto& job : m_callers) {
@@ -645,6 +692,7 @@
     }
     wait(lookUpLimit, [this] { return m_lookedUp == m_callers.size() || !isWholeRunning(); });
     out.broken = m_promises.broken();
+    out.broken.insert(out.broken.end(), m_groupFaults.begin(), m_groupFaults.end());
     const auto check = [&](bool isKept, const std::string& what) {
         if (!isKept)
             out.broken.push_back(what);
@@ -689,14 +737,18 @@
     wait(std::chrono::seconds(7), [] { return false; });
     for (auto* each : m_cluster.all())
         each->start();
+    const auto allStartedAt = m_loop.now();
+    checkGroup("after healing", allStartedAt + m_options.size.catchUpTime());
     if (m_options.hasExtraFaults) {
-        wait(catchUpTime * 2 + graceTime, [] { return false; });
+        waitUntil(allStartedAt + catchUpTime * 2 + graceTime);
         const auto before = m_plansAcknowledged;
         sendPlan(++m_plan, orderAttempts);
         wait(finishLimit, [this, before] { return m_plansAcknowledged > before; });
         m_currentPlanAt.clear();
         loseAtTheEnd();
-        wait(recoveryTime + std::chrono::milliseconds(1500), [] { return false; });
+        const auto allBackAt = m_loop.now() + longestEndAbsence;
+        checkGroup("after the loss at the end", allBackAt + m_options.size.catchUpTime());
+        waitUntil(allBackAt + recoveryTime);
     }
     const auto calmSince = m_loop.now() + (m_options.hasExtraFaults ? duration(0) : finishTime);
     const auto idle = m_loop.every(
--- a/packages/soak/src/soak.h
+++ b/packages/soak/src/soak.h
@@ -5,6 +5,7 @@
 #include "standin_worker.h"
 #include <deque>
 #include <functional>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -78,6 +79,11 @@
     void loseAtTheEnd();
     void heal();
     void checkEnd(soak_report&);
+    /// Until `deadline`, all controls may vote and the group can spare the losses of the deployment. It is a breach if
+    /// that is never so.
+    void checkGroup(const std::string& when, instant deadline);
+    void readGroup();
+    bool isGroupWhole();
     void later(duration, std::function<void()>);
     void startLater(member& each, int leastMs, int mostMs);
     bool mayLoseDisk();
@@ -99,6 +105,10 @@
         return all[static_cast<std::size_t>(between(0, static_cast<int>(all.size()) - 1))];
     }
     void wait(duration, const std::function<bool()>& until);
+    void waitUntil(instant time)
+    {
+        wait(time - m_loop.now(), [] { return false; });
+    }
 
     event_loop& m_loop;
     soak_options m_options;
@@ -121,6 +131,9 @@
     std::vector<std::string> m_faults;
     std::vector<std::shared_ptr<caller>> m_callers; ///< Of accepted jobs.
     std::set<std::string> m_currentPlanAt; ///< Controls that showed the newest plan after healing.
+    std::set<std::string> m_votingControls; ///< By their own metrics.
+    std::optional<double> m_quorumMargin; ///< As the leader says.
+    std::vector<std::string> m_groupFaults;
     std::size_t m_lookedUp { 0 }; ///< Of `m_callers`, at the end.
     std::size_t m_lookUpEntry { 0 };
     std::deque<event_loop::timer> m_timers;
--- a/packages/soak/src/soak_cluster.cpp
+++ b/packages/soak/src/soak_cluster.cpp
@@ -151,7 +151,7 @@
         << "\"\nlease_ms = 3000\nstop_grace_s = 4\n";
     if (!each.data.empty())
         out << "data_folder = \"" << each.data.string() << "\"\nbootstrap = " << (bootstrap ? "true" : "false")
-            << "\ntolerated_losses = " << m_size.toleratedLosses()
+            << "\nmetrics_port = " << metricsPort << "\ntolerated_losses = " << m_size.toleratedLosses()
             << "\nsnapshot_every = " << snapshotIntervals[m_seed % snapshotIntervals.size()] << "\n";
     out << "seeds = [";
     constexpr std::size_t maxSeeds = 3; // As on the platform.
--- a/packages/soak/src/soak_cluster.h
+++ b/packages/soak/src/soak_cluster.h
@@ -28,6 +28,10 @@
         constexpr std::uint32_t groupOfTwoLosses = 5;
         return controls >= groupOfTwoLosses ? 2 : 1;
     }
+
+    /// As on the platform, where groups of five are those of its grown deployments. A control whose disk was lost
+    /// counts as lost until this time after it is back.
+    duration catchUpTime() const { return std::chrono::seconds(toleratedLosses() == 2 ? 6 : 4); }
 };
 
 /// One process of the system, with the proxies before its sockets. Others only know its advertised address.
@@ -90,6 +94,7 @@
     /// Ends the process of a control whose machine is gone for good. The settings of the others name other seeds.
     void retire(member&);
     address operatorAddress(const member& control) const { return { control.advertisedIp, operatorPort }; }
+    address metricsAddress(const member& control) const { return { control.advertisedIp, metricsPort }; }
     address frontAddress(std::size_t entry) const { return { m_entries[entry].advertisedIp, frontPort }; }
     address workerAddress(std::size_t sidecar) const { return { m_sidecars[sidecar].ownIp, workerPort }; }
     /// Where the sidecar reaches its worker.
@@ -108,6 +113,7 @@
     static constexpr std::uint16_t frontPort = 7002;
     static constexpr std::uint16_t readyPort = 7003;
     static constexpr std::uint16_t workerPort = 7004;
+    static constexpr std::uint16_t metricsPort = 7005; ///< Of controls.
 
 private:
     member make(const std::string& role, std::uint32_t number, std::uint32_t host);
