soak: two disks are lost at once in the middle of a run with five controls

The real-process soak did not show the incident by itself: its schedules lost one disk at a time while they ran, and two only at the very end.

Cause: the faults were drawn for a group that bears one loss.

Two disks are lost only when none counts as lost: all controls are voters, and catch_up_s has passed since the last one was back. In three of four cases no other fault begins meanwhile or 2.5 s before, since a leader that is disturbed all the time removes nobody. All of it is drawn from the schedule of the extra faults.

--- a/packages/soak/src/soak.cpp
+++ b/packages/soak/src/soak.cpp
@@ -21,6 +21,7 @@
     /// Far beyond the time that any job needs; only ends a soak in which one is stuck.
     constexpr duration finishLimit = std::chrono::seconds(120);
     constexpr int orderAttempts = 30;
+    constexpr duration quietInterval = std::chrono::milliseconds(100);
     constexpr duration shareInterval = std::chrono::milliseconds(5);
     constexpr std::size_t longestChain = 3; ///< Steps of a job.
     constexpr std::uint64_t workerSeed = 0x9e3779b97f4a7c15U;
@@ -274,12 +275,16 @@
     return *oneOf(controls);
 }
 
-/// A lost disk counts until its control has caught up, and so does a control that is being replaced.
 bool soak::mayLoseDisk()
+{
+    const auto isPast = m_loop.now() - m_diskLostAt > diskLossGap;
+    return !m_areTwoLossesDue && isPast && m_cluster.controls().size() >= 3 && isEveryDiskBack();
+}
+
+bool soak::isEveryDiskBack()
 {
     const auto controls = m_cluster.controls();
-    return m_loop.now() - m_diskLostAt > diskLossGap && controls.size() >= 3 && m_plansAcknowledged > 0
-        && m_loop.now() >= m_replacedAt
+    return m_plansAcknowledged > 0 && m_loop.now() >= m_nextLossAt
         && std::all_of(controls.begin(), controls.end(), [](const member* each) { return each->mayVote(); });
 }
 
@@ -389,7 +394,7 @@
             loseAnyDisk();
     };
     // Nothing else may lose a disk meanwhile.
-    m_replacedAt = m_loop.now() + catchUpTime * 2 + graceTime;
+    m_nextLossAt = m_loop.now() + catchUpTime * 2 + graceTime;
     if (isPlanned) {
         m_cluster.startSpare();
         return later(catchUpTime, [this, old, isTold, loseAnother] { endForGood(*old, isTold, loseAnother); });
@@ -453,6 +458,8 @@
 {
     if (m_isHealing)
         return;
+    if (m_loop.now() < m_quietUntil)
+        return later(quietInterval, [this] { injectExtra(); });
     if (extraBetween(0, 2) == 0) {
         replaceControl();
     } else {
@@ -575,6 +582,8 @@
 {
     if (m_isHealing)
         return;
+    if (m_loop.now() < m_quietUntil)
+        return later(quietInterval, [this] { injectOne(); });
     switch (between(0, 4)) {
     case 0:
         failProcess();
@@ -606,8 +615,10 @@
         worker->loseOrders(0);
         worker->setSilent(false);
     }
-    for (auto* each : m_cluster.controls())
+    for (auto* each : m_cluster.controls()) {
         each->setDiskFull(false);
+        each->isAbsent = false;
+    }
 }
 
 void soak::wait(duration limit, const std::function<bool()>& until)
@@ -730,6 +741,10 @@
     if (m_options.hasExtraFaults) {
         later(std::chrono::milliseconds(2000), [this] { injectExtra(); });
         later(std::chrono::milliseconds(1000), [this] { injectWorkerFault(); });
+        if (m_options.size.toleratedLosses() == 2) {
+            m_areTwoLossesDue = true;
+            later(extraTime(500, 3000), [this] { injectTwoLosses(); });
+        }
     }
     wait(m_options.faults, [] { return false; });
     heal();
--- a/packages/soak/src/soak.h
+++ b/packages/soak/src/soak.h
@@ -14,8 +14,9 @@
 struct soak_options {
     std::uint64_t seed { 1 };
     duration faults { std::chrono::seconds(12) }; ///< Time in which faults are injected.
-    /// Also replaced controls, all connections silent at the same time, workers that are silent, leave, or are said to
-    /// end by a word of an earlier boot, and a loss of disks at the end.
+    /// Also the loss of two disks at a time in a group that has to bear it, replaced controls, all connections silent
+    /// at the same time, workers that are silent, leave, or are said to end by a word of an earlier boot, and a loss of
+    /// disks at the end.
     bool hasExtraFaults { false };
     bool hasFullDisks { false }; ///< Also disks of controls that take no more bytes for a while, up to all at once.
     cluster_size size;
@@ -77,6 +78,19 @@
     void waitForEnd(member& control, instant deadline, const std::function<void()>& then);
     void loseAnyDisk();
     void loseAtTheEnd();
+    /// Loses two disks at the first moment at which that is allowed, and again later.
+    void injectTwoLosses();
+    void beginTwoLosses();
+    /// Two controls lose their disks, perhaps while all others, or all other machines, lose power.
+    void loseTwoDisks(const std::vector<member*>& losers);
+    /// Two controls are away with their disks; when they come back, or shortly after, two others lose theirs.
+    void loseTwoDisksAfterAbsence();
+    /// Ends the controls that are seeds one after the other, so that a leader is often none of them.
+    void unseatSeeds();
+    void keepAway(member&, duration);
+    /// No other disk is lost until a loss of two that takes `time` is over.
+    void reserveLoss(duration time);
+    std::vector<member*> drawControls(std::size_t count);
     void heal();
     void checkEnd(soak_report&);
     /// Until `deadline`, all controls may vote and the group can spare the losses of the deployment. It is a breach if
@@ -87,6 +101,9 @@
     void later(duration, std::function<void()>);
     void startLater(member& each, int leastMs, int mostMs);
     bool mayLoseDisk();
+    bool mayLoseTwoDisks();
+    /// No disk counts as lost, other than of a control that is a voter again, and no control is being replaced.
+    bool isEveryDiskBack();
     member& anyControl();
     bool isWholeRunning();
     void note(const std::string& what);
@@ -95,6 +112,7 @@
     int between(int least, int most) { return std::uniform_int_distribution<int>(least, most)(m_random); }
     /// For the faults of `hasExtraFaults`, which leave the schedule of the others as it is.
     int extraBetween(int least, int most) { return std::uniform_int_distribution<int>(least, most)(m_extraRandom); }
+    duration extraTime(int leastMs, int mostMs) { return std::chrono::milliseconds(extraBetween(leastMs, mostMs)); }
     duration workerTime(int leastMs, int mostMs)
     {
         return std::chrono::milliseconds(std::uniform_int_distribution<int>(leastMs, mostMs)(m_workerRandom));
@@ -122,7 +140,10 @@
     http_client m_client;
     instant m_begun;
     instant m_diskLostAt;
-    instant m_replacedAt; ///< When the last replacement is over, at the latest.
+    instant m_nextLossAt; ///< When the last replacement, or loss of two disks, is over, at the latest.
+    bool m_isLossQuiet { false }; ///< The loss of two disks is the only fault meanwhile, so that a leader can act.
+    instant m_quietUntil;
+    bool m_areTwoLossesDue { false }; ///< No other disk is lost and no control replaced until then.
     bool m_isHealing { false };
     bool m_isOrderUnderWay { false };
     std::uint64_t m_jobs { 0 };
--- a/packages/soak/src/soak_cluster.cpp
+++ b/packages/soak/src/soak_cluster.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <iterator>
 #include <thread>
+#include <utility>
 
 namespace poplardeal::soak {
 
@@ -26,7 +27,7 @@
 
 void member::start()
 {
-    if (isRetired)
+    if (isRetired || isAbsent)
         return;
     isStarted = true;
     process->start();
@@ -154,14 +155,22 @@
             << "\nmetrics_port = " << metricsPort << "\ntolerated_losses = " << m_size.toleratedLosses()
             << "\nsnapshot_every = " << snapshotIntervals[m_seed % snapshotIntervals.size()] << "\n";
     out << "seeds = [";
+    const char* separator = "";
+    for (const auto* seed : seeds())
+        out << std::exchange(separator, ", ") << '"' << toString(operatorAddress(*seed)) << '"';
+    out << "]\n";
+}
+
+std::vector<member*> soak_cluster::seeds()
+{
     constexpr std::size_t maxSeeds = 3; // As on the platform.
-    std::size_t seeds = 0;
-    for (std::size_t i = 0; i < m_controls.size() && seeds < maxSeeds; ++i) {
+    std::vector<member*> out;
+    for (std::size_t i = 0; i < m_controls.size() && out.size() < maxSeeds; ++i) {
         const bool isInitial = i < m_size.controls;
         if (!m_controls[i].isRetired && (isInitial || m_controls[i].isStarted))
-            out << (seeds++ > 0 ? ", " : "") << '"' << toString(operatorAddress(m_controls[i])) << '"';
+            out.push_back(&m_controls[i]);
     }
-    out << "]\n";
+    return out;
 }
 
 void soak_cluster::writeAllSettings(bool bootstrap)
--- a/packages/soak/src/soak_cluster.h
+++ b/packages/soak/src/soak_cluster.h
@@ -50,11 +50,12 @@
     std::string diskFault; ///< The folder of a control that had ended was not as recorded.
     bool isStarted { false };
     bool hasToJoin { false }; ///< A spare control: no voter before the group has taken it in.
+    bool isAbsent { false }; ///< Down for a given time, whatever else would start it.
     bool isRetired { false }; ///< The machine is gone for good.
 
     bool isActive() const { return isStarted && !isRetired; }
     void setMode(link_mode);
-    /// Does nothing for a machine that is gone.
+    /// Does nothing for a machine that is absent or gone.
     void start();
     /// A signal that may end a process that has just started.
     void signal(int number);
@@ -84,6 +85,8 @@
 
     /// The controls that take part: replaced ones and unused spares do not.
     std::vector<member*> controls();
+    /// The controls that settings written now name.
+    std::vector<member*> seeds();
     std::vector<member>& entries() { return m_entries; }
     std::vector<member>& sidecars() { return m_sidecars; }
     /// The controls that take part, the entries and the sidecars.
--- a/packages/soak/src/soak_main.cpp
+++ b/packages/soak/src/soak_main.cpp
@@ -13,7 +13,8 @@
 DEFINE_string(daemon, "", "path of poplardeald; by default the one beside this program");
 DEFINE_string(control_daemon, "", "path of poplardeald-recorded; by default the one beside this program");
 DEFINE_bool(extra, false,
-    "also replace controls, silence all connections at once, and lose the disks that may be lost at the end");
+    "also lose two disks at once (5 controls or more), replace controls, silence all connections at once, and lose the "
+    "disks that may be lost at the end");
 DEFINE_bool(full_disks, false, "also fill the disks of controls for up to 4 s, one or several at a time");
 DEFINE_bool(limited, false,
     "processes have shares of a core, 0.4 (control), 0.12 (entry) and 0.15 (sidecar), and entries links of 2 Mbit/s");
