--- a/packages/soak/src/soak.cpp
+++ b/packages/soak/src/soak.cpp
@@ -1,4 +1,5 @@
 #include "soak.h"
+#include "metric_text.h"
 #include <algorithm>
 #include <csignal>
 #include <iomanip>
@@ -20,6 +21,7 @@
     /// Far beyond the time that any job needs; only ends a soak in which one is stuck.
     constexpr duration finishLimit = std::chrono::seconds(120);
     constexpr int orderAttempts = 30;
+    constexpr duration quietInterval = std::chrono::milliseconds(100);
     constexpr duration shareInterval = std::chrono::milliseconds(5);
     constexpr std::size_t longestChain = 3; ///< Steps of a job.
     constexpr std::uint64_t workerSeed = 0x9e3779b97f4a7c15U;
@@ -29,6 +31,7 @@
     constexpr duration graceTime = std::chrono::seconds(4);
     constexpr duration recoveryTime = std::chrono::seconds(12);
     constexpr duration finishTime = std::chrono::seconds(14);
+    constexpr duration longestEndAbsence = std::chrono::milliseconds(1500);
     constexpr duration lookUpLimit = std::chrono::seconds(12); ///< For four attempts of a client.
 
 } // namespace
@@ -272,12 +275,16 @@
     return *oneOf(controls);
 }
 
-/// A lost disk counts until its control has caught up, and so does a control that is being replaced.
 bool soak::mayLoseDisk()
+{
+    const auto isPast = m_loop.now() - m_diskLostAt > diskLossGap;
+    return !m_areTwoLossesDue && isPast && m_cluster.controls().size() >= 3 && isEveryDiskBack();
+}
+
+bool soak::isEveryDiskBack()
 {
     const auto controls = m_cluster.controls();
-    return m_loop.now() - m_diskLostAt > diskLossGap && controls.size() >= 3 && m_plansAcknowledged > 0
-        && m_loop.now() >= m_replacedAt
+    return m_plansAcknowledged > 0 && m_loop.now() >= m_nextLossAt
         && std::all_of(controls.begin(), controls.end(), [](const member* each) { return each->mayVote(); });
 }
 
@@ -387,7 +394,7 @@
             loseAnyDisk();
     };
     // Nothing else may lose a disk meanwhile.
-    m_replacedAt = m_loop.now() + catchUpTime * 2 + graceTime;
+    m_nextLossAt = m_loop.now() + catchUpTime * 2 + graceTime;
     if (isPlanned) {
         m_cluster.startSpare();
         return later(catchUpTime, [this, old, isTold, loseAnother] { endForGood(*old, isTold, loseAnother); });
@@ -451,6 +458,8 @@
 {
     if (m_isHealing)
         return;
+    if (m_loop.now() < m_quietUntil)
+        return later(quietInterval, [this] { injectExtra(); });
     if (extraBetween(0, 2) == 0) {
         replaceControl();
     } else {
@@ -523,7 +532,7 @@
         if (losesPower && !hasLostDisk)
             each->losePower(m_random);
         if (losesPower || hasLostDisk)
-            startLater(*each, 500, 1500);
+            startLater(*each, 500, static_cast<int>(longestEndAbsence / std::chrono::milliseconds(1)));
     }
 }
 
@@ -573,6 +582,8 @@
 {
     if (m_isHealing)
         return;
+    if (m_loop.now() < m_quietUntil)
+        return later(quietInterval, [this] { injectOne(); });
     switch (between(0, 4)) {
     case 0:
         failProcess();
@@ -604,8 +615,10 @@
         worker->loseOrders(0);
         worker->setSilent(false);
     }
-    for (auto* each : m_cluster.controls())
+    for (auto* each : m_cluster.controls()) {
         each->setDiskFull(false);
+        each->isAbsent = false;
+    }
 }
 
 void soak::wait(duration limit, const std::function<bool()>& until)
@@ -637,6 +650,51 @@
         });
 }
 
+void soak::readGroup()
+{
+    const auto send = [this](const member* each) {
+        m_client.send(m_cluster.metricsAddress(*each), { "GET", "/metrics", "", {}, "" }, operatorTimeout,
+            [this, name = each->name](const http_result& out) {
+                if (!out.has_value() || out.value().status != 200)
+                    return;
+                const auto& text = out.value().body;
+                if (readMetric(text, "poplardeal_control_may_vote") == 1.0)
+                    m_votingControls.insert(name);
+                else
+                    m_votingControls.erase(name);
+                if (readMetric(text, "poplardeal_control_leads") == 1.0)
+                    m_quorumMargin = readMetric(text, "poplardeal_control_quorum_margin");
+            });
+    };
+    for (const auto* each : m_cluster.controls())
+        send(each);
+}
+
+bool soak::isGroupWhole()
+{
+    const auto controls = m_cluster.controls();
+    const auto needed = static_cast<double>(neededMargin(controls.size(), m_options.size.toleratedLosses()));
+    return m_quorumMargin.has_value() && *m_quorumMargin >= needed
+        && std::all_of(controls.begin(), controls.end(),
+            [this](const member* each) { return m_votingControls.contains(each->name) && each->mayVote(); });
+}
+
+void soak::checkGroup(const std::string& when, instant deadline)
+{
+    m_votingControls.clear();
+    m_quorumMargin.reset();
+    const auto reads = m_loop.every(std::chrono::milliseconds(100), [this] { readGroup(); });
+    wait(deadline - m_loop.now(), [this] { return isGroupWhole(); });
+    if (isGroupWhole())
+        return;
+    for (const auto* each : m_cluster.controls()) {
+        if (!m_votingControls.contains(each->name) || !each->mayVote())
+            m_groupFaults.push_back(each->name + " may not vote " + when);
+    }
+    const auto margin = m_quorumMargin ? std::to_string(*m_quorumMargin) : "no leader";
+    m_groupFaults.push_back("the group does not bear the losses of its deployment " + when + "; margin: " + margin);
+}
+
 void soak::checkEnd(soak_report& out)
 {
     for (const auto& job : m_callers) {
@@ -645,6 +703,7 @@
     }
     wait(lookUpLimit, [this] { return m_lookedUp == m_callers.size() || !isWholeRunning(); });
     out.broken = m_promises.broken();
+    out.broken.insert(out.broken.end(), m_groupFaults.begin(), m_groupFaults.end());
     const auto check = [&](bool isKept, const std::string& what) {
         if (!isKept)
             out.broken.push_back(what);
@@ -682,6 +741,10 @@
     if (m_options.hasExtraFaults) {
         later(std::chrono::milliseconds(2000), [this] { injectExtra(); });
         later(std::chrono::milliseconds(1000), [this] { injectWorkerFault(); });
+        if (m_options.size.toleratedLosses() == 2) {
+            m_areTwoLossesDue = true;
+            later(extraTime(500, 3000), [this] { injectTwoLosses(); });
+        }
     }
     wait(m_options.faults, [] { return false; });
     heal();
@@ -689,14 +752,18 @@
     wait(std::chrono::seconds(7), [] { return false; });
     for (auto* each : m_cluster.all())
         each->start();
+    const auto allStartedAt = m_loop.now();
+    checkGroup("after healing", allStartedAt + m_options.size.catchUpTime());
     if (m_options.hasExtraFaults) {
-        wait(catchUpTime * 2 + graceTime, [] { return false; });
+        waitUntil(allStartedAt + catchUpTime * 2 + graceTime);
         const auto before = m_plansAcknowledged;
         sendPlan(++m_plan, orderAttempts);
         wait(finishLimit, [this, before] { return m_plansAcknowledged > before; });
         m_currentPlanAt.clear();
         loseAtTheEnd();
-        wait(recoveryTime + std::chrono::milliseconds(1500), [] { return false; });
+        const auto allBackAt = m_loop.now() + longestEndAbsence;
+        checkGroup("after the loss at the end", allBackAt + m_options.size.catchUpTime());
+        waitUntil(allBackAt + recoveryTime);
     }
     const auto calmSince = m_loop.now() + (m_options.hasExtraFaults ? duration(0) : finishTime);
     const auto idle = m_loop.every(
--- a/packages/soak/src/soak_cluster.h
+++ b/packages/soak/src/soak_cluster.h
@@ -28,6 +28,10 @@
         constexpr std::uint32_t groupOfTwoLosses = 5;
         return controls >= groupOfTwoLosses ? 2 : 1;
     }
+
+    /// As on the platform, where groups of five are those of its grown deployments. A control whose disk was lost
+    /// counts as lost until this time after it is back.
+    duration catchUpTime() const { return std::chrono::seconds(toleratedLosses() == 2 ? 6 : 4); }
 };
 
 /// One process of the system, with the proxies before its sockets. Others only know its advertised address.
@@ -46,11 +50,12 @@
     std::string diskFault; ///< The folder of a control that had ended was not as recorded.
     bool isStarted { false };
     bool hasToJoin { false }; ///< A spare control: no voter before the group has taken it in.
+    bool isAbsent { false }; ///< Down for a given time, whatever else would start it.
     bool isRetired { false }; ///< The machine is gone for good.
 
     bool isActive() const { return isStarted && !isRetired; }
     void setMode(link_mode);
-    /// Does nothing for a machine that is gone.
+    /// Does nothing for a machine that is absent or gone.
     void start();
     /// A signal that may end a process that has just started.
     void signal(int number);
@@ -80,6 +85,8 @@
 
     /// The controls that take part: replaced ones and unused spares do not.
     std::vector<member*> controls();
+    /// The controls that settings written now name.
+    std::vector<member*> seeds();
     std::vector<member>& entries() { return m_entries; }
     std::vector<member>& sidecars() { return m_sidecars; }
     /// The controls that take part, the entries and the sidecars.
@@ -90,6 +97,7 @@
     /// Ends the process of a control whose machine is gone for good. The settings of the others name other seeds.
     void retire(member&);
     address operatorAddress(const member& control) const { return { control.advertisedIp, operatorPort }; }
+    address metricsAddress(const member& control) const { return { control.advertisedIp, metricsPort }; }
     address frontAddress(std::size_t entry) const { return { m_entries[entry].advertisedIp, frontPort }; }
     address workerAddress(std::size_t sidecar) const { return { m_sidecars[sidecar].ownIp, workerPort }; }
     /// Where the sidecar reaches its worker.
@@ -108,6 +116,7 @@
     static constexpr std::uint16_t frontPort = 7002;
     static constexpr std::uint16_t readyPort = 7003;
     static constexpr std::uint16_t workerPort = 7004;
+    static constexpr std::uint16_t metricsPort = 7005; ///< Of controls.
 
 private:
     member make(const std::string& role, std::uint32_t number, std::uint32_t host);
