--- a/packages/fleet/src/group_membership.cpp
+++ b/packages/fleet/src/group_membership.cpp
@@ -1,5 +1,6 @@
 #include "group_membership.h"
 #include "replica_address.h"
+#include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <poplardeal/base/log.h>
@@ -121,9 +122,8 @@
     const auto waited = joiningFor(now);
     if (waited < joinLogDelay || !m_joiningLines.admit(now))
         return;
-    std::vector<std::string> names;
-    for (const auto to : asked)
-        names.push_back(ipFromReplicaId(to));
+    std::vector<std::string> names(asked.size());
+    std::transform(asked.begin(), asked.end(), names.begin(), ipFromReplicaId);
     logEvent(log_level::warning, "join_unanswered",
         { { "waited_ms", millisecondsOf(waited) }, { "asked", names }, { "leader_named", m_namedLeader },
             { "term", group.term() }, { "may_vote", group.mayVote() } });
