--- a/review/11/case.cpp
+++ b/review/11/case.cc
@@ -1,7 +1,7 @@
-// A client hands in one job of about 900 bytes, accepted by the project's own limits, whose many tasks need next to
+// A client hands in one job of 617 bytes, accepted by the project's own limits, whose many tasks need next to
 // nothing. All of them start at once; the controls go over their memory, again after each restart, and what a sound
 // client has handed in is neither run nor answered.
-#include "../standin-3/cluster.h"
+#include "../standin-3/cluster.hpp"
 
 using namespace standin;
 
@@ -27,8 +27,8 @@
         accepted.push_back(jobId(0x1000 + i));
     }
 
-    // One job of another tenant, once: 16 steps of 4,096 tasks of 2 s. They fit into the room of the runners (768 cores)
-    // ten times over. Without the disruption, each step has one task.
+    // One job of another tenant, once: 16 steps of 4,096 tasks of 2 s. They fit into the room of the runners (768
+    // cores) ten times over. Without the disruption, each step has one task.
     client wide(deployment, "key-wide");
     const json tiny { { "count", isTroubled ? 4096 : 1 }, { "cpu", 1 }, { "est_ms", 2000 } };
     const auto body = job(2000, std::vector<json>(16, tiny));
--- a/review/15/case.cpp
+++ b/review/14/case.cc
@@ -1,6 +1,6 @@
 // One of nine runners crashes. Jobs that were given to it before the system noticed wait for seconds, and are missing
 // from the count of jobs for which no task has started.
-#include "../standin-3/cluster.h"
+#include "../standin-3/cluster.hpp"
 
 using namespace standin;
 
@@ -46,8 +46,8 @@
             continue;
         const auto pending = json::parse(answer->body).value("pending", std::size_t(0));
         ++asked;
-        record.line("client GET /audit/ at entry %zu -> pending %zu; accepted over 5 s before and not begun: %zu", i % 3,
-            pending, due);
+        record.line("client GET /audit/ at entry %zu -> pending %zu; accepted over 5 s before and not begun: %zu",
+            i % 3, pending, due);
         if (2 * pending < due) {
             ++wrong;
             most = std::max(most, due);
@@ -59,5 +59,6 @@
     record.line("script %u of %zu jobs are completed at the end", completed, acceptedAt.size());
     return finish(wrong > 0,
         std::to_string(wrong) + " of " + std::to_string(asked)
-            + " answers gave under half of the jobs that had not begun; up to " + std::to_string(most) + " were missing");
+            + " answers gave under half of the jobs that had not begun; up to " + std::to_string(most)
+            + " were missing");
 }
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/1[1-5]/case.cpp; do
+for source in review/1[1-5]/case.cc; do
     number=$(basename "$(dirname "$source")")
     g++ -std=c++20 -O1 -pthread "$source" -o "target/review-3/case-$number"
 done
