--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -1,6 +1,6 @@
 // A client hands in one job of 617 bytes, accepted by the project's own limits, whose many tasks need next to
-// nothing. All of them start at once; the controls go over their memory, again after each restart, and what a sound
-// client has handed in is neither run nor answered.
+// nothing. They fit into the runners' room at once; the controls go over their memory, again after each restart, and
+// what a sound client has handed in is neither run nor answered.
 #include "../standin-3/cluster.hpp"
 
 using namespace standin;
