--- a/packages/consensus/include/poplardeal/consensus/raft_node.h
+++ b/packages/consensus/include/poplardeal/consensus/raft_node.h
@@ -36,6 +36,8 @@
     std::size_t snapshotChunkBytes { std::size_t(256) * 1024 };
     /// Entries kept in memory before a snapshot, so that a member that lags a little needs no snapshot.
     std::uint64_t retainedEntries { 1000 };
+    /// Of these entries, in bytes; a follower that needs earlier ones receives the snapshot.
+    std::size_t retainedBytes { std::size_t { 8 } * 1024 * 1024 };
 };
 
 /// What the store found in the data folder.
--- a/packages/consensus/include/poplardeal/consensus/replica.h
+++ b/packages/consensus/include/poplardeal/consensus/replica.h
@@ -51,6 +51,8 @@
     duration electionTimeout { std::chrono::milliseconds(700) }; ///< Lower bound; the upper bound is twice it.
     std::uint64_t seed { 0 };
     std::uint64_t snapshotEvery { 10000 }; ///< Entries between snapshots.
+    /// Bytes of entries between snapshots, whatever their number: a restart reads them all.
+    std::size_t snapshotEveryBytes { std::size_t { 8 } * 1024 * 1024 };
     /// True only for the first start of a brand-new group: a replica with an empty data folder may vote at once.
     /// Without it, a replica with an empty folder does not vote until the leader has made it a learner, brought it up
     /// to date and made it a voter again. No effect on a folder with data. If the setting is left on and the folder is
--- a/packages/consensus/src/raft_snapshot.cpp
+++ b/packages/consensus/src/raft_snapshot.cpp
@@ -126,6 +126,13 @@
     if (snapshot->index <= previous || snapshot->index > emitted)
         return;
     auto base = snapshot->index - std::min(snapshot->index, options.retainedEntries);
+    base = std::max(base, log.firstIndex() - 1);
+    std::size_t retained = 0;
+    for (auto index = snapshot->index; index > base; --index) {
+        retained += log.at(index).payload.size();
+        if (retained > options.retainedBytes)
+            base = index;
+    }
     if (firstUnsent != 0)
         base = std::min(base, firstUnsent - 1);
     log.compact(std::move(snapshot), base);
--- a/packages/consensus/src/replica.cpp
+++ b/packages/consensus/src/replica.cpp
@@ -104,6 +104,7 @@
             return stop(installed.error());
         applied = ready.install->index;
         snapshotIndex = applied;
+        bytesSinceSnapshot = 0;
     }
     if (!ready.persist.empty()) {
         requestedNumber = ready.persist.number;
@@ -121,6 +122,7 @@
     if (entry.kind == entry_kind::command)
         answer = machine.apply(entry.index, entry.payload);
     applied = entry.index;
+    bytesSinceSnapshot += entry.payload.size();
     const auto found = proposals.find(entry.index);
     if (found == proposals.end())
         return;
@@ -134,7 +136,9 @@
 
 void replica::impl::snapshotIfDue()
 {
-    if (stopReason || applied < snapshotIndex + options.snapshotEvery)
+    const bool isDue
+        = applied >= snapshotIndex + options.snapshotEvery || bytesSinceSnapshot >= options.snapshotEveryBytes;
+    if (stopReason || !isDue)
         return;
     auto taken = std::make_shared<log_snapshot>();
     taken->index = applied;
@@ -142,6 +146,7 @@
     taken->members = node.membersAt(applied);
     taken->data = machine.takeSnapshot();
     snapshotIndex = applied;
+    bytesSinceSnapshot = 0;
     node.compact(taken);
     requestedSnapshot = applied;
     disk->saveSnapshot(taken);
--- a/packages/consensus/src/replica_impl.h
+++ b/packages/consensus/src/replica_impl.h
@@ -48,6 +48,7 @@
     instant latest; ///< The largest `now` seen.
     std::uint64_t applied { 0 };
     std::uint64_t snapshotIndex { 0 };
+    std::size_t bytesSinceSnapshot { 0 }; ///< Of applied entries.
     std::map<std::uint64_t, pending_proposal> proposals; ///< By index.
     std::uint64_t requestedNumber { 0 }; ///< Last batch given to the disk thread.
     std::uint64_t requestedSnapshot { 0 }; ///< Last own snapshot given to the disk thread.
--- a/packages/consensus/tests/replica_test.cpp
+++ b/packages/consensus/tests/replica_test.cpp
@@ -247,6 +247,24 @@
     BOOST_TEST((refused.error().code == failure_code::too_large));
 }
 
+// Guards against a log of few large entries that a restarted control has to hold in memory as a whole.
+BOOST_AUTO_TEST_CASE(large_entries_are_replaced_by_a_snapshot)
+{
+    constexpr std::size_t entries = 20;
+    const std::string large(1024 * 1024, 'x');
+    replica_group group(3);
+    group.startAll(true);
+    for (std::size_t i = 0; i < entries; ++i)
+        BOOST_REQUIRE(group.propose(large).has_value());
+    BOOST_REQUIRE(group.waitUntilEqual(entries));
+    const auto number = group.leader() % 3 + 1;
+    BOOST_REQUIRE(group.runUntil([&] { return !group.replicas[number]->isPersisting(); }));
+    group.kill(number);
+    BOOST_REQUIRE(group.start(number, false).has_value());
+    BOOST_TEST(group.replicas[number]->recovery().entries < entries / 2);
+    BOOST_REQUIRE(group.waitUntilEqual(entries));
+}
+
 // Guards against a planned stop that costs an election timeout.
 BOOST_AUTO_TEST_CASE(leadership_is_handed_over_without_an_election_timeout)
 {
--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -14,6 +14,13 @@
     constexpr duration planInterval = std::chrono::milliseconds(200); // Deadlines and waits change without an event.
     constexpr duration metricsInterval = std::chrono::milliseconds(1000);
     constexpr duration planDelay = std::chrono::milliseconds(2); // Events close to each other share a plan.
+    /// Of the memory, one part in so many is for jobs: what follows from them, such as their log and a snapshot while
+    /// it is made, takes about as much again.
+    constexpr std::size_t memoryShareOfJobs = 4;
+    constexpr std::size_t bytesPerMegabyte = std::size_t { 1024 } * 1024;
+    /// A run takes about 1 KiB in a control, from its planned start to its recorded end.
+    constexpr std::size_t runsPerMegabyte = 64;
+    constexpr std::uint32_t overLimitRetryAfterMs = 5000; // Jobs end over seconds.
     constexpr std::uint32_t retryAfterMs = 1000; // About one election; Retry-After has a resolution of 1 s.
     constexpr std::size_t submissionIdLength = 16;
     constexpr std::size_t maxStepsLogged = 8; ///< Per job.
@@ -25,6 +32,8 @@
         out.reason = std::move(reason);
         if (outcome == queue_outcome::not_ready)
             out.retry_after_ms = retryAfterMs;
+        if (outcome == queue_outcome::over_limit)
+            out.retry_after_ms = overLimitRetryAfterMs;
         return out;
     }
 
@@ -95,6 +104,13 @@
           "poplardeal_worker_slowness", "Run time relative to an ordinary worker", { { "worker", "slowest" } }))
     , m_workspaceMetrics(metrics)
     , m_interferenceReport(metrics)
+    , m_maxFootprint(settings.memoryMegabytes * bytesPerMegabyte / memoryShareOfJobs)
+    , m_jobBytes(
+          metrics.getGauge("poplardeal_job_bytes", "Estimate of the memory that jobs take, apart from their runs"))
+    , m_overLimit(metrics.getCounter(
+          "poplardeal_jobs_over_limit_total", "Jobs refused because of the memory that accepted jobs take"))
+    , m_limitedUnits(metrics.getGauge(
+          "poplardeal_units_limited", "Units that wait, in spite of room, because of the limits on runs"))
 {
     m_plannerOptions.distanceFactor = settings.distanceFactor;
     m_plannerOptions.usesExpectedTimes = settings.usesExpectedTimes;
@@ -102,6 +118,9 @@
     m_plannerOptions.weighsPreemptions = settings.weighsPreemptions;
     m_plannerOptions.separatesInterfering = settings.separatesInterfering;
     m_plannerOptions.order.order = settings.workOrder;
+    m_plannerOptions.limits.total = settings.memoryMegabytes * runsPerMegabyte;
+    metrics.getGauge("poplardeal_job_bytes_limit", "Upper bound of `poplardeal_job_bytes`")
+        .set(static_cast<double>(m_maxFootprint));
 }
 
 void job_leader::attach(replica& member) { m_replica = &member; }
@@ -116,6 +135,8 @@
         ++m_epoch;
         m_startsInFlight = 0;
         m_pendingReleases.clear();
+        m_proposedFootprints.clear();
+        m_proposedFootprint = 0;
         m_claims.clear();
         m_heldBack.clear();
         logEvent(log_level::info, leading ? "lead_begins" : "lead_ends",
@@ -134,6 +155,7 @@
     if (now - m_metricsAt >= metricsInterval) {
         m_metricsAt = now;
         m_workspaceMetrics.update(m_stateMachine.table(), m_loop.wallClock());
+        m_jobBytes.set(static_cast<double>(m_stateMachine.table().footprint()));
         m_interferenceReport.update(m_stateMachine.table().interference());
     }
 }
@@ -175,6 +197,7 @@
     m_claims = std::move(decisions.claims);
     m_heldBack = std::move(decisions.heldBack);
     m_heldBackSteps.set(static_cast<double>(m_heldBack.size()));
+    m_limitedUnits.set(static_cast<double>(decisions.limitedUnits));
     m_planTime.observe(m_loop.now() - now);
     m_avoidedWorkers.set(static_cast<double>(std::count_if(
         workerViews.begin(), workerViews.end(), [now](const auto& item) { return item.second.avoidUntil > now; })));
@@ -425,6 +448,15 @@
     return out;
 }
 
+bool job_leader::admits(const workspace_name& workspace, std::size_t bytes) const
+{
+    const auto& table = m_stateMachine.table();
+    const auto proposed = m_proposedFootprints.find(workspace);
+    const auto own = table.footprint(workspace) + (proposed == m_proposedFootprints.end() ? 0 : proposed->second);
+    // No workspace takes more than it leaves to all others.
+    return table.footprint() + m_proposedFootprint + own + 2 * bytes <= m_maxFootprint;
+}
+
 void job_leader::submit(const accept_submission& command, const call_responder& respond)
 {
     if (const auto fault = validationError(command.spec)) {
@@ -433,28 +465,47 @@
     }
     if (m_stateMachine.table().find(command.id) != nullptr)
         return respond(makeAnswer(queue_outcome::accepted));
-    propose(command, [this, respond, id = command.id](const result<apply_outcome>& outcome) {
-        if (outcome.has_error()) {
-            const bool mayHaveRun = outcome.error().code == failure_code::unavailable;
-            logEvent(log_level::warning, "job_not_accepted",
-                { { "job", id.value() }, { "reason", outcome.error().message }, { "may_be_accepted", mayHaveRun } });
-            m_rejected.add();
-            return respond(
-                makeAnswer(mayHaveRun ? queue_outcome::uncertain : queue_outcome::not_ready, outcome.error().message));
-        }
-        if (outcome.value() == apply_outcome::refused) {
-            m_rejected.add();
-            return respond(makeAnswer(queue_outcome::unknown_queue, "the queue has been removed"));
-        }
-        m_accepted.add();
-        const auto& job = *m_stateMachine.table().find(id);
-        logEvent(log_level::info, "job_accepted",
-            { { "job", id.value() }, { "queue", job.queue.value() }, { "workspace", job.workspace.value() },
-                { "priority", job.priority }, { "steps", describeSteps(job.spec) },
-                { "plan", m_stateMachine.table().plan().version.value() } });
-        schedulePlan();
-        respond(makeAnswer(queue_outcome::accepted));
-    });
+    const auto bytes = footprintOf(command.spec);
+    if (!admits(command.workspace, bytes)) {
+        m_rejected.add();
+        m_overLimit.add();
+        return respond(makeAnswer(queue_outcome::over_limit,
+            "the job would take about " + std::to_string(bytes) + " bytes; the workspace's jobs take "
+                + std::to_string(m_stateMachine.table().footprint(command.workspace)) + " and all jobs "
+                + std::to_string(m_stateMachine.table().footprint()) + " of " + std::to_string(m_maxFootprint)));
+    }
+    m_proposedFootprints[command.workspace] += bytes;
+    m_proposedFootprint += bytes;
+    propose(command,
+        [this, respond, id = command.id, workspace = command.workspace, bytes, epoch = m_epoch](
+            const result<apply_outcome>& outcome) {
+            if (epoch == m_epoch) {
+                m_proposedFootprint -= bytes;
+                if ((m_proposedFootprints[workspace] -= bytes) == 0)
+                    m_proposedFootprints.erase(workspace);
+            }
+            if (outcome.has_error()) {
+                const bool mayHaveRun = outcome.error().code == failure_code::unavailable;
+                logEvent(log_level::warning, "job_not_accepted",
+                    { { "job", id.value() }, { "reason", outcome.error().message },
+                        { "may_be_accepted", mayHaveRun } });
+                m_rejected.add();
+                return respond(makeAnswer(
+                    mayHaveRun ? queue_outcome::uncertain : queue_outcome::not_ready, outcome.error().message));
+            }
+            if (outcome.value() == apply_outcome::refused) {
+                m_rejected.add();
+                return respond(makeAnswer(queue_outcome::unknown_queue, "the queue has been removed"));
+            }
+            m_accepted.add();
+            const auto& job = *m_stateMachine.table().find(id);
+            logEvent(log_level::info, "job_accepted",
+                { { "job", id.value() }, { "queue", job.queue.value() }, { "workspace", job.workspace.value() },
+                    { "priority", job.priority }, { "steps", describeSteps(job.spec) },
+                    { "plan", m_stateMachine.table().plan().version.value() } });
+            schedulePlan();
+            respond(makeAnswer(queue_outcome::accepted));
+        });
 }
 
 void job_leader::cancel(const submission_id& id, const call_responder& respond)
--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -78,6 +78,8 @@
     void scheduleInstructions(const worker_boot&);
     void sendInstructions();
     void answerReport(const worker_boot&);
+    /// Whether the workspace's jobs, and what all others may need, leave room for a job of this footprint.
+    bool admits(const workspace_name&, std::size_t bytes) const;
     void submit(const accept_submission&, const call_responder&);
     void cancel(const submission_id&, const call_responder&);
     message::queue_answerT answerStatus(const submission_id&) const;
@@ -115,6 +117,12 @@
     gauge& m_mostSlowness;
     workspace_metrics m_workspaceMetrics;
     interference_report m_interferenceReport;
+    std::size_t m_maxFootprint; ///< Of all jobs, in bytes.
+    std::map<workspace_name, std::size_t> m_proposedFootprints; ///< Of jobs that are proposed and not yet recorded.
+    std::size_t m_proposedFootprint { 0 }; ///< Sum of `m_proposedFootprints`.
+    gauge& m_jobBytes;
+    counter& m_overLimit;
+    gauge& m_limitedUnits;
     instant m_metricsAt; ///< Last update of `m_workspaceMetrics`.
 };
 
--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -78,14 +78,15 @@
     bool hasStarted { false };
     submission_phase phase { submission_phase::queued };
     instant endedAt; ///< Valid only in a terminal phase.
-    std::vector<job_occurrence> occurrences;
+    std::uint32_t activeUnits { 0 }; ///< Derived from `occurrences`.
+    std::vector<job_occurrence> occurrences; ///< Empty once the job is terminal and has no active units.
 
     bool isTerminal() const
     {
         return phase == submission_phase::completed || phase == submission_phase::failed
             || phase == submission_phase::cancelled;
     }
-    bool hasActiveUnits() const;
+    bool hasActiveUnits() const { return activeUnits > 0; }
     friend bool operator==(const submission&, const submission&) = default;
 };
 
@@ -137,6 +138,10 @@
     const std::set<submission_id>& openJobs() const { return m_open; }
     /// Number of the queue's jobs that are not terminal and of which no task has started.
     std::size_t pendingCount(const queue_name&) const;
+    /// Estimate of the memory that all jobs take, in bytes, apart from their runs.
+    std::size_t footprint() const { return m_footprint; }
+    /// The same of one workspace's jobs.
+    std::size_t footprint(const workspace_name&) const;
     std::size_t jobCount() const { return m_jobs.size(); }
 
     /// Expected run time of a task of this step when it starts without a checkpoint and runs near its data.
@@ -162,7 +167,7 @@
     /// Boots with runs that have this id or this address, in order.
     std::vector<worker_boot> bootsWithRuns(const worker_id&, const std::string& address) const;
 
-    /// The state as a CBOR snapshot.
+    /// The state as a snapshot: a record in CBOR, followed by the jobs in a compact form, compressed.
     std::string save() const;
     /// Replaces the state by a snapshot. Fails with `corrupt` and changes nothing if the bytes are not a valid one.
     result<void> restore(std::string_view);
@@ -189,8 +194,11 @@
     /// Ends the current run of a unit; the unit is then done or waits for its next start.
     void endRun(submission&, const task_key&, unit&, bool isDone, instant at);
     void endJob(submission&, submission_phase, instant at);
-    /// Removes a job from the open jobs once it is terminal and has no active units.
-    void removeFromOpenIfEnded(const submission&);
+    /// Closes a job once it is terminal and has no active units: only its state is kept.
+    void closeIfEnded(submission&);
+    void addFootprint(const workspace_name&, std::size_t);
+    void subtractFootprint(const workspace_name&, std::size_t);
+    void restoreJob(submission);
     void pruneEndedJobs(instant at);
     void setAddress(const worker_boot&, const std::string& address);
     void eraseAddress(const std::string&, const worker_boot&);
@@ -208,6 +216,8 @@
     interference_table m_interference;
     std::map<submission_id, submission> m_jobs;
     std::set<submission_id> m_open;
+    std::map<workspace_name, std::size_t> m_footprints; ///< Derived from `m_jobs`.
+    std::size_t m_footprint { 0 }; ///< Sum of `m_footprints`.
     std::map<worker_boot, std::set<run_key>> m_runs; ///< Runs that may exist; derived from `m_jobs`.
     std::map<worker_boot, std::string> m_addresses; ///< Addresses of the worker boots in `m_runs`.
     std::map<std::string, std::set<worker_boot>> m_bootsByAddress; ///< Inverse of `m_addresses`.
@@ -224,6 +234,9 @@
 /// Number of tasks in each unit of a step.
 std::uint32_t memberCount(const step_spec&);
 
+/// Estimate of the memory that a job takes until it ends, in bytes, apart from its runs.
+std::size_t footprintOf(const submission_spec&);
+
 /// Due time of an occurrence by the wall clock; the epoch for jobs without occurrences.
 instant dueTime(const submission_spec&, std::uint32_t occurrence);
 
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -94,6 +94,19 @@
     std::vector<planned_stop> stops;
     capacity_claims claims; ///< Input of the next plan.
     held_back_units heldBack; ///< Input of the next plan.
+    std::size_t limitedUnits { 0 }; ///< Units that `run_limits` keep waiting although there is room for them.
+};
+
+/// Bounds on runs that may exist at the same time, which keep control and sidecars within their memory. A workspace may
+/// use as many of a bound as are left for the others. Work within a guarantee is not held back by them: its
+/// accelerators bound it.
+struct run_limits {
+    std::size_t total { 16384 };
+    std::size_t perWorker { 2048 };
+    /// Ordered runs that the worker has not listed yet. Orders that wait for longer than their start window are void.
+    std::size_t unconfirmedPerWorker { 256 };
+    std::size_t startsPerPlan { 512 }; ///< Tasks; the last unit may exceed it.
+    std::size_t candidates { 16384 }; ///< Waiting units that one plan looks at, but at least one of each step.
 };
 
 struct planner_options {
@@ -114,6 +127,7 @@
     bool weighsPreemptions { false };
     order_options order; ///< Of the waiting units.
     bool separatesInterfering { false }; ///< Prefers workers where no task slows another one down.
+    run_limits limits;
     std::size_t maxReservations { 16 }; ///< Blocked units that reserve workers; bounds the run time of a plan.
     /// Longest time for which a step is kept waiting by reservations, claims, avoided workers or the hope for faster
     /// ones while there is ample room: capacity for one of its units twice over, and under half of its service in use.
--- a/packages/jobs/src/candidate_rank.cpp
+++ b/packages/jobs/src/candidate_rank.cpp
@@ -69,12 +69,14 @@
             if (m_input.wallClock < agedAt)
                 continue;
             for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
-                for (const auto& each : job.occurrences[o].steps[s].units) {
-                    if (each.phase == unit_phase::waiting)
-                        waiting[job.priority].insert(job.sequence);
-                    else if (each.isActive() && each.startedAt >= agedAt && !job.spec.steps[s].longRunning)
-                        running.emplace(job.priority, job.sequence);
-                }
+                const auto& units = job.occurrences[o].steps[s].units;
+                if (std::any_of(
+                        units.begin(), units.end(), [](const unit& u) { return u.phase == unit_phase::waiting; }))
+                    waiting[job.priority].insert(job.sequence);
+                if (!job.spec.steps[s].longRunning && std::any_of(units.begin(), units.end(), [agedAt](const unit& u) {
+                        return u.isActive() && u.startedAt >= agedAt;
+                    }))
+                    running.emplace(job.priority, job.sequence);
             }
         }
     }
--- a/packages/jobs/src/expected_times.cpp
+++ b/packages/jobs/src/expected_times.cpp
@@ -140,7 +140,7 @@
         const auto& eligible = eligibleWorkers(item);
         for (const auto number : rack ? eligible.byRack[rack->value()] : eligible.all) {
             const auto& worker = at(number);
-            if (respectsReservations(item) && isReserved(item, worker))
+            if ((respectsReservations(item) && isReserved(item, worker)) || !mayTakeRun(item, worker))
                 continue;
             if (const auto slots = slotsIn(need, worker.free, perWorker); slots > 0)
                 ranges.push_back({ worker.slowness, slots });
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -1,3 +1,4 @@
+#include "job_archive.h"
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -11,6 +12,12 @@
 /// Largest size of a decoded snapshot; about the memory of a control process.
 static constexpr std::size_t maxSnapshotBytes = std::size_t { 256 } * 1024 * 1024;
 
+/// First bytes of a snapshot whose jobs are archived. Earlier versions wrote one CBOR map of everything.
+static constexpr std::string_view archivedSnapshotMagic { "PDJ2" };
+
+/// Of an allocation, in bytes.
+static constexpr std::size_t allocationOverhead = 16;
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(unit_member, worker, isOver)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
     unit, phase, lastRun, failures, runFailed, saved, waitingSince, startedAt, isResumed, members)
@@ -46,20 +53,34 @@
     return instantFromMicros((spec.firstDueMs + static_cast<std::int64_t>(occurrence) * spec.intervalMs) * 1000);
 }
 
+std::size_t footprintOf(const submission_spec& spec)
+{
+    std::size_t steps = 0;
+    std::size_t units = 0;
+    for (const auto& step : spec.steps) {
+        steps += sizeof(step_spec) + step.after.size() * sizeof(std::uint32_t) + step.requiredLabel.value().size()
+            + step.affinity.value().size() + step.image.size() + allocationOverhead;
+        units += sizeof(step_state) + (step.gang ? 1 : step.count) * sizeof(unit) + allocationOverhead;
+    }
+    const std::size_t occurrences = std::max(spec.occurrences, 1U);
+    return sizeof(submission) + spec.payload.size() + steps
+        + occurrences * (sizeof(job_occurrence) + units + allocationOverhead);
+}
+
 bool job_occurrence::isDone() const
 {
     return std::all_of(steps.begin(), steps.end(), [](const step_state& step) { return step.isDone(); });
 }
 
-bool submission::hasActiveUnits() const
+static std::uint32_t countActiveUnits(const submission& job)
 {
-    for (const auto& occurrence : occurrences) {
-        for (const auto& step : occurrence.steps) {
-            if (std::any_of(step.units.begin(), step.units.end(), [](const unit& u) { return u.isActive(); }))
-                return true;
-        }
+    std::uint32_t out = 0;
+    for (const auto& occurrence : job.occurrences) {
+        for (const auto& step : occurrence.steps)
+            out += static_cast<std::uint32_t>(
+                std::count_if(step.units.begin(), step.units.end(), [](const unit& u) { return u.isActive(); }));
     }
-    return false;
+    return out;
 }
 
 apply_outcome job_table::apply(const job_command& command)
@@ -120,6 +141,7 @@
     for (std::uint32_t i = 0; i < std::max(command.spec.occurrences, 1U); ++i)
         job.occurrences.push_back(makeOccurrence(command.spec, at));
     m_open.insert(job.id);
+    addFootprint(job.workspace, footprintOf(job.spec));
     m_jobs.emplace(job.id, std::move(job));
     return apply_outcome::applied;
 }
@@ -179,6 +201,7 @@
         auto& started = *findMutableUnit(start.task);
         if (!started.isActive()) {
             started.phase = unit_phase::active;
+            ++job.activeUnits;
             started.lastRun = start.run;
             started.runFailed = false;
             started.startedAt = at;
@@ -273,6 +296,7 @@
     if (isDone)
         recordNeighbours(job, task, ended, at);
     removeRunsOfUnit(task, job.spec.steps[task.step], ended, at);
+    job.activeUnits -= ended.isActive() ? 1 : 0;
     if (isDone) {
         ++step.doneUnits;
         recordRunTime(job, task, ended, at);
@@ -283,6 +307,10 @@
     }
     ended.members.clear();
     if (isDone) {
+        // Equal units take no room in a snapshot.
+        const auto lastRun = ended.lastRun;
+        ended = {};
+        ended.lastRun = lastRun;
         ended.phase = unit_phase::done;
         const bool complete = std::all_of(
             job.occurrences.begin(), job.occurrences.end(), [](const job_occurrence& each) { return each.isDone(); });
@@ -296,7 +324,7 @@
         if (ended.failures >= job.attempts && !job.isTerminal())
             endJob(job, submission_phase::failed, at);
     }
-    removeFromOpenIfEnded(job);
+    closeIfEnded(job);
 }
 
 const std::set<run_key>& job_table::runsOn(const worker_boot& boot) const
@@ -394,13 +422,37 @@
     job.phase = phase;
     job.endedAt = at;
     m_interference.didEndJob(job.id);
-    removeFromOpenIfEnded(job);
+    closeIfEnded(job);
+}
+
+void job_table::closeIfEnded(submission& job)
+{
+    if (!job.isTerminal() || job.hasActiveUnits() || m_open.erase(job.id) == 0)
+        return;
+    subtractFootprint(job.workspace, footprintOf(job.spec));
+    job.spec = {};
+    job.occurrences = {};
 }
 
-void job_table::removeFromOpenIfEnded(const submission& job)
+void job_table::addFootprint(const workspace_name& workspace, std::size_t bytes)
 {
-    if (job.isTerminal() && !job.hasActiveUnits())
-        m_open.erase(job.id);
+    m_footprints[workspace] += bytes;
+    m_footprint += bytes;
+}
+
+void job_table::subtractFootprint(const workspace_name& workspace, std::size_t bytes)
+{
+    const auto found = m_footprints.find(workspace);
+    found->second -= bytes;
+    m_footprint -= bytes;
+    if (found->second == 0)
+        m_footprints.erase(found);
+}
+
+std::size_t job_table::footprint(const workspace_name& workspace) const
+{
+    const auto found = m_footprints.find(workspace);
+    return found == m_footprints.end() ? 0 : found->second;
 }
 
 void job_table::pruneEndedJobs(instant at)
@@ -424,23 +476,39 @@
 
 std::string job_table::save() const
 {
-    nlohmann::json out;
-    out["plan"] = m_plan;
-    out["out_of_service"] = m_outOfService;
-    out["speeds"] = m_speeds.samples();
-    out["speed_model"] = m_speedHistory.model().records();
-    out["speed_steps"] = m_speedHistory.steps();
-    out["speed_queues"] = m_speedHistory.queues();
-    out["run_times"] = m_runTimes.records();
-    out["usage"] = m_usage.records();
-    out["interference"] = m_interference.records();
-    out["sequence"] = m_sequence;
-    out["pruned_at"] = m_prunedAt;
-    out["addresses"] = m_addresses;
-    auto& jobs = out["jobs"] = nlohmann::json::array();
+    nlohmann::json head;
+    head["plan"] = m_plan;
+    head["out_of_service"] = m_outOfService;
+    head["speeds"] = m_speeds.samples();
+    head["speed_model"] = m_speedHistory.model().records();
+    head["speed_steps"] = m_speedHistory.steps();
+    head["speed_queues"] = m_speedHistory.queues();
+    head["run_times"] = m_runTimes.records();
+    head["usage"] = m_usage.records();
+    head["interference"] = m_interference.records();
+    head["sequence"] = m_sequence;
+    head["pruned_at"] = m_prunedAt;
+    head["addresses"] = m_addresses;
+    std::string out(archivedSnapshotMagic);
+    detail::archive_writer archive(out);
+    archive(toCbor(head));
     for (const auto& [id, job] : m_jobs)
-        jobs.push_back(job);
-    return compress(toCbor(out));
+        archive(job);
+    return compress(out);
+}
+
+void job_table::restoreJob(submission job)
+{
+    job.activeUnits = countActiveUnits(job);
+    if (!job.isTerminal() || job.hasActiveUnits()) {
+        m_open.insert(job.id);
+        addFootprint(job.workspace, footprintOf(job.spec));
+    } else {
+        job.spec = {};
+        job.occurrences = {};
+    }
+    indexRuns(job);
+    m_jobs.emplace(job.id, std::move(job));
 }
 
 result<void> job_table::restore(std::string_view bytes)
@@ -453,7 +521,12 @@
         bytes = content;
     }
     try {
-        const auto in = fromCbor<nlohmann::json>(bytes);
+        std::string head;
+        const bool isArchived = bytes.starts_with(archivedSnapshotMagic);
+        detail::archive_reader archive(isArchived ? bytes.substr(archivedSnapshotMagic.size()) : std::string_view());
+        if (isArchived)
+            archive(head);
+        const auto in = fromCbor<nlohmann::json>(isArchived ? std::string_view(head) : bytes);
         job_table read;
         read.m_plan = in.at("plan").get<queue_plan>();
         read.m_planIndex = plan_index(read.m_plan);
@@ -475,12 +548,15 @@
         read.m_prunedAt = in.at("pruned_at").get<instant>();
         for (const auto& [boot, address] : in.at("addresses").get<std::map<worker_boot, std::string>>())
             read.setAddress(boot, address);
-        for (const auto& item : in.at("jobs")) {
-            auto job = item.get<submission>();
-            if (!job.isTerminal() || job.hasActiveUnits())
-                read.m_open.insert(job.id);
-            read.indexRuns(job);
-            read.m_jobs.emplace(job.id, std::move(job));
+        while (!archive.isAtEnd()) {
+            submission job;
+            archive(job);
+            read.restoreJob(std::move(job));
+        }
+        // Snapshots of earlier versions have the jobs in the map.
+        if (!isArchived) {
+            for (const auto& item : in.at("jobs"))
+                read.restoreJob(item.get<submission>());
         }
         *this = std::move(read);
         return success();
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -36,6 +36,24 @@
     return out;
 }
 
+void run_counts::add(const workspace_name& workspace, std::size_t runs)
+{
+    m_total += runs;
+    const auto known = std::find_if(
+        m_byWorkspace.begin(), m_byWorkspace.end(), [&](const auto& item) { return *item.first == workspace; });
+    if (known != m_byWorkspace.end())
+        known->second += runs;
+    else
+        m_byWorkspace.emplace_back(&workspace, runs);
+}
+
+bool run_counts::admits(const workspace_name& workspace, std::size_t limit) const
+{
+    const auto known = std::find_if(
+        m_byWorkspace.begin(), m_byWorkspace.end(), [&](const auto& item) { return *item.first == workspace; });
+    return m_total + (known == m_byWorkspace.end() ? 0 : known->second) < limit;
+}
+
 placement_round::placement_round(const planner_options& options, const planner_input& input)
     : m_options(options)
     , m_input(input)
@@ -188,6 +206,7 @@
 
 void placement_round::recordUnit(const submission& job, const unit_key& key, const step_spec& step, const unit& active)
 {
+    m_runs.add(job.workspace, active.members.size());
     const auto left = remainingTime(job, key, step, active);
     auto victim = describeVictim(key, step, active);
     victim.valueShare = remainingValue(job, key.occurrence, left);
@@ -212,6 +231,9 @@
         if (separatesInterfering())
             recordKind(*found, kindOf(job.queue, key.step, step));
         at(*found).free -= entry.need;
+        at(*found).runs.add(job.workspace, 1);
+        if (seen == nullptr)
+            at(*found).unconfirmedRuns.add(job.workspace, 1);
         at(*found).placedRuns.push_back(std::move(entry));
     }
 }
@@ -312,43 +334,70 @@
         && m_input.wallClock >= waiting.waitingSince && m_input.wallClock < waiting.waitingSince + restartPause;
 }
 
-void placement_round::appendCandidates(const submission& job, std::vector<candidate>& out) const
+template <class Action> void placement_round::forEachReadyStep(const submission& job, Action action) const
 {
-    const auto* queue = m_input.table.findQueue(job.queue);
     for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
         for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
+            if (!job.occurrences[o].steps[s].isDone() && isReady(job, o, s))
+                action(o, s);
+        }
+    }
+}
+
+std::size_t placement_round::candidatesPerStep() const
+{
+    std::size_t steps = 0;
+    std::size_t units = 0;
+    for (const auto& id : m_input.table.openJobs()) {
+        const auto& job = *m_input.table.find(id);
+        if (job.isTerminal())
+            continue;
+        forEachReadyStep(job, [&](std::uint32_t o, std::uint32_t s) {
             const auto& state = job.occurrences[o].steps[s];
-            if (state.isDone() || !isReady(job, o, s))
+            ++steps;
+            units += std::min(state.units.size() - state.doneUnits, m_options.limits.startsPerPlan);
+        });
+    }
+    if (units <= m_options.limits.candidates)
+        return m_options.limits.startsPerPlan;
+    return std::max<std::size_t>(m_options.limits.candidates / steps, 1);
+}
+
+void placement_round::appendCandidates(const submission& job, std::size_t limit, std::vector<candidate>& out) const
+{
+    const auto* queue = m_input.table.findQueue(job.queue);
+    forEachReadyStep(job, [&](std::uint32_t o, std::uint32_t s) {
+        const auto& state = job.occurrences[o].steps[s];
+        const auto& times = timesOf(job, o);
+        const auto status = estimateDeadlineStatus(job, o, times.criticalPaths[s]);
+        const auto end = out.size() + limit;
+        for (std::uint32_t u = 0; u < state.units.size() && out.size() < end; ++u) {
+            if (state.units[u].phase != unit_phase::waiting || isRestartPaused(job.spec.steps[s], state.units[u]))
                 continue;
-            const auto& times = timesOf(job, o);
-            const auto status = estimateDeadlineStatus(job, o, times.criticalPaths[s]);
-            for (std::uint32_t u = 0; u < state.units.size(); ++u) {
-                if (state.units[u].phase != unit_phase::waiting || isRestartPaused(job.spec.steps[s], state.units[u]))
-                    continue;
-                candidate item;
-                item.key = { job.id, o, s, u };
-                item.job = &job;
-                item.step = &job.spec.steps[s];
-                item.state = &state.units[u];
-                item.service = queue != nullptr ? &queue->service : &job.service;
-                item.isGuaranteed = m_guaranteed.contains(job.id);
-                item.estimatedRunTime = times.expectedRunTimes[s];
-                item.deadline = times.objectiveStart + times.objective;
-                item.deadlineStatus = item.step->longRunning ? deadline_status::on_time : status;
-                item.waitingTime = m_input.wallClock - std::max(times.objectiveStart, item.state->waitingSince);
-                out.push_back(std::move(item));
-            }
+            candidate item;
+            item.key = { job.id, o, s, u };
+            item.job = &job;
+            item.step = &job.spec.steps[s];
+            item.state = &state.units[u];
+            item.service = queue != nullptr ? &queue->service : &job.service;
+            item.isGuaranteed = m_guaranteed.contains(job.id);
+            item.estimatedRunTime = times.expectedRunTimes[s];
+            item.deadline = times.objectiveStart + times.objective;
+            item.deadlineStatus = item.step->longRunning ? deadline_status::on_time : status;
+            item.waitingTime = m_input.wallClock - std::max(times.objectiveStart, item.state->waitingSince);
+            out.push_back(std::move(item));
         }
-    }
+    });
 }
 
 std::vector<candidate> placement_round::collectCandidates() const
 {
     std::vector<candidate> out;
+    const auto limit = candidatesPerStep();
     for (const auto& id : m_input.table.openJobs()) {
         const auto& job = *m_input.table.find(id);
         if (!job.isTerminal())
-            appendCandidates(job, out);
+            appendCandidates(job, limit, out);
     }
     std::vector<candidate> ordered;
     ordered.reserve(out.size());
@@ -489,7 +538,7 @@
         const auto& worker = at(number);
         if (respectReservations && isReserved(item, worker))
             continue;
-        if (need.fitsIn(worker.free))
+        if (mayTakeRun(item, worker) && need.fitsIn(worker.free))
             options.push_back({ number, worker.free });
     }
     const auto limit = item.step->maxPerWorker;
@@ -561,6 +610,29 @@
     return fillOn(std::nullopt, worker_filter::all);
 }
 
+bool placement_round::isBoundedByGuarantee(const candidate& item) const
+{
+    return item.isGuaranteed && item.step->need.accelerator.count() > 0;
+}
+
+/// A gang is admitted as a whole, so it may exceed the limits by its size.
+bool placement_round::mayTakeRun(const candidate& item, const round_worker& worker) const
+{
+    const auto& limits = m_options.limits;
+    return isBoundedByGuarantee(item)
+        || (m_runs.admits(item.job->workspace, limits.total)
+            && worker.runs.admits(item.job->workspace, limits.perWorker)
+            && worker.unconfirmedRuns.admits(item.job->workspace, limits.unconfirmedPerWorker));
+}
+
+bool placement_round::isLimited(const candidate& item) const
+{
+    const auto need = reservedDemand(*item.step);
+    const auto& eligible = eligibleWorkers(item).all;
+    return std::any_of(eligible.begin(), eligible.end(),
+        [&](worker_number number) { return need.fitsIn(at(number).free) && !mayTakeRun(item, at(number)); });
+}
+
 void placement_round::commitPlacement(const candidate& item, const member_placement& placement)
 {
     start_tasks command;
@@ -568,12 +640,16 @@
     for (std::uint32_t m = 0; m < placement.size(); ++m) {
         auto& worker = at(placement[m]);
         worker.free -= need;
+        worker.runs.add(item.job->workspace, 1);
+        worker.unconfirmedRuns.add(item.job->workspace, 1);
         if (separatesInterfering())
             recordKind(placement[m], kindOf(item.job->queue, item.key.step, *item.step));
         command.starts.push_back(
             { { item.key.job, item.key.occurrence, item.key.step, taskIndexOf(*item.step, item.key.unit, m) },
                 run_number(item.state->lastRun.value() + 1), worker.view->boot, worker.view->address });
     }
+    m_runs.add(item.job->workspace, placement.size());
+    m_plannedStarts += placement.size();
     m_decisions.starts.push_back(std::move(command));
 }
 
@@ -636,10 +712,21 @@
     return findPlacement(wider);
 }
 
+bool placement_round::waitForLimit(const candidate& item)
+{
+    ++m_decisions.limitedUnits;
+    m_limitedStep = item.step;
+    m_limitedOccurrence = item.key.occurrence;
+    return false;
+}
+
 bool placement_round::placeUnit(const candidate& item)
 {
     if (wouldSoonBeStopped(item))
         return false;
+    // Equal units of a step meet the same limit.
+    if (m_limitedStep == item.step && m_limitedOccurrence == item.key.occurrence)
+        return waitForLimit(item);
     if (m_decisions.claims.contains(item.key)) {
         if (const auto claimed = placeOnClaimedWorkers(item)) {
             commitPlacement(item, *claimed);
@@ -663,6 +750,9 @@
         adjustFreeCapacity(claim->second, reservedDemand(*item.step), false);
         m_decisions.claims.erase(claim);
     }
+    // No run has to end for such a unit, and no worker is kept for it.
+    if (!placement && !isHopeless && isLimited(item))
+        return waitForLimit(item);
     // A late unit gains little by an earlier start, and the work that it would stop is lost.
     const bool mayPreempt
         = item.isGuaranteed || (item.job->priority == 0 && item.deadlineStatus == deadline_status::on_time);
@@ -690,6 +780,9 @@
 void placement_round::placeWaitingUnits()
 {
     for (auto& item : collectCandidates()) {
+        // The next plan follows as soon as these are recorded.
+        if (m_plannedStarts >= m_options.limits.startsPerPlan)
+            break;
         item.isOwedRoom = isOwedRoom(item);
         if (placeUnit(item))
             m_placed.insert(holdBackKey(item));
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -36,6 +36,18 @@
     const poplardeal::unit* unitState { nullptr };
 };
 
+/// Runs by workspace, against a limit that they share.
+class run_counts {
+public:
+    void add(const workspace_name&, std::size_t runs);
+    /// Whether one more run of the workspace leaves the others at least as many as the workspace has.
+    bool admits(const workspace_name&, std::size_t limit) const;
+
+private:
+    std::size_t m_total { 0 };
+    std::vector<std::pair<const workspace_name*, std::size_t>> m_byWorkspace; ///< The names belong to the job table.
+};
+
 /// A worker during one scheduling round.
 struct round_worker {
     const worker_view* view { nullptr };
@@ -46,6 +58,8 @@
     std::vector<placed_run> placedRuns; ///< In order of `endsAt`.
     std::vector<task_kind> kinds; ///< Of what runs or is planned there, each once; filled only to separate kinds.
     std::optional<instant> reservedFrom; ///< Reserved for a blocked unit from this time on.
+    run_counts runs; ///< That may exist there, and planned starts.
+    run_counts unconfirmedRuns; ///< Those that the worker has not listed.
 };
 
 /// A waiting unit that may start now.
@@ -161,7 +175,11 @@
     duration stopWait() const { return std::max(m_options.stopLatency, m_options.timing.stop); }
 
     std::vector<candidate> collectCandidates() const;
-    void appendCandidates(const submission&, std::vector<candidate>&) const;
+    /// The first waiting units of each step, at most `limit`; as many as could start are enough.
+    void appendCandidates(const submission&, std::size_t limit, std::vector<candidate>&) const;
+    /// Calls `action(occurrence, step)` for every step of the job that may start now and is not done.
+    template <class Action> void forEachReadyStep(const submission&, Action) const;
+    std::size_t candidatesPerStep() const;
     std::vector<std::size_t> rankCandidates(const std::vector<candidate>&) const;
     std::set<std::uint64_t> agedJobs() const;
     bool isReady(const submission&, std::uint32_t occurrence, std::uint32_t step) const;
@@ -203,6 +221,10 @@
     std::vector<start_slot> earliestStarts(const candidate&, worker_filter) const;
     void reserveWorkers(const std::vector<start_slot>&);
     void applyClaims();
+    bool isBoundedByGuarantee(const candidate&) const;
+    bool mayTakeRun(const candidate&, const round_worker&) const;
+    /// Whether there is room for the unit, and only `run_limits` keep it waiting.
+    bool isLimited(const candidate&) const;
     void adjustFreeCapacity(const capacity_claim&, const demand& need, bool isClaimed);
     std::optional<member_placement> placeOnClaimedWorkers(const candidate&);
     bool wouldSoonBeStopped(const candidate&) const;
@@ -219,6 +241,8 @@
     void keepRecentHoldBacks();
     /// Keeps the claim of a unit that can't start yet.
     void waitForClaim(const candidate&);
+    /// Keeps the unit waiting for one of `run_limits`; false.
+    bool waitForLimit(const candidate&);
     /// Whether the unit starts.
     bool placeUnit(const candidate&);
     std::optional<member_placement> findOwedPlacement(const candidate&) const;
@@ -243,6 +267,10 @@
     mutable std::unordered_map<const submission*, std::map<std::uint32_t, occurrence_times>> m_times;
     std::set<run_key> m_stopped; ///< Runs that this round stops.
     std::size_t m_reservations { 0 };
+    run_counts m_runs;
+    std::size_t m_plannedStarts { 0 }; ///< Tasks.
+    const step_spec* m_limitedStep { nullptr }; ///< A unit of it has just met one of `run_limits`.
+    std::uint32_t m_limitedOccurrence { 0 };
     const step_spec* m_blockedStep { nullptr }; ///< A unit of it has just found no place.
     std::uint32_t m_blockedOccurrence { 0 };
     std::set<service_name> m_claimingServices; ///< Of units that wait for their victims to end.
--- a/packages/jobs/src/progress_speeds.cpp
+++ b/packages/jobs/src/progress_speeds.cpp
@@ -38,7 +38,7 @@
             const auto took = progressTime(seen);
             const bool isFarEnough = gained >= minimumPercent && took >= minimumTime;
             const auto* job = isFarEnough ? table.find(task.job) : nullptr;
-            if (job == nullptr || job->spec.steps[task.step].longRunning)
+            if (job == nullptr || task.step >= job->spec.steps.size() || job->spec.steps[task.step].longRunning)
                 continue;
             auto& step = steps[{ job->sequence, task.occurrence, task.step }];
             step.job = job;
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -524,7 +524,8 @@
     for (const auto& [id, view] : m_views) {
         for (const auto& [task, seen] : view.running) {
             const auto* job = table.find(task.job);
-            if (job == nullptr || seen.percent - seen.startPercent < minimumSamplePercent)
+            if (job == nullptr || task.step >= job->spec.steps.size()
+                || seen.percent - seen.startPercent < minimumSamplePercent)
                 continue;
             const auto& step = job->spec.steps[task.step];
             const auto runTime = measuredRunTime(seen);
--- a/packages/jobs/tests/planner_test.cpp
+++ b/packages/jobs/tests/planner_test.cpp
@@ -628,3 +628,96 @@
     }
     BOOST_TEST(started == row.startsInTime);
 }
+
+namespace {
+
+struct run_limit_row {
+    std::string name;
+    std::function<void(run_limits&)> change;
+    std::size_t starts;
+};
+std::ostream& operator<<(std::ostream& out, const run_limit_row& row) { return out << row.name; }
+
+// Three workers. A workspace uses as much of a limit as it leaves to the others.
+const std::vector<run_limit_row> runLimitRows {
+    { "by default", [](run_limits&) {}, 3 * 128 },
+    { "in all", [](run_limits& limits) { limits.total = 100; }, 50 },
+    { "on a worker", [](run_limits& limits) { limits.perWorker = 20; }, 30 },
+    { "unconfirmed on a worker", [](run_limits& limits) { limits.unconfirmedPerWorker = 40; }, 60 },
+    { "in a plan", [](run_limits& limits) { limits.startsPerPlan = 70; }, 70 },
+    { "of candidates", [](run_limits& limits) { limits.candidates = 32; }, 32 },
+};
+
+struct limited_fixture : cluster_fixture {
+    planner_options options;
+
+    job_decisions decide() const
+    {
+        return planJobs(options, { table, workers, stopping, claims, now, at(ms), heldBack });
+    }
+
+    /// One job whose tasks all fit into the workers at once.
+    void submitWideJob(std::uint32_t steps = 16, std::uint32_t count = 4096)
+    {
+        submit("00000000000000aa", "normal", std::vector<step_spec>(steps, step(count, { millicores(1), {}, {} })));
+    }
+};
+
+} // namespace
+
+// Guards against starting all tasks that there is room for at once: their starts, runs and reports take the memory of
+// controls and sidecars (review, case 11).
+BOOST_DATA_TEST_CASE_F(limited_fixture, starts_stay_within_the_limits_on_runs, runLimitRows, row)
+{
+    row.change(options.limits);
+    submitWideJob();
+    const auto decisions = decide();
+    BOOST_TEST(startCount(decisions) == row.starts);
+    BOOST_TEST(decisions.stops.empty());
+}
+
+// Guards against a workspace that waits until the runs of another one have ended, which took all that the limits allow,
+// and against a guarantee that has to wait for them.
+BOOST_FIXTURE_TEST_CASE(limits_on_runs_are_shared, limited_fixture)
+{
+    options.limits.total = 100;
+    options.limits.perWorker = 40;
+    submitWideJob();
+    for (const auto& command : decide().starts)
+        apply(command);
+    BOOST_TEST(startCount(decide()) == 0U);
+    BOOST_TEST(decide().limitedUnits > 0U);
+    submit("00000000000000bb", "bulk", { step(5, { millicores(1), {}, {} }) }, "club");
+    BOOST_TEST(startCount(decide()) == 5U);
+    options.limits = { 0, 0, 0, 512, 16384 };
+    submit("00000000000000cc", "urgent", { step(4, need(1)) }, "club");
+    BOOST_TEST(startCount(decide()) == 4U);
+}
+
+// Guards against work that is stopped for an urgent task which there is room for.
+BOOST_FIXTURE_TEST_CASE(a_unit_that_waits_for_a_limit_stops_nothing, limited_fixture)
+{
+    submit("00000000000000aa", "bulk", { step(3, need(0, 100000)) });
+    for (const auto& command : decide().starts)
+        apply(command);
+    options.limits.total = 6;
+    submit("00000000000000bb", "urgent", { step(1, { millicores(1), {}, {} }) });
+    const auto decisions = decide();
+    BOOST_TEST(startCount(decisions) == 0U);
+    BOOST_TEST(decisions.stops.empty());
+    BOOST_TEST(decisions.claims.empty());
+}
+
+// Guards against a job that is accepted and never ends, as its tasks exceed a limit.
+BOOST_FIXTURE_TEST_CASE(a_wide_job_runs_to_its_end_in_waves, limited_fixture)
+{
+    options.limits.unconfirmedPerWorker = 64;
+    submitWideJob(2, 500);
+    for (int wave = 0; wave < 20 && phaseOf("00000000000000aa") != submission_phase::completed; ++wave) {
+        for (const auto& command : decide().starts) {
+            apply(command);
+            end(command.starts[0].worker, command.starts[0].task, 1, end_kind::done);
+        }
+    }
+    BOOST_TEST((phaseOf("00000000000000aa") == submission_phase::completed));
+}
--- a/packages/wire/include/poplardeal/wire/messages_generated.h
+++ b/packages/wire/include/poplardeal/wire/messages_generated.h
@@ -402,11 +402,12 @@
   malformed = 6,
   not_ready = 7,
   uncertain = 8,
+  over_limit = 9,
   MIN = accepted,
-  MAX = uncertain
+  MAX = over_limit
 };
 
-inline const queue_outcome (&EnumValuesqueue_outcome())[9] {
+inline const queue_outcome (&EnumValuesqueue_outcome())[10] {
   static const queue_outcome values[] = {
     queue_outcome::accepted,
     queue_outcome::shown,
@@ -416,13 +417,14 @@
     queue_outcome::bad_key,
     queue_outcome::malformed,
     queue_outcome::not_ready,
-    queue_outcome::uncertain
+    queue_outcome::uncertain,
+    queue_outcome::over_limit
   };
   return values;
 }
 
 inline const char * const *EnumNamesqueue_outcome() {
-  static const char * const names[10] = {
+  static const char * const names[11] = {
     "accepted",
     "shown",
     "counted",
@@ -432,13 +434,14 @@
     "malformed",
     "not_ready",
     "uncertain",
+    "over_limit",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamequeue_outcome(queue_outcome e) {
-  if (flatbuffers::IsOutRange(e, queue_outcome::accepted, queue_outcome::uncertain)) return "";
+  if (flatbuffers::IsOutRange(e, queue_outcome::accepted, queue_outcome::over_limit)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesqueue_outcome()[index];
 }
