Count a job as pending until a worker has begun one of its tasks

Cause: hasStarted was set when the order to start was recorded, and nothing took it back; `pending` and the metric of waiting jobs read it as "begun".

Change: the leader notes the jobs of the runs that workers list, and records them every 500 ms and before it releases runs (new command record_begins); a recorded end shows a beginning, too. A job whose runs are over before any has begun is queued again, and one whose workers are not heard is shown as queued. What is not known to have begun counts as waiting, which the platform allows for 2 s.

Tests: a_job_is_pending_until_a_task_has_begun fails in 2 of 6 rows with the old meaning. snapshots_are_complete counted an ordered job as begun; it now records the beginning and asks for the same count.

--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -14,6 +14,7 @@
     constexpr duration planInterval = std::chrono::milliseconds(200); // Deadlines and waits change without an event.
     constexpr duration metricsInterval = std::chrono::milliseconds(1000);
     constexpr duration planDelay = std::chrono::milliseconds(2); // Events close to each other share a plan.
+    constexpr duration beginsInterval = std::chrono::milliseconds(500); // Shares an entry of the log.
     /// Of the memory, one part in so many is for jobs: what follows from them, such as their log and a snapshot while
     /// it is made, takes about as much again.
     constexpr std::size_t memoryShareOfJobs = 4;
@@ -152,9 +153,11 @@
     releaseRuns(m_workers.expiredRuns(m_stateMachine.table(), now), "lease_expired");
     if (m_planWanted || now - m_plannedAt >= planInterval)
         plan();
+    if (now - m_beginsRecordedAt >= beginsInterval)
+        recordBegins();
     if (now - m_metricsAt >= metricsInterval) {
         m_metricsAt = now;
-        m_workspaceMetrics.update(m_stateMachine.table(), m_loop.wallClock());
+        m_workspaceMetrics.update(m_stateMachine.table(), m_workers.begunJobs(), m_loop.wallClock());
         m_jobBytes.set(static_cast<double>(m_stateMachine.table().footprint()));
         m_interferenceReport.update(m_stateMachine.table().interference());
     }
@@ -313,6 +316,7 @@
     }
     if (command.runs.empty())
         return;
+    recordBegins(); // Once its runs are over, nothing else shows that a job has begun.
     propose(command, [this, command, epoch = m_epoch](const result<apply_outcome>&) {
         if (epoch != m_epoch)
             return;
@@ -324,6 +328,16 @@
     });
 }
 
+void job_leader::recordBegins()
+{
+    m_beginsRecordedAt = m_loop.now();
+    m_workers.eraseRecordedBegins(m_stateMachine.table());
+    const auto& begun = m_workers.begunJobs();
+    // After a failed proposal, the next one contains these jobs again.
+    if (!begun.empty())
+        propose(record_begins { { begun.begin(), begun.end() } }, [](const result<apply_outcome>&) {});
+}
+
 void job_leader::recordEnds(const record_ends& command)
 {
     std::uint64_t upTo = 0;
@@ -411,7 +425,7 @@
     const auto id = call.path.substr(queue->pathPrefix.size());
     if (id.empty() && call.verb == message::queue_verb::status) {
         auto out = makeAnswer(queue_outcome::counted);
-        out.pending = table.pendingCount(queue->name);
+        out.pending = table.pendingCount(queue->name, m_workers.begunJobs());
         return respond(out);
     }
     if (!isSubmissionId(id)) {
@@ -444,10 +458,30 @@
     if (job == nullptr)
         return makeAnswer(queue_outcome::unknown_job, "no such job");
     auto out = makeAnswer(queue_outcome::shown);
-    out.phase = static_cast<std::uint8_t>(job->phase);
+    out.phase = static_cast<std::uint8_t>(shownPhase(*job));
     return out;
 }
 
+/// A job whose first tasks were given to workers that are not heard any more has not begun as far as is known.
+submission_phase job_leader::shownPhase(const submission& job) const
+{
+    const bool isKnown = job.hasStarted || m_workers.begunJobs().contains(job.id);
+    // The registry is still that of an earlier leadership until the next tick.
+    if (job.phase != submission_phase::running || isKnown || !m_wasLeading)
+        return job.phase;
+    const auto mayBeAtWork = [this, now = m_loop.now()](const unit& each) {
+        return std::any_of(each.members.begin(), each.members.end(),
+            [&](const unit_member& member) { return m_workers.mayBeAtWork(member.worker, now); });
+    };
+    for (const auto& occurrence : job.occurrences) {
+        for (const auto& step : occurrence.steps) {
+            if (std::any_of(step.units.begin(), step.units.end(), mayBeAtWork))
+                return submission_phase::running;
+        }
+    }
+    return submission_phase::queued;
+}
+
 bool job_leader::admits(const workspace_name& workspace, std::size_t bytes) const
 {
     const auto& table = m_stateMachine.table();
--- a/packages/fleet/src/job_leader.h
+++ b/packages/fleet/src/job_leader.h
@@ -78,6 +78,9 @@
     void scheduleInstructions(const worker_boot&);
     void sendInstructions();
     void answerReport(const worker_boot&);
+    /// Proposes the beginning of jobs that workers have been seen to run.
+    void recordBegins();
+    submission_phase shownPhase(const submission&) const;
     /// Whether the workspace's jobs, and what all others may need, leave room for a job of this footprint.
     bool admits(const workspace_name&, std::size_t bytes) const;
     void submit(const accept_submission&, const call_responder&);
@@ -123,6 +126,7 @@
     gauge& m_jobBytes;
     counter& m_overLimit;
     gauge& m_limitedUnits;
+    instant m_beginsRecordedAt;
     instant m_metricsAt; ///< Last update of `m_workspaceMetrics`.
 };
 
--- a/packages/fleet/src/workspace_metrics.cpp
+++ b/packages/fleet/src/workspace_metrics.cpp
@@ -10,22 +10,22 @@
 }
 
 std::map<workspace_name, workspace_metrics::workspace_figures> workspace_metrics::readFigures(
-    const job_table& table, instant now)
+    const job_table& table, const std::set<submission_id>& begun, instant now)
 {
     std::map<workspace_name, workspace_figures> out;
     for (const auto& [name, use] : relativeUse(table.usage(), table.plan().workspaces, now))
         out[name] = { 0, table.usage().coreSeconds(name, now), use };
     for (const auto& id : table.openJobs()) {
         const auto& job = *table.find(id);
-        if (!job.hasStarted && !job.isTerminal())
+        if (!job.hasStarted && !job.isTerminal() && !begun.contains(id))
             ++out[job.workspace].waiting;
     }
     return out;
 }
 
-void workspace_metrics::update(const job_table& table, instant now)
+void workspace_metrics::update(const job_table& table, const std::set<submission_id>& begun, instant now)
 {
-    const auto figures = readFigures(table, now);
+    const auto figures = readFigures(table, begun, now);
     std::vector<std::pair<workspace_name, workspace_figures>> ordered(figures.begin(), figures.end());
     std::stable_sort(ordered.begin(), ordered.end(),
         [](const auto& a, const auto& b) { return a.second.coreSeconds > b.second.coreSeconds; });
@@ -72,7 +72,9 @@
         return found->second;
     const metric_labels labels { { "workspace", name } };
     auto& waiting = m_metrics.getGauge("poplardeal_workspace_waiting_jobs",
-        "Accepted jobs of the workspace of which no task has started; \"(other)\" sums the smaller workspaces", labels);
+        "Accepted jobs of the workspace of which no task is known to have begun; \"(other)\" sums the smaller "
+        "workspaces",
+        labels);
     auto& usage = m_metrics.getGauge("poplardeal_workspace_usage_core_seconds",
         "Recent core-seconds of the workspace, an accelerator as 8 cores, with a half-life of 20 s", labels);
     auto& use = m_metrics.getGauge("poplardeal_workspace_relative_use",
--- a/packages/fleet/src/workspace_metrics.h
+++ b/packages/fleet/src/workspace_metrics.h
@@ -12,8 +12,8 @@
 public:
     explicit workspace_metrics(metrics_registry&);
 
-    /// `now`: wall clock, as in the job table.
-    void update(const job_table&, instant now);
+    /// `begun`: jobs that the table does not know to have begun yet. `now`: wall clock, as in the job table.
+    void update(const job_table&, const std::set<submission_id>& begun, instant now);
     /// This control does not lead: all series become `unknown`.
     void clear();
 
@@ -23,7 +23,7 @@
 
 private:
     struct workspace_figures {
-        std::size_t waiting { 0 }; ///< Jobs of which no task has started.
+        std::size_t waiting { 0 }; ///< Jobs of which no task is known to have begun.
         double coreSeconds { 0 };
         double relativeUse { 0 };
     };
@@ -33,7 +33,8 @@
         gauge& relativeUse;
     };
 
-    static std::map<workspace_name, workspace_figures> readFigures(const job_table&, instant now);
+    static std::map<workspace_name, workspace_figures> readFigures(
+        const job_table&, const std::set<submission_id>& begun, instant now);
     workspace_gauges& gaugesOf(const std::string& name);
 
     metrics_registry& m_metrics;
--- a/packages/fleet/tests/workspace_metrics_test.cpp
+++ b/packages/fleet/tests/workspace_metrics_test.cpp
@@ -28,7 +28,7 @@
     table.apply({ instant(), accept_plan { plan } });
     metrics_registry registry;
     workspace_metrics metrics(registry);
-    metrics.update(table, instant());
+    metrics.update(table, {}, instant());
     const auto limit = static_cast<int>(workspace_metrics::maxWorkspaces);
     const auto series = static_cast<std::size_t>(std::min(workspaces, limit) + (workspaces > limit ? 1 : 0));
     BOOST_TEST(count(registry.exposition(), "poplardeal_workspace_waiting_jobs{") == series);
--- a/packages/jobs/include/poplardeal/jobs/command.h
+++ b/packages/jobs/include/poplardeal/jobs/command.h
@@ -64,9 +64,14 @@
     std::vector<released_run> runs;
 };
 
+/// Records jobs of which a worker has been seen to run a task.
+struct record_begins {
+    std::vector<submission_id> jobs;
+};
+
 /// The index of the alternative is stored, so the order must not change.
 using job_command_body = std::variant<accept_plan, set_data_centre, accept_submission, cancel_submission, start_tasks,
-    record_ends, release_runs>;
+    record_ends, release_runs, record_begins>;
 
 /// One entry of the replicated log.
 struct job_command {
--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -75,8 +75,8 @@
     submission_spec spec;
     instant acceptedAt; ///< By the wall clock of the leader.
     std::uint64_t sequence { 0 }; ///< Increases in order of acceptance.
-    bool hasStarted { false };
-    submission_phase phase { submission_phase::queued };
+    bool hasStarted { false }; ///< A worker is known to have begun a task.
+    submission_phase phase { submission_phase::queued }; ///< `running` also while its first starts are only ordered.
     instant endedAt; ///< Valid only in a terminal phase.
     std::uint32_t activeUnits { 0 }; ///< Derived from `occurrences`.
     std::vector<job_occurrence> occurrences; ///< Empty once the job is terminal and has no active units.
@@ -136,8 +136,9 @@
     const submission* find(const submission_id&) const;
     /// Jobs that are not terminal or have runs that may still exist, in order of their ids.
     const std::set<submission_id>& openJobs() const { return m_open; }
-    /// Number of the queue's jobs that are not terminal and of which no task has started.
-    std::size_t pendingCount(const queue_name&) const;
+    /// Number of the queue's jobs that are not terminal and of which no task is known to have begun: neither here nor
+    /// by reports of workers that are not recorded yet.
+    std::size_t pendingCount(const queue_name&, const std::set<submission_id>& begun = {}) const;
     /// Estimate of the memory that all jobs take, in bytes, apart from their runs.
     std::size_t footprint() const { return m_footprint; }
     /// The same of one workspace's jobs.
@@ -184,6 +185,7 @@
     apply_outcome applyBody(const start_tasks&, instant at);
     apply_outcome applyBody(const record_ends&, instant at);
     apply_outcome applyBody(const release_runs&, instant at);
+    apply_outcome applyBody(const record_begins&, instant at);
 
     unit* findMutableUnit(const task_key&);
     bool mayStart(const task_start&) const;
--- a/packages/jobs/include/poplardeal/jobs/worker_registry.h
+++ b/packages/jobs/include/poplardeal/jobs/worker_registry.h
@@ -103,6 +103,13 @@
     /// Runs whose leases are certain to have expired.
     std::vector<released_run> expiredRuns(const job_table&, instant now);
 
+    /// Jobs of which a worker has listed a task, as far as the table does not know it.
+    const std::set<submission_id>& begunJobs() const { return m_begun; }
+    /// Forgets the jobs whose beginning the table knows by now, or that have ended.
+    void eraseRecordedBegins(const job_table&);
+    /// Whether the runs of this boot may be under way: it is reachable, or has had no time to report to this leader.
+    bool mayBeAtWork(const worker_boot&, instant now) const;
+
     /// Refreshes `isReachable`, `isSilent`, `avoidUntil`, `slowness` and `speed`; call before planning.
     const std::map<worker_id, worker_view>& workerViews(const job_table&, instant now);
     const std::set<run_key>& stoppingRuns() const { return m_stopping; }
@@ -176,6 +183,8 @@
     /// Runs that were given up with their lease and were never listed: the start may be carried out once the worker has
     /// a lease again. It gets none before it refuses them. With the time after which no start is carried out any more.
     std::map<worker_boot, std::map<run_key, instant>> m_lateStarts;
+    std::set<submission_id>
+        m_begun; ///< Jobs of which a worker has listed a task and whose beginning may not be recorded.
     failure_attribution m_failures;
     progress_speeds m_progressSpeeds;
     instant m_slownessUpdatedAt; ///< When the speeds of workers were last brought up to date.
--- a/packages/jobs/src/command.cpp
+++ b/packages/jobs/src/command.cpp
@@ -13,6 +13,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(record_ends, worker, ends)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(released_run, task, run, saved)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(release_runs, runs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(record_begins, jobs)
 
 /// Commands from this size on are compressed. Only plans are that large; they repeat their field names and texts.
 static constexpr std::size_t compressionThreshold = std::size_t { 16 } * 1024;
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -214,7 +214,6 @@
             m_interference.didBegin(start.worker, kindOf(job.queue, start.task.step, spec), at);
         }
         setAddress(start.worker, start.address);
-        job.hasStarted = true;
         job.phase = submission_phase::running;
     }
     return apply_outcome::applied;
@@ -222,8 +221,11 @@
 
 apply_outcome job_table::applyBody(const record_ends& command, instant at)
 {
-    for (const auto& end : command.ends)
+    for (const auto& end : command.ends) {
+        if (const auto job = m_jobs.find(end.task.job); job != m_jobs.end())
+            job->second.hasStarted = true; // Workers list only ends of runs that had begun.
         endMember(end.task, end.run, end.kind, end.saved, at);
+    }
     return apply_outcome::applied;
 }
 
@@ -234,6 +236,15 @@
     return apply_outcome::applied;
 }
 
+apply_outcome job_table::applyBody(const record_begins& command, instant)
+{
+    for (const auto& id : command.jobs) {
+        if (const auto found = m_jobs.find(id); found != m_jobs.end())
+            found->second.hasStarted = true;
+    }
+    return apply_outcome::applied;
+}
+
 void job_table::endMember(const task_key& task, run_number run, end_kind kind, const checkpoint& saved, instant at)
 {
     auto* ended = findMutableUnit(task);
@@ -323,6 +334,8 @@
             ++ended.failures;
         if (ended.failures >= job.attempts && !job.isTerminal())
             endJob(job, submission_phase::failed, at);
+        if (!job.hasStarted && job.phase == submission_phase::running && !job.hasActiveUnits())
+            job.phase = submission_phase::queued;
     }
     closeIfEnded(job);
 }
@@ -466,11 +479,11 @@
     });
 }
 
-std::size_t job_table::pendingCount(const queue_name& queue) const
+std::size_t job_table::pendingCount(const queue_name& queue, const std::set<submission_id>& begun) const
 {
     return static_cast<std::size_t>(std::count_if(m_open.begin(), m_open.end(), [&](const submission_id& id) {
         const auto& job = m_jobs.at(id);
-        return job.queue == queue && !job.hasStarted && !job.isTerminal();
+        return job.queue == queue && !job.hasStarted && !job.isTerminal() && !begun.contains(id);
     }));
 }
 
--- a/packages/jobs/src/worker_registry.cpp
+++ b/packages/jobs/src/worker_registry.cpp
@@ -37,6 +37,7 @@
     m_stopping.clear();
     m_givenUp.clear();
     m_lateStarts.clear();
+    m_begun.clear();
 }
 
 std::int64_t worker_registry::estimatedClockMs(const session& workerSession, instant now) const
@@ -353,9 +354,30 @@
             m_stopping.insert(run);
     }
     updateRunning(status, view, now);
+    for (const auto& each : status.running) {
+        const auto* job = table.find(each.task.job);
+        if (job != nullptr && !job->hasStarted && !job->isTerminal())
+            m_begun.insert(job->id);
+    }
     return out;
 }
 
+void worker_registry::eraseRecordedBegins(const job_table& table)
+{
+    std::erase_if(m_begun, [&table](const submission_id& id) {
+        const auto* job = table.find(id);
+        return job == nullptr || job->hasStarted || job->isTerminal();
+    });
+}
+
+bool worker_registry::mayBeAtWork(const worker_boot& boot, instant now) const
+{
+    const auto known = m_sessions.find(boot.worker);
+    const bool hasReported
+        = known != m_sessions.end() && m_views.at(boot.worker).boot == boot && known->second.hasLists;
+    return now - (hasReported ? known->second.lastTimelyReportAt : m_leadershipStartedAt) < m_options.reachableTimeout;
+}
+
 void worker_registry::didFinishRecordingEnds(const worker_boot& boot, std::uint64_t upTo, bool recorded)
 {
     const auto found = m_sessions.find(boot.worker);
--- a/packages/jobs/tests/job_table_test.cpp
+++ b/packages/jobs/tests/job_table_test.cpp
@@ -2,6 +2,7 @@
 #include "job_fixture.h"
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <poplardeal/base/compression.h>
 
 using namespace poplardeal;
@@ -148,6 +149,7 @@
     f.submit("b", "bulk", { step(1, need(1)) });
     f.apply(set_data_centre { data_centre_name("east"), false });
     f.start(task("a", 0, 1), 1, boot("w"));
+    f.apply(record_begins { { submission_id("a") } });
     job_table copy;
     BOOST_REQUIRE(copy.restore(f.table.save()).has_value());
     BOOST_TEST(copy.save() == f.table.save());
@@ -281,3 +283,50 @@
     const auto& job = *table.find(submission_id("a"));
     BOOST_TEST((table.expectedRunTime(job, step(2, need(1), 500)) > std::chrono::milliseconds(700)));
 }
+
+namespace {
+
+struct begin_row {
+    std::string name;
+    std::function<void(table_fixture&)> change; ///< After the start of the first of two tasks has been ordered.
+    std::size_t pending;
+    submission_phase phase;
+};
+std::ostream& operator<<(std::ostream& out, const begin_row& row) { return out << row.name; }
+
+void release(table_fixture& f) { f.apply(release_runs { { { task("a"), run_number(1), {} } } }); }
+void recordBegin(table_fixture& f) { f.apply(record_begins { { submission_id("a"), submission_id("none") } }); }
+
+const std::vector<begin_row> beginRows {
+    { "ordered", [](table_fixture&) {}, 1, submission_phase::running },
+    { "refused, or lost before it began", release, 1, submission_phase::queued },
+    { "begun", recordBegin, 0, submission_phase::running },
+    { "lost after it had begun",
+        [](table_fixture& f) {
+            recordBegin(f);
+            release(f);
+        },
+        0, submission_phase::running },
+    { "ended before it was seen to run",
+        [](table_fixture& f) { f.end(boot("w"), task("a"), 1, end_kind::stopped, "s"); }, 0,
+        submission_phase::running },
+    { "cancelled", [](table_fixture& f) { f.apply(cancel_submission { submission_id("a") }); }, 0,
+        submission_phase::cancelled },
+};
+
+} // namespace
+
+// Guards against jobs that are left out of `pending`, or shown as running for good, though no worker has begun them
+// (review, case 14).
+BOOST_DATA_TEST_CASE_F(table_fixture, a_job_is_pending_until_a_task_has_begun, beginRows, row)
+{
+    submit("a", "bulk", { step(2, need(1)) });
+    start(task("a"), 1, boot("w"));
+    row.change(*this);
+    BOOST_TEST(table.pendingCount(queue_name("bulk")) == row.pending);
+    BOOST_TEST((phaseOf("a") == row.phase));
+    job_table copy;
+    BOOST_REQUIRE(copy.restore(table.save()).has_value());
+    BOOST_TEST(copy.pendingCount(queue_name("bulk")) == row.pending);
+    BOOST_TEST(copy.pendingCount(queue_name("bulk"), { submission_id("a") }) == 0U);
+}
--- a/packages/jobs/tests/worker_registry_test.cpp
+++ b/packages/jobs/tests/worker_registry_test.cpp
@@ -491,3 +491,29 @@
         at(101000) };
     BOOST_TEST((seen == expected));
 }
+
+// Guards against a beginning that is recorded nowhere, or again and again.
+BOOST_FIXTURE_TEST_CASE(a_listed_run_shows_that_its_job_has_begun, registry_fixture)
+{
+    const auto w = boot("w");
+    registry.report(status(w, 1000), table, now);
+    orderStart(w);
+    registry.report(status(w, 1100), table, now);
+    BOOST_TEST(registry.begunJobs().empty());
+    auto listing = status(w, 1200);
+    listing.running = { { task("a"), run_number(1), {}, 0 }, { task("none"), run_number(1), {}, 0 } };
+    registry.report(listing, table, now);
+    BOOST_TEST((registry.begunJobs() == std::set { submission_id("a") }));
+    registry.startLeadership(now);
+    BOOST_TEST(registry.begunJobs().empty());
+    BOOST_TEST(registry.mayBeAtWork(w, now)); // It has had no time to report.
+    listing.clockMs = 1300;
+    registry.report(listing, table, now);
+    BOOST_TEST(registry.begunJobs().size() == 1U);
+    apply(record_begins { { submission_id("a") } });
+    registry.eraseRecordedBegins(table);
+    BOOST_TEST(registry.begunJobs().empty());
+    BOOST_TEST(registry.mayBeAtWork(w, now + std::chrono::seconds(1)));
+    BOOST_TEST(!registry.mayBeAtWork(w, now + std::chrono::seconds(4)));
+    BOOST_TEST(!registry.mayBeAtWork(boot("other"), now + std::chrono::seconds(4)));
+}
