Let equal occurrences of a job share their memory

Change: occurrences that wait share one object, and so do neighbours that are done; one that differs counts in the footprint of its job. None begins beyond the memory for jobs. Plans skip occurrences that are not due, and the units of jobs without runs.

Tests: equal_occurrences_share_their_memory (before: 1.7 MB instead of 0.14 MB by estimate, and no such type); occurrences_begin_within_the_memory_for_jobs.

--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -119,6 +119,7 @@
     m_plannerOptions.weighsPreemptions = settings.weighsPreemptions;
     m_plannerOptions.separatesInterfering = settings.separatesInterfering;
     m_plannerOptions.order.order = settings.workOrder;
+    m_plannerOptions.limits.jobBytes = m_maxFootprint;
     m_plannerOptions.limits.total = settings.memoryMegabytes * runsPerMegabyte;
     metrics.getGauge("poplardeal_job_bytes_limit", "Upper bound of `poplardeal_job_bytes`")
         .set(static_cast<double>(m_maxFootprint));
--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -5,6 +5,7 @@
 #include <poplardeal/jobs/command.h>
 #include <poplardeal/jobs/interference_table.h>
 #include <poplardeal/jobs/model.h>
+#include <poplardeal/jobs/occurrence_list.h>
 #include <poplardeal/jobs/plan_index.h>
 #include <poplardeal/jobs/run_time_model.h>
 #include <poplardeal/jobs/speed_model.h>
@@ -79,7 +80,8 @@
     submission_phase phase { submission_phase::queued }; ///< `running` also while its first starts are only ordered.
     instant endedAt; ///< Valid only in a terminal phase.
     std::uint32_t activeUnits { 0 }; ///< Derived from `occurrences`.
-    std::vector<job_occurrence> occurrences; ///< Empty once the job is terminal and has no active units.
+    std::size_t footprint { 0 }; ///< Of `spec` and `occurrences`; derived.
+    occurrence_list<job_occurrence> occurrences; ///< Empty once the job is terminal and has no active units.
 
     bool isTerminal() const
     {
@@ -187,7 +189,10 @@
     apply_outcome applyBody(const release_runs&, instant at);
     apply_outcome applyBody(const record_begins&, instant at);
 
+    /// Null if there is no such task. The occurrence no longer shares its memory with others.
     unit* findMutableUnit(const task_key&);
+    /// Lets the occurrence share its memory if it is done.
+    void shareIfDone(submission&, std::uint32_t occurrence);
     bool mayStart(const task_start&) const;
     void endMember(const task_key&, run_number, end_kind, const checkpoint&, instant at);
     /// Passes the run time of a unit that is done to the run time statistics, unless it resumed from a checkpoint.
@@ -198,8 +203,8 @@
     void endJob(submission&, submission_phase, instant at);
     /// Closes a job once it is terminal and has no active units: only its state is kept.
     void closeIfEnded(submission&);
-    void addFootprint(const workspace_name&, std::size_t);
-    void subtractFootprint(const workspace_name&, std::size_t);
+    void addFootprint(submission&, std::size_t);
+    void subtractFootprint(submission&, std::size_t);
     void restoreJob(submission);
     void pruneEndedJobs(instant at);
     void setAddress(const worker_boot&, const std::string& address);
@@ -236,8 +241,10 @@
 /// Number of tasks in each unit of a step.
 std::uint32_t memberCount(const step_spec&);
 
-/// Estimate of the memory that a job takes until it ends, in bytes, apart from its runs.
+/// Estimate of the memory that a job takes when it is accepted, in bytes.
 std::size_t footprintOf(const submission_spec&);
+/// Estimate of the memory that an occurrence takes in addition while it differs from others, in bytes.
+std::size_t occurrenceFootprint(const submission_spec&);
 
 /// Due time of an occurrence by the wall clock; the epoch for jobs without occurrences.
 instant dueTime(const submission_spec&, std::uint32_t occurrence);
--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <poplardeal/base/time.h>
@@ -106,6 +107,8 @@
     /// Ordered runs that the worker has not listed yet. Orders that wait for longer than their start window are void.
     std::size_t unconfirmedPerWorker { 256 };
     std::size_t startsPerPlan { 512 }; ///< Tasks; the last unit may exceed it.
+    /// `job_table::footprint` from which no further occurrence of a job begins; shared like the others.
+    std::size_t jobBytes { std::numeric_limits<std::size_t>::max() };
     std::size_t candidates { 16384 }; ///< Waiting units that one plan looks at, but at least one of each step.
 };
 
--- a/packages/jobs/src/archive.h
+++ b/packages/jobs/src/archive.h
@@ -4,6 +4,7 @@
 #include <bit>
 #include <concepts>
 #include <cstdint>
+#include <memory>
 #include <poplardeal/base/ids.h>
 #include <poplardeal/base/strong.h>
 #include <poplardeal/base/time.h>
@@ -22,6 +23,13 @@
 template <class T, class Type>
 concept maybe_const = std::same_as<std::remove_const_t<T>, Type>;
 
+/// There is an overload of `archiveFields` for `T`.
+template <class T, class Archive>
+concept archived_structure = requires(Archive& archive, T& item)
+{
+    archiveFields(archive, item);
+};
+
 /// Integers and enumerations.
 template <class T>
 concept archived_number = std::integral<T> || std::is_enum_v<T>;
@@ -66,23 +74,23 @@
     template <class Tag> void write(const quantity<Tag>& value) { write(value.count()); }
     void write(instant value) { write(toMicros(value)); }
     void write(duration value) { write(value.count()); }
+    template <class T> static bool isEqual(const T& a, const T& b) { return a == b; }
+    template <class T> static bool isEqual(const std::shared_ptr<const T>& a, const std::shared_ptr<const T>& b)
+    {
+        return a == b || *a == *b;
+    }
     template <class T> void write(const std::vector<T>& items)
     {
         writeNumber(items.size());
         for (auto next = items.begin(); next != items.end();) {
-            const auto end = std::find_if(next, items.end(), [&next](const T& each) { return !(each == *next); });
+            const auto end = std::find_if(next, items.end(), [&next](const T& each) { return !isEqual(each, *next); });
             writeNumber(static_cast<std::uint64_t>(end - next));
             write(*next);
             next = end;
         }
     }
-    template <class T> void write(const T& item) requires requires(archive_writer& archive)
-    {
-        archiveFields(archive, item);
-    }
-    {
-        archiveFields(*this, item);
-    }
+    template <class T> void write(const std::shared_ptr<const T>& item) { write(*item); }
+    template <archived_structure<archive_writer> T> void write(const T& item) { archiveFields(*this, item); }
 
     std::string& m_out;
 };
@@ -180,10 +188,13 @@
             out.insert(out.end(), run, item);
         }
     }
-    template <class T> void read(T& item) requires requires(archive_reader& archive) { archiveFields(archive, item); }
+    template <class T> void read(std::shared_ptr<const T>& out)
     {
-        archiveFields(*this, item);
+        auto item = std::make_shared<T>();
+        read(*item);
+        out = std::move(item);
     }
+    template <archived_structure<archive_reader> T> void read(T& item) { archiveFields(*this, item); }
 
     std::string_view m_in;
 };
--- a/packages/jobs/src/job_archive.h
+++ b/packages/jobs/src/job_archive.h
@@ -49,6 +49,18 @@
     archive(item.steps);
 }
 
+inline void archiveFields(detail::archive_writer& archive, const occurrence_list<job_occurrence>& list)
+{
+    archive(list.items());
+}
+
+inline void archiveFields(detail::archive_reader& archive, occurrence_list<job_occurrence>& list)
+{
+    std::vector<occurrence_list<job_occurrence>::shared_occurrence> items;
+    archive(items);
+    list = occurrence_list<job_occurrence>(std::move(items));
+}
+
 template <class Archive, detail::maybe_const<submission> T> void archiveFields(Archive& archive, T& item)
 {
     archive(item.id, item.queue, item.service, item.workspace, item.priority, item.attempts, item.stretch,
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -35,6 +35,21 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(interference_records, kinds, presence, steps, pairs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(step_state, units, doneUnits)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(job_occurrence, steps)
+
+static void to_json(nlohmann::json& out, const occurrence_list<job_occurrence>& list)
+{
+    out = std::vector<job_occurrence>(list.begin(), list.end());
+}
+static void from_json(const nlohmann::json& in, occurrence_list<job_occurrence>& list)
+{
+    std::vector<occurrence_list<job_occurrence>::shared_occurrence> items;
+    for (const auto& item : in) {
+        auto read = std::make_shared<job_occurrence>(item.get<job_occurrence>());
+        items.push_back(!items.empty() && *items.back() == *read ? items.back() : std::move(read));
+    }
+    list = occurrence_list<job_occurrence>(std::move(items));
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(submission, id, queue, service, workspace, priority, attempts, stretch, allowance,
     needsAdvice, spec, acceptedAt, sequence, hasStarted, phase, endedAt, occurrences)
 
@@ -56,15 +71,20 @@
 std::size_t footprintOf(const submission_spec& spec)
 {
     std::size_t steps = 0;
-    std::size_t units = 0;
-    for (const auto& step : spec.steps) {
+    for (const auto& step : spec.steps)
         steps += sizeof(step_spec) + step.after.size() * sizeof(std::uint32_t) + step.requiredLabel.value().size()
             + step.affinity.value().size() + step.image.size() + allocationOverhead;
-        units += sizeof(step_state) + (step.gang ? 1 : step.count) * sizeof(unit) + allocationOverhead;
-    }
-    const std::size_t occurrences = std::max(spec.occurrences, 1U);
-    return sizeof(submission) + spec.payload.size() + steps
-        + occurrences * (sizeof(job_occurrence) + units + allocationOverhead);
+    using item = occurrence_list<job_occurrence>::shared_occurrence;
+    return sizeof(submission) + spec.payload.size() + steps + std::max(spec.occurrences, 1U) * sizeof(item)
+        + occurrenceFootprint(spec);
+}
+
+std::size_t occurrenceFootprint(const submission_spec& spec)
+{
+    std::size_t out = sizeof(job_occurrence) + 2 * allocationOverhead;
+    for (const auto& step : spec.steps)
+        out += sizeof(step_state) + (step.gang ? 1 : step.count) * sizeof(unit) + allocationOverhead;
+    return out;
 }
 
 bool job_occurrence::isDone() const
@@ -138,10 +158,9 @@
     job.spec = command.spec;
     job.acceptedAt = at;
     job.sequence = ++m_sequence;
-    for (std::uint32_t i = 0; i < std::max(command.spec.occurrences, 1U); ++i)
-        job.occurrences.push_back(makeOccurrence(command.spec, at));
+    job.occurrences = { std::max(command.spec.occurrences, 1U), makeOccurrence(command.spec, at) };
     m_open.insert(job.id);
-    addFootprint(job.workspace, footprintOf(job.spec));
+    addFootprint(job, footprintOf(job.spec));
     m_jobs.emplace(job.id, std::move(job));
     return apply_outcome::applied;
 }
@@ -174,8 +193,26 @@
                 .units[unitIndexOf(job->spec.steps[task.step], task.index)];
 }
 
-// The units belong to this non-const table, so removing the const of the look-up's result is valid.
-unit* job_table::findMutableUnit(const task_key& task) { return const_cast<unit*>(findUnit(task)); }
+unit* job_table::findMutableUnit(const task_key& task)
+{
+    if (findUnit(task) == nullptr)
+        return nullptr;
+    auto& job = m_jobs.at(task.job);
+    if (job.occurrences.isShared(task.occurrence))
+        addFootprint(job, occurrenceFootprint(job.spec));
+    return &job.occurrences.own(task.occurrence)
+                .steps[task.step]
+                .units[unitIndexOf(job.spec.steps[task.step], task.index)];
+}
+
+void job_table::shareIfDone(submission& job, std::uint32_t occurrence)
+{
+    // Of two neighbours, the one that is done last meets the other one.
+    for (const auto each : { occurrence, occurrence + 1 }) {
+        if (each < job.occurrences.size() && job.occurrences[each].isDone() && job.occurrences.shareWithPrevious(each))
+            subtractFootprint(job, occurrenceFootprint(job.spec));
+    }
+}
 
 bool job_table::mayStart(const task_start& start) const
 {
@@ -247,15 +284,17 @@
 
 void job_table::endMember(const task_key& task, run_number run, end_kind kind, const checkpoint& saved, instant at)
 {
-    auto* ended = findMutableUnit(task);
-    if (ended == nullptr || ended->phase == unit_phase::done)
+    const auto* known = findUnit(task);
+    if (known == nullptr || known->phase == unit_phase::done)
         return;
     auto& job = m_jobs.at(task.job);
     const auto& spec = job.spec.steps[task.step];
-    if (kind == end_kind::done && !spec.longRunning)
-        return endRun(job, task, *ended, true, at);
-    if (!ended->isActive() || run != ended->lastRun)
+    const bool isCompletion = kind == end_kind::done && !spec.longRunning;
+    if (!isCompletion && (!known->isActive() || run != known->lastRun))
         return;
+    auto* ended = findMutableUnit(task);
+    if (isCompletion)
+        return endRun(job, task, *ended, true, at);
     if (!saved.value().empty())
         ended->saved = saved;
     ended->runFailed = ended->runFailed || kind == end_kind::failed;
@@ -303,7 +342,7 @@
 
 void job_table::endRun(submission& job, const task_key& task, unit& ended, bool isDone, instant at)
 {
-    auto& step = job.occurrences[task.occurrence].steps[task.step];
+    auto& step = job.occurrences.own(task.occurrence).steps[task.step];
     if (isDone)
         recordNeighbours(job, task, ended, at);
     removeRunsOfUnit(task, job.spec.steps[task.step], ended, at);
@@ -337,6 +376,7 @@
         if (!job.hasStarted && job.phase == submission_phase::running && !job.hasActiveUnits())
             job.phase = submission_phase::queued;
     }
+    shareIfDone(job, task.occurrence);
     closeIfEnded(job);
 }
 
@@ -442,20 +482,22 @@
 {
     if (!job.isTerminal() || job.hasActiveUnits() || m_open.erase(job.id) == 0)
         return;
-    subtractFootprint(job.workspace, footprintOf(job.spec));
+    subtractFootprint(job, job.footprint);
     job.spec = {};
     job.occurrences = {};
 }
 
-void job_table::addFootprint(const workspace_name& workspace, std::size_t bytes)
+void job_table::addFootprint(submission& job, std::size_t bytes)
 {
-    m_footprints[workspace] += bytes;
+    job.footprint += bytes;
+    m_footprints[job.workspace] += bytes;
     m_footprint += bytes;
 }
 
-void job_table::subtractFootprint(const workspace_name& workspace, std::size_t bytes)
+void job_table::subtractFootprint(submission& job, std::size_t bytes)
 {
-    const auto found = m_footprints.find(workspace);
+    const auto found = m_footprints.find(job.workspace);
+    job.footprint -= bytes;
     found->second -= bytes;
     m_footprint -= bytes;
     if (found->second == 0)
@@ -515,7 +557,11 @@
     job.activeUnits = countActiveUnits(job);
     if (!job.isTerminal() || job.hasActiveUnits()) {
         m_open.insert(job.id);
-        addFootprint(job.workspace, footprintOf(job.spec));
+        const auto& items = job.occurrences.items();
+        std::size_t differing = 0;
+        for (std::size_t o = 1; o < items.size(); ++o)
+            differing += items[o] == items[o - 1] ? 0 : 1;
+        addFootprint(job, footprintOf(job.spec) + differing * occurrenceFootprint(job.spec));
     } else {
         job.spec = {};
         job.occurrences = {};
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -113,6 +113,8 @@
 {
     for (const auto& id : m_input.table.openJobs()) {
         const auto& job = *m_input.table.find(id);
+        if (!job.hasActiveUnits())
+            continue;
         for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
             for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
                 const auto& units = job.occurrences[o].steps[s].units;
@@ -284,10 +286,13 @@
     });
 }
 
+bool placement_round::isDue(const submission& job, std::uint32_t occurrence) const
+{
+    return dueTime(job.spec, occurrence) <= m_input.wallClock + m_options.maxEarlyStart;
+}
+
 bool placement_round::isReady(const submission& job, std::uint32_t occurrence, std::uint32_t step) const
 {
-    if (dueTime(job.spec, occurrence) > m_input.wallClock + m_options.maxEarlyStart)
-        return false;
     const auto& steps = job.occurrences[occurrence].steps;
     const auto& after = job.spec.steps[step].after;
     return std::all_of(after.begin(), after.end(), [&steps](std::uint32_t earlier) { return steps[earlier].isDone(); });
@@ -336,7 +341,7 @@
 
 template <class Action> void placement_round::forEachReadyStep(const submission& job, Action action) const
 {
-    for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
+    for (std::uint32_t o = 0; o < job.occurrences.size() && isDue(job, o); ++o) {
         for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
             if (!job.occurrences[o].steps[s].isDone() && isReady(job, o, s))
                 action(o, s);
@@ -625,6 +630,14 @@
             && worker.unconfirmedRuns.admits(item.job->workspace, limits.unconfirmedPerWorker));
 }
 
+/// The first start of an occurrence gives it memory of its own.
+bool placement_round::mayBegin(const submission& job, std::uint32_t occurrence) const
+{
+    const auto& table = m_input.table;
+    return !job.occurrences.isShared(occurrence) || m_begun.contains({ job.sequence, occurrence })
+        || table.footprint() + table.footprint(job.workspace) + 2 * m_begunBytes < m_options.limits.jobBytes;
+}
+
 bool placement_round::isLimited(const candidate& item) const
 {
     const auto need = reservedDemand(*item.step);
@@ -648,6 +661,9 @@
             { { item.key.job, item.key.occurrence, item.key.step, taskIndexOf(*item.step, item.key.unit, m) },
                 run_number(item.state->lastRun.value() + 1), worker.view->boot, worker.view->address });
     }
+    if (item.job->occurrences.isShared(item.key.occurrence)
+        && m_begun.emplace(item.job->sequence, item.key.occurrence).second)
+        m_begunBytes += occurrenceFootprint(item.job->spec);
     m_runs.add(item.job->workspace, placement.size());
     m_plannedStarts += placement.size();
     m_decisions.starts.push_back(std::move(command));
@@ -725,7 +741,8 @@
     if (wouldSoonBeStopped(item))
         return false;
     // Equal units of a step meet the same limit.
-    if (m_limitedStep == item.step && m_limitedOccurrence == item.key.occurrence)
+    if ((m_limitedStep == item.step && m_limitedOccurrence == item.key.occurrence)
+        || !mayBegin(*item.job, item.key.occurrence))
         return waitForLimit(item);
     if (m_decisions.claims.contains(item.key)) {
         if (const auto claimed = placeOnClaimedWorkers(item)) {
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -182,6 +182,8 @@
     std::size_t candidatesPerStep() const;
     std::vector<std::size_t> rankCandidates(const std::vector<candidate>&) const;
     std::set<std::uint64_t> agedJobs() const;
+    bool isDue(const submission&, std::uint32_t occurrence) const;
+    /// Whether the steps before are done.
     bool isReady(const submission&, std::uint32_t occurrence, std::uint32_t step) const;
     bool isRestartPaused(const step_spec&, const unit&) const;
     duration estimateRunTime(const submission&, std::uint32_t occurrence, std::uint32_t step) const;
@@ -223,6 +225,7 @@
     void applyClaims();
     bool isBoundedByGuarantee(const candidate&) const;
     bool mayTakeRun(const candidate&, const round_worker&) const;
+    bool mayBegin(const submission&, std::uint32_t occurrence) const;
     /// Whether there is room for the unit, and only `run_limits` keep it waiting.
     bool isLimited(const candidate&) const;
     void adjustFreeCapacity(const capacity_claim&, const demand& need, bool isClaimed);
@@ -269,6 +272,8 @@
     std::size_t m_reservations { 0 };
     run_counts m_runs;
     std::size_t m_plannedStarts { 0 }; ///< Tasks.
+    std::set<std::pair<std::uint64_t, std::uint32_t>> m_begun; ///< Occurrences that this plan begins, by `sequence`.
+    std::size_t m_begunBytes { 0 }; ///< Memory that they take.
     const step_spec* m_limitedStep { nullptr }; ///< A unit of it has just met one of `run_limits`.
     std::uint32_t m_limitedOccurrence { 0 };
     const step_spec* m_blockedStep { nullptr }; ///< A unit of it has just found no place.
--- a/packages/jobs/tests/job_table_test.cpp
+++ b/packages/jobs/tests/job_table_test.cpp
@@ -330,3 +330,36 @@
     BOOST_TEST(copy.pendingCount(queue_name("bulk")) == row.pending);
     BOOST_TEST(copy.pendingCount(queue_name("bulk"), { submission_id("a") }) == 0U);
 }
+
+// Guards against a job that takes memory for all its occurrences from its acceptance to its end (review, case 12).
+BOOST_AUTO_TEST_CASE(equal_occurrences_share_their_memory)
+{
+    constexpr std::uint32_t occurrences = 8760;
+    table_fixture f;
+    submission_spec spec;
+    spec.steps = { step(1, need(1)) };
+    spec.occurrences = occurrences;
+    f.apply(accept_submission { submission_id("a"), queue_name("bulk"), workspace_name("league"), spec });
+    const auto accepted = f.table.footprint();
+    BOOST_TEST(accepted < occurrences * sizeof(job_occurrence));
+    const auto play = [&f](std::uint32_t occurrence) {
+        const task_key each { submission_id("a"), occurrence, 0, 0 };
+        f.start(each, 1, boot("w"));
+        BOOST_TEST(f.table.findUnit(each)->isActive());
+        f.end(boot("w"), each, 1, end_kind::done);
+    };
+    f.end(boot("w"), { submission_id("a"), 9, 0, 0 }, 1, end_kind::stopped); // Of no run.
+    for (const std::uint32_t occurrence : { 0U, 1U, 3U, 2U, 4U })
+        play(occurrence);
+    // Those that are done and those that wait.
+    BOOST_TEST(f.table.footprint() == accepted + occurrenceFootprint(spec));
+    BOOST_TEST(!f.table.findUnit({ submission_id("a"), 5, 0, 0 })->isActive());
+    job_table copy;
+    BOOST_REQUIRE(copy.restore(f.table.save()).has_value());
+    BOOST_TEST(copy.footprint() == f.table.footprint());
+    BOOST_TEST((*copy.find(submission_id("a")) == *f.table.find(submission_id("a"))));
+    for (std::uint32_t o = 5; o < occurrences; ++o)
+        play(o);
+    BOOST_TEST((f.phaseOf("a") == submission_phase::completed));
+    BOOST_TEST(f.table.footprint() == 0U);
+}
--- a/packages/jobs/tests/planner_test.cpp
+++ b/packages/jobs/tests/planner_test.cpp
@@ -689,7 +689,9 @@
     BOOST_TEST(decide().limitedUnits > 0U);
     submit("00000000000000bb", "bulk", { step(5, { millicores(1), {}, {} }) }, "club");
     BOOST_TEST(startCount(decide()) == 5U);
-    options.limits = { 0, 0, 0, 512, 16384 };
+    options.limits.total = 0;
+    options.limits.perWorker = 0;
+    options.limits.unconfirmedPerWorker = 0;
     submit("00000000000000cc", "urgent", { step(4, need(1)) }, "club");
     BOOST_TEST(startCount(decide()) == 4U);
 }
@@ -721,3 +723,26 @@
     }
     BOOST_TEST((phaseOf("00000000000000aa") == submission_phase::completed));
 }
+
+// Guards against occurrences that are all due at once and take more memory than their job was admitted with.
+BOOST_FIXTURE_TEST_CASE(occurrences_begin_within_the_memory_for_jobs, limited_fixture)
+{
+    submission_spec spec;
+    spec.steps = { step(1, { millicores(1), {}, {} }) };
+    spec.occurrences = 100;
+    apply(accept_submission { submission_id("00000000000000aa"), queue_name("bulk"), workspace_name("league"), spec });
+    BOOST_TEST(startCount(decide()) == 100U);
+    const auto accepted = table.footprint();
+    options.limits.jobBytes = 2 * (accepted + 5 * occurrenceFootprint(spec));
+    std::size_t most = 0;
+    for (int plan = 0; plan < 200 && phaseOf("00000000000000aa") != submission_phase::completed; ++plan) {
+        const auto decisions = decide();
+        for (const auto& command : decisions.starts)
+            apply(command);
+        most = std::max(most, table.footprint());
+        for (const auto& command : decisions.starts)
+            end(command.starts[0].worker, command.starts[0].task, 1, end_kind::done);
+    }
+    BOOST_TEST((phaseOf("00000000000000aa") == submission_phase::completed));
+    BOOST_TEST(most == accepted + 5 * occurrenceFootprint(spec));
+}
