Don't wait for a rack that cannot hold a unit

Cause: a unit waits for its preferred racks for up to its estimated run time, whether or not they can take it.

Workers that are silent or avoided for a moment count, so that a short disturbance moves nothing.

--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -411,6 +411,12 @@
     return ordered;
 }
 
+bool placement_round::hasLabel(const candidate& item, const worker_view& view)
+{
+    const auto& label = item.step->requiredLabel;
+    return label.value().empty() || std::find(view.labels.begin(), view.labels.end(), label) != view.labels.end();
+}
+
 bool placement_round::isEligible(const candidate& item, const round_worker& worker) const
 {
     const auto& view = *worker.view;
@@ -419,8 +425,7 @@
         return false;
     if (!m_input.table.isInService(view.dataCentre))
         return false;
-    const auto& label = item.step->requiredLabel;
-    return label.value().empty() || std::find(view.labels.begin(), view.labels.end(), label) != view.labels.end();
+    return hasLabel(item, view);
 }
 
 /// Computed once for each service and label in a round.
@@ -474,6 +479,33 @@
     return out;
 }
 
+/// Whether one of the preferred racks has workers, busy or not, that could hold the unit.
+bool placement_round::hasUsableRack(const candidate& item) const
+{
+    const auto need = reservedDemand(*item.step);
+    const std::size_t members = memberCount(*item.step);
+    const std::size_t perWorker = item.step->maxPerWorker > 0 ? item.step->maxPerWorker : members;
+    std::vector<std::size_t> slots(m_racks.size() + 1);
+    for (const auto& worker : m_workers) {
+        // A worker that is silent or avoided for a moment is no reason to leave the rack.
+        const auto& view = *worker.view;
+        if (view.service == *item.service && view.isReachable && !view.isDraining
+            && m_input.table.isInService(view.dataCentre) && hasLabel(item, view))
+            slots[worker.rack.value()] += slotsIn(need, view.capacity, perWorker);
+    }
+    const auto racks = preferredRacks(item);
+    return std::any_of(racks.begin(), racks.end(), [&](rack_number rack) { return slots[rack.value()] >= members; });
+}
+
+/// Off its rack a unit takes `distanceFactor` times as long, so waiting up to its run time is cheaper. A rack that
+/// cannot hold it is not waited for; one that is full of longer runs is not waited for by a task that lasts.
+bool placement_round::mayLeaveRack(const candidate& item) const
+{
+    if (item.waitingTime >= item.estimatedRunTime || (item.isOwedRoom && item.step->longRunning))
+        return true;
+    return item.waitingTime >= m_options.maxHoldBack && !preferredRacks(item).empty() && !hasUsableRack(item);
+}
+
 std::map<worker_number, std::uint32_t> placement_round::taskCountsPerWorker(const candidate& item) const
 {
     std::map<worker_number, std::uint32_t> out;
@@ -608,9 +640,8 @@
                 return found;
         }
     }
-    // Off the rack a unit takes `distanceFactor` times as long, so waiting up to its run time is cheaper.
     const bool isAnywhere = scopes.size() == 1 && !scopes.front();
-    if (isAnywhere || item.isGuaranteed || item.waitingTime < item.estimatedRunTime)
+    if (isAnywhere || item.isGuaranteed || !mayLeaveRack(item))
         return std::nullopt;
     return fillOn(std::nullopt, worker_filter::all);
 }
@@ -751,9 +782,9 @@
         }
     }
     // Other units of a step are placed like the one before: if that one found no place, they find none either.
-    const bool mayLeaveRack = item.waitingTime >= item.estimatedRunTime;
+    const bool isPatientEnough = mayLeaveRack(item);
     const bool isHopeless = m_blockedStep == item.step && m_blockedOccurrence == item.key.occurrence
-        && (m_blockedMayLeaveRack || !mayLeaveRack) && (m_blockedIsOwedRoom || !item.isOwedRoom)
+        && (m_blockedMayLeaveRack || !isPatientEnough) && (m_blockedIsOwedRoom || !item.isOwedRoom)
         && !m_decisions.claims.contains(item.key);
     auto placement = isHopeless ? std::nullopt : findPlacement(item);
     if (!placement && !isHopeless && item.isOwedRoom)
@@ -787,7 +818,7 @@
     }
     m_blockedStep = item.step;
     m_blockedOccurrence = item.key.occurrence;
-    m_blockedMayLeaveRack = mayLeaveRack;
+    m_blockedMayLeaveRack = isPatientEnough;
     m_blockedIsOwedRoom = item.isOwedRoom;
     if (m_reservations++ < m_options.maxReservations)
         reserveWorkers(earliestStarts(item, worker_filter::all));
