Look up the runs of a workspace in constant time

Cause: the counts behind the limits on runs were searched in order, for each active unit and for each worker of a plan: at the design size, 350 workspaces times 11,000 units, and again for each candidate and worker. Found by reading; not measured.

Change: hashed counts, no look-up while under half of a limit is in use, and the total asked once for each unit instead of once for each worker.

Measured (x86-64): jobs_test passes.

--- a/packages/fleet/src/job_leader.cpp
+++ b/packages/fleet/src/job_leader.cpp
@@ -15,8 +15,8 @@
     constexpr duration metricsInterval = std::chrono::milliseconds(1000);
     constexpr duration planDelay = std::chrono::milliseconds(2); // Events close to each other share a plan.
     constexpr duration beginsInterval = std::chrono::milliseconds(500); // Shares an entry of the log.
-    /// Of the memory, one part in so many is for jobs: what follows from them, such as their log and a snapshot while
-    /// it is made, takes about as much again.
+    /// One part in so many of the memory is for jobs. The rest is for runs, the log, a snapshot while it is made, and
+    /// clients.
     constexpr std::size_t memoryShareOfJobs = 4;
     constexpr std::size_t bytesPerMegabyte = std::size_t { 1024 } * 1024;
     /// A run takes about 1 KiB in a control, from its planned start to its recorded end.
--- a/packages/jobs/include/poplardeal/jobs/model.h
+++ b/packages/jobs/include/poplardeal/jobs/model.h
@@ -149,7 +149,7 @@
 inline constexpr std::uint32_t maxTasksPerStep = 4096;
 inline constexpr std::uint32_t maxOccurrences = 10000;
 inline constexpr std::size_t maxPayloadBytes = 4000;
-/// Tasks of all steps and occurrences. Each takes about 200 bytes in every control process.
+/// Tasks of all steps and occurrences. One that waits takes about 100 bytes in every control process.
 inline constexpr std::uint64_t maxTasksPerJob = 65536;
 
 /// One task of one occurrence of a job.
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -39,18 +39,14 @@
 void run_counts::add(const workspace_name& workspace, std::size_t runs)
 {
     m_total += runs;
-    const auto known = std::find_if(
-        m_byWorkspace.begin(), m_byWorkspace.end(), [&](const auto& item) { return *item.first == workspace; });
-    if (known != m_byWorkspace.end())
-        known->second += runs;
-    else
-        m_byWorkspace.emplace_back(&workspace, runs);
+    m_byWorkspace[workspace.value()] += runs;
 }
 
 bool run_counts::admits(const workspace_name& workspace, std::size_t limit) const
 {
-    const auto known = std::find_if(
-        m_byWorkspace.begin(), m_byWorkspace.end(), [&](const auto& item) { return *item.first == workspace; });
+    if (2 * m_total < limit)
+        return true;
+    const auto known = m_byWorkspace.find(workspace.value());
     return m_total + (known == m_byWorkspace.end() ? 0 : known->second) < limit;
 }
 
@@ -575,7 +571,7 @@
         const auto& worker = at(number);
         if (respectReservations && isReserved(item, worker))
             continue;
-        if (mayTakeRun(item, worker) && need.fitsIn(worker.free))
+        if (need.fitsIn(worker.free) && mayTakeRun(item, worker))
             options.push_back({ number, worker.free });
     }
     const auto limit = item.step->maxPerWorker;
@@ -656,8 +652,7 @@
 {
     const auto& limits = m_options.limits;
     return isBoundedByGuarantee(item)
-        || (m_runs.admits(item.job->workspace, limits.total)
-            && worker.runs.admits(item.job->workspace, limits.perWorker)
+        || (worker.runs.admits(item.job->workspace, limits.perWorker)
             && worker.unconfirmedRuns.admits(item.job->workspace, limits.unconfirmedPerWorker));
 }
 
@@ -773,7 +768,8 @@
         return false;
     // Equal units of a step meet the same limit.
     if ((m_limitedStep == item.step && m_limitedOccurrence == item.key.occurrence)
-        || !mayBegin(*item.job, item.key.occurrence))
+        || !mayBegin(*item.job, item.key.occurrence)
+        || (!isBoundedByGuarantee(item) && !m_runs.admits(item.job->workspace, m_options.limits.total)))
         return waitForLimit(item);
     if (m_decisions.claims.contains(item.key)) {
         if (const auto claimed = placeOnClaimedWorkers(item)) {
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -45,7 +45,7 @@
 
 private:
     std::size_t m_total { 0 };
-    std::vector<std::pair<const workspace_name*, std::size_t>> m_byWorkspace; ///< The names belong to the job table.
+    std::unordered_map<std::string_view, std::size_t> m_byWorkspace; ///< The names belong to the job table.
 };
 
 /// A worker during one scheduling round.
