Start the due occurrences of a job with a negative interval

Cause: a plan stopped at the first occurrence that is not due, as later ones are due later; with a negative interval they are due before it.

Change: with a negative interval all occurrences are looked at.

Measured (x86-64): jobs_test passes, with a row for it in occurrences_wait_for_their_due_times.

--- a/packages/jobs/src/candidate_rank.cpp
+++ b/packages/jobs/src/candidate_rank.cpp
@@ -67,7 +67,7 @@
         for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
             const auto agedAt = std::max(job.acceptedAt, dueTime(job.spec, o)) + m_options.order.maxWait;
             if (m_input.wallClock < agedAt)
-                break;
+                continue;
             for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
                 const auto& units = job.occurrences[o].steps[s].units;
                 if (std::any_of(
--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -337,7 +337,13 @@
 
 template <class Action> void placement_round::forEachReadyStep(const submission& job, Action action) const
 {
-    for (std::uint32_t o = 0; o < job.occurrences.size() && isDue(job, o); ++o) {
+    for (std::uint32_t o = 0; o < job.occurrences.size(); ++o) {
+        if (!isDue(job, o)) {
+            // Later ones are due later, unless the interval is negative.
+            if (job.spec.intervalMs >= 0)
+                break;
+            continue;
+        }
         for (std::uint32_t s = 0; s < job.spec.steps.size(); ++s) {
             if (!job.occurrences[o].steps[s].isDone() && isReady(job, o, s))
                 action(o, s);
--- a/packages/jobs/tests/planner_test.cpp
+++ b/packages/jobs/tests/planner_test.cpp
@@ -338,16 +338,31 @@
     BOOST_TEST(f.decide().stops.empty());
 }
 
-// Guards against occurrences that start before they are due.
-BOOST_AUTO_TEST_CASE(occurrences_wait_for_their_due_times)
+namespace {
+
+struct due_row {
+    std::int64_t firstDueMs; ///< From now on.
+    std::int64_t intervalMs;
+};
+std::ostream& operator<<(std::ostream& out, const due_row& row)
+{
+    return out << row.firstDueMs << " ms, then each " << row.intervalMs << " ms";
+}
+
+const due_row dueRows[] = { { 1000, 1000 }, { 2000, -1000 } };
+
+} // namespace
+
+// Guards against occurrences that start before they are due, or not when they are.
+BOOST_DATA_TEST_CASE(occurrences_wait_for_their_due_times, dueRows, row)
 {
     cluster_fixture f;
     submission_spec spec;
     spec.payload = "p";
     spec.steps = { step(1, need(1)) };
     spec.occurrences = 2;
-    spec.firstDueMs = f.ms + 1000;
-    spec.intervalMs = 1000;
+    spec.firstDueMs = f.ms + row.firstDueMs;
+    spec.intervalMs = row.intervalMs;
     f.apply(accept_submission { submission_id("t"), queue_name("bulk"), workspace_name("league"), spec });
     BOOST_TEST(startCount(f.decideAndApply()) == 0U);
     f.advance(950);
