Let only lasting tasks leave a lost rack early

A new leader knows no worker until it reports, so that units which had waited for 2 s left at once after a change of leader, for three times the run time.

Change: only a lasting task that is held back beside ample room leaves early.

--- a/packages/jobs/src/placement_round.cpp
+++ b/packages/jobs/src/placement_round.cpp
@@ -413,12 +413,6 @@
     return ordered;
 }
 
-bool placement_round::hasLabel(const candidate& item, const worker_view& view)
-{
-    const auto& label = item.step->requiredLabel;
-    return label.value().empty() || std::find(view.labels.begin(), view.labels.end(), label) != view.labels.end();
-}
-
 bool placement_round::isEligible(const candidate& item, const round_worker& worker) const
 {
     const auto& view = *worker.view;
@@ -427,7 +421,8 @@
         return false;
     if (!m_input.table.isInService(view.dataCentre))
         return false;
-    return hasLabel(item, view);
+    const auto& label = item.step->requiredLabel;
+    return label.value().empty() || std::find(view.labels.begin(), view.labels.end(), label) != view.labels.end();
 }
 
 /// Computed once for each service and label in a round.
@@ -481,31 +476,11 @@
     return out;
 }
 
-/// Whether one of the preferred racks has workers, busy or not, that could hold the unit.
-bool placement_round::hasUsableRack(const candidate& item) const
+/// Off its rack a unit takes `distanceFactor` times as long, so waiting up to its run time is cheaper. A task that
+/// lasts has no run time that could be weighed against the wait.
+bool placement_round::mayLeaveRack(const candidate& item)
 {
-    const auto need = reservedDemand(*item.step);
-    const std::size_t members = memberCount(*item.step);
-    const std::size_t perWorker = item.step->maxPerWorker > 0 ? item.step->maxPerWorker : members;
-    std::vector<std::size_t> slots(m_racks.size() + 1);
-    for (const auto& worker : m_workers) {
-        // A worker that is silent or avoided for a moment is no reason to leave the rack.
-        const auto& view = *worker.view;
-        if (view.service == *item.service && view.isReachable && !view.isDraining
-            && m_input.table.isInService(view.dataCentre) && hasLabel(item, view))
-            slots[worker.rack.value()] += slotsIn(need, view.capacity, perWorker);
-    }
-    const auto racks = preferredRacks(item);
-    return std::any_of(racks.begin(), racks.end(), [&](rack_number rack) { return slots[rack.value()] >= members; });
-}
-
-/// Off its rack a unit takes `distanceFactor` times as long, so waiting up to its run time is cheaper. A rack that
-/// cannot hold it is not waited for; one that is full of longer runs is not waited for by a task that lasts.
-bool placement_round::mayLeaveRack(const candidate& item) const
-{
-    if (item.waitingTime >= item.estimatedRunTime || (item.isOwedRoom && item.step->longRunning))
-        return true;
-    return item.waitingTime >= m_options.maxHoldBack && !preferredRacks(item).empty() && !hasUsableRack(item);
+    return item.waitingTime >= item.estimatedRunTime || (item.isOwedRoom && item.step->longRunning);
 }
 
 std::map<worker_number, std::uint32_t> placement_round::taskCountsPerWorker(const candidate& item) const
--- a/packages/jobs/src/placement_round.h
+++ b/packages/jobs/src/placement_round.h
@@ -189,9 +189,7 @@
     duration estimateRunTime(const submission&, std::uint32_t occurrence, std::uint32_t step) const;
     const occurrence_times& timesOf(const submission&, std::uint32_t occurrence) const;
 
-    static bool hasLabel(const candidate&, const worker_view&);
-    bool hasUsableRack(const candidate&) const;
-    bool mayLeaveRack(const candidate&) const;
+    static bool mayLeaveRack(const candidate&);
     bool isEligible(const candidate&, const round_worker&) const;
     const eligible_workers& eligibleWorkers(const candidate&) const;
     std::vector<worker_number> eligibleWorkers(const candidate&, std::optional<rack_number>, worker_filter) const;
