Keep the tasks of ended jobs within a bound

Done units also lost their failures, which its check of counted failures reads.

Change: ended jobs keep their steps and tasks within 8 MiB in all; done units keep their failures.

--- a/packages/jobs/include/poplardeal/jobs/job_table.h
+++ b/packages/jobs/include/poplardeal/jobs/job_table.h
@@ -81,7 +81,7 @@
     instant endedAt; ///< Valid only in a terminal phase.
     std::uint32_t activeUnits { 0 }; ///< Derived from `occurrences`.
     std::size_t footprint { 0 }; ///< Of `spec` and `occurrences`; derived.
-    occurrence_list<job_occurrence> occurrences; ///< Empty once the job is terminal and has no active units.
+    occurrence_list<job_occurrence> occurrences; ///< Empty for some jobs that have ended.
 
     bool isTerminal() const
     {
@@ -178,6 +178,8 @@
     /// Terminal jobs are kept for this long, so that late requests about them are answered correctly. Clients ask for
     /// at most 120 s.
     static constexpr duration retention { std::chrono::seconds(600) };
+    /// Of the steps and tasks of ended jobs. Of further ones only the state is kept.
+    static constexpr std::size_t maxEndedBytes = std::size_t { 8 } * 1024 * 1024;
 
 private:
     apply_outcome applyBody(const accept_plan&, instant at);
@@ -205,6 +207,8 @@
     void closeIfEnded(submission&);
     void addFootprint(submission&, std::size_t);
     void subtractFootprint(submission&, std::size_t);
+    /// Keeps the steps and tasks of an ended job if they fit into `maxEndedBytes`.
+    void retainOrDrop(submission& ended, std::size_t bytes);
     void restoreJob(submission);
     void pruneEndedJobs(instant at);
     void setAddress(const worker_boot&, const std::string& address);
@@ -225,6 +229,7 @@
     std::set<submission_id> m_open;
     std::map<workspace_name, std::size_t> m_footprints; ///< Derived from `m_jobs`.
     std::size_t m_footprint { 0 }; ///< Sum of `m_footprints`.
+    std::size_t m_endedBytes { 0 }; ///< Of the steps and tasks of ended jobs.
     std::map<worker_boot, std::set<run_key>> m_runs; ///< Runs that may exist; derived from `m_jobs`.
     std::map<worker_boot, std::string> m_addresses; ///< Addresses of the worker boots in `m_runs`.
     std::map<std::string, std::set<worker_boot>> m_bootsByAddress; ///< Inverse of `m_addresses`.
--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -358,10 +358,11 @@
     ended.members.clear();
     if (isDone) {
         // Equal units take no room in a snapshot.
-        const auto lastRun = ended.lastRun;
-        ended = {};
-        ended.lastRun = lastRun;
-        ended.phase = unit_phase::done;
+        unit done;
+        done.phase = unit_phase::done;
+        done.lastRun = ended.lastRun;
+        done.failures = ended.failures;
+        ended = std::move(done);
         const bool complete = std::all_of(
             job.occurrences.begin(), job.occurrences.end(), [](const job_occurrence& each) { return each.isDone(); });
         if (complete && !job.isTerminal())
@@ -376,7 +377,8 @@
         if (!job.hasStarted && job.phase == submission_phase::running && !job.hasActiveUnits())
             job.phase = submission_phase::queued;
     }
-    shareIfDone(job, task.occurrence);
+    if (m_open.contains(job.id))
+        shareIfDone(job, task.occurrence);
     closeIfEnded(job);
 }
 
@@ -482,9 +484,20 @@
 {
     if (!job.isTerminal() || job.hasActiveUnits() || m_open.erase(job.id) == 0)
         return;
-    subtractFootprint(job, job.footprint);
-    job.spec = {};
-    job.occurrences = {};
+    const auto bytes = job.footprint;
+    subtractFootprint(job, bytes);
+    retainOrDrop(job, bytes);
+}
+
+void job_table::retainOrDrop(submission& ended, std::size_t bytes)
+{
+    if (m_endedBytes + bytes <= maxEndedBytes) {
+        ended.footprint = bytes;
+        m_endedBytes += bytes;
+        return;
+    }
+    ended.spec = {};
+    ended.occurrences = {};
 }
 
 void job_table::addFootprint(submission& job, std::size_t bytes)
@@ -517,7 +530,11 @@
         return;
     m_prunedAt = at;
     std::erase_if(m_jobs, [this, at](const auto& item) {
-        return item.second.isTerminal() && item.second.endedAt + retention < at && !m_open.contains(item.first);
+        const auto& job = item.second;
+        if (!job.isTerminal() || job.endedAt + retention >= at || m_open.contains(item.first))
+            return false;
+        m_endedBytes -= job.footprint;
+        return true;
     });
 }
 
@@ -555,16 +572,16 @@
 void job_table::restoreJob(submission job)
 {
     job.activeUnits = countActiveUnits(job);
+    const auto& items = job.occurrences.items();
+    std::size_t differing = 0;
+    for (std::size_t o = 1; o < items.size(); ++o)
+        differing += items[o] == items[o - 1] ? 0 : 1;
+    const auto bytes = footprintOf(job.spec) + differing * occurrenceFootprint(job.spec);
     if (!job.isTerminal() || job.hasActiveUnits()) {
         m_open.insert(job.id);
-        const auto& items = job.occurrences.items();
-        std::size_t differing = 0;
-        for (std::size_t o = 1; o < items.size(); ++o)
-            differing += items[o] == items[o - 1] ? 0 : 1;
-        addFootprint(job, footprintOf(job.spec) + differing * occurrenceFootprint(job.spec));
-    } else {
-        job.spec = {};
-        job.occurrences = {};
+        addFootprint(job, bytes);
+    } else if (!items.empty()) {
+        retainOrDrop(job, bytes);
     }
     indexRuns(job);
     m_jobs.emplace(job.id, std::move(job));
--- a/packages/jobs/tests/job_table_test.cpp
+++ b/packages/jobs/tests/job_table_test.cpp
@@ -241,7 +241,6 @@
     BOOST_TEST(footprintIn("league") > 100 * sizeof(unit));
     f.end(boot("w"), task("b"), 1, end_kind::stopped);
     BOOST_TEST(footprintIn("league") == footprintOf(f.table.find(submission_id("a"))->spec));
-    BOOST_TEST(f.table.find(submission_id("b"))->occurrences.empty());
     for (const std::uint32_t i : { 0U, 1U }) {
         f.start(task("a", 0, i), 1, boot("w"));
         f.end(boot("w"), task("a", 0, i), 1, end_kind::done);
@@ -258,6 +257,29 @@
     BOOST_TEST(copy.footprint() == small);
 }
 
+// Guards against ended jobs whose tasks fill the memory until their state is forgotten.
+BOOST_AUTO_TEST_CASE(large_ended_jobs_keep_their_state_only)
+{
+    table_fixture f;
+    const std::vector<step_spec> wide(16, step(4096, need(1)));
+    for (const char* id : { "a", "b", "c" }) {
+        f.submit(id, "bulk", wide);
+        f.apply(cancel_submission { submission_id(id) });
+        BOOST_TEST((f.phaseOf(id) == submission_phase::cancelled));
+    }
+    BOOST_TEST(f.table.find(submission_id("a"))->occurrences.size() == 1U);
+    BOOST_TEST(f.table.find(submission_id("b"))->occurrences.empty());
+    job_table copy;
+    BOOST_REQUIRE(copy.restore(f.table.save()).has_value());
+    BOOST_TEST((*copy.find(submission_id("a")) == *f.table.find(submission_id("a"))));
+    BOOST_TEST(copy.find(submission_id("c"))->occurrences.empty());
+    f.ms += 700'000;
+    f.submit("d", "bulk", wide);
+    f.apply(cancel_submission { submission_id("d") });
+    BOOST_TEST(f.table.find(submission_id("a")) == nullptr);
+    BOOST_TEST(f.table.find(submission_id("d"))->occurrences.size() == 1U);
+}
+
 // Guards against losing measured run times when the leader changes, and against measuring runs that resumed from a
 // checkpoint, which are shorter than complete runs.
 BOOST_FIXTURE_TEST_CASE(run_times_are_recorded_and_restored_from_a_snapshot, table_fixture)
