Ignore ends of tasks whose job has ended

Cause: an end that was held up gave an occurrence of an ended job memory of its own, which counted for its workspace for good; after it the sum of the ended jobs could fall below 0.

Test: equal_occurrences_share_their_memory fails before (200 bytes left after the job was cancelled).

--- a/packages/jobs/src/job_table.cpp
+++ b/packages/jobs/src/job_table.cpp
@@ -285,7 +285,7 @@
 void job_table::endMember(const task_key& task, run_number run, end_kind kind, const checkpoint& saved, instant at)
 {
     const auto* known = findUnit(task);
-    if (known == nullptr || known->phase == unit_phase::done)
+    if (known == nullptr || known->phase == unit_phase::done || !m_open.contains(task.job))
         return;
     auto& job = m_jobs.at(task.job);
     const auto& spec = job.spec.steps[task.step];
--- a/packages/jobs/tests/job_table_test.cpp
+++ b/packages/jobs/tests/job_table_test.cpp
@@ -380,6 +380,10 @@
     BOOST_REQUIRE(copy.restore(f.table.save()).has_value());
     BOOST_TEST(copy.footprint() == f.table.footprint());
     BOOST_TEST((*copy.find(submission_id("a")) == *f.table.find(submission_id("a"))));
+    copy.apply({ at(f.ms), cancel_submission { submission_id("a") } });
+    copy.apply(
+        { at(f.ms), record_ends { boot("w"), { { 1, { submission_id("a"), 7, 0, 0 }, run_number(1), {}, {} } } } });
+    BOOST_TEST(copy.footprint() == 0U); // Also after an end that was held up.
     for (std::uint32_t o = 5; o < occurrences; ++o)
         play(o);
     BOOST_TEST((f.phaseOf("a") == submission_phase::completed));
