--- a/packages/jobs/tests/planner_test.cpp
+++ b/packages/jobs/tests/planner_test.cpp
@@ -15,6 +15,7 @@
     capacity_claims claims;
     held_back_units heldBack;
     instant now { at(50000) };
+    planner_options options;
 
     explicit cluster_fixture(int racks = 1)
     {
@@ -26,7 +27,10 @@
         }
     }
 
-    job_decisions decide() { return planJobs({}, { table, workers, stopping, claims, now, at(ms), heldBack }); }
+    job_decisions decide() const
+    {
+        return planJobs(options, { table, workers, stopping, claims, now, at(ms), heldBack });
+    }
 
     /// Plans and applies all starts, as if the workers had begun the runs at once.
     job_decisions decideAndApply()
@@ -598,9 +602,8 @@
     workers[worker_id("w10")].capacity.accelerator = accelerators(4);
     submit("now", "urgent", { gangStep(1, 8) }, "club");
     submit("bulk", "other", { step(1, need(1), row.estimateMs) });
-    planner_options options;
     options.weighsPreemptions = row.weighs;
-    const auto decisions = planJobs(options, { table, workers, stopping, claims, now, at(ms), heldBack });
+    const auto decisions = decide();
     BOOST_TEST(decisions.claims.size() == 1U);
     BOOST_TEST(startCount(decisions) == row.starts);
 }
@@ -699,13 +702,6 @@
 };
 
 struct limited_fixture : cluster_fixture {
-    planner_options options;
-
-    job_decisions decide() const
-    {
-        return planJobs(options, { table, workers, stopping, claims, now, at(ms), heldBack });
-    }
-
     /// One job whose tasks all fit into the workers at once.
     void submitWideJob(std::uint32_t steps = 16, std::uint32_t count = 4096)
     {
@@ -733,8 +729,7 @@
     options.limits.total = 100;
     options.limits.perWorker = 40;
     submitWideJob();
-    for (const auto& command : decide().starts)
-        apply(command);
+    decideAndApply();
     BOOST_TEST(startCount(decide()) == 0U);
     BOOST_TEST(decide().limitedUnits > 0U);
     submit("00000000000000bb", "bulk", { step(5, { millicores(1), {}, {} }) }, "club");
@@ -750,8 +745,7 @@
 BOOST_FIXTURE_TEST_CASE(a_unit_that_waits_for_a_limit_stops_nothing, limited_fixture)
 {
     submit("00000000000000aa", "bulk", { step(3, need(0, 100000)) });
-    for (const auto& command : decide().starts)
-        apply(command);
+    decideAndApply();
     options.limits.total = 6;
     submit("00000000000000bb", "urgent", { step(1, { millicores(1), {}, {} }) });
     const auto decisions = decide();
