--- a/packages/jobs/include/poplardeal/jobs/planner.h
+++ b/packages/jobs/include/poplardeal/jobs/planner.h
@@ -105,7 +105,7 @@
     std::size_t total { 16384 };
     std::size_t perWorker { 2048 };
     /// Ordered runs that the worker has not listed yet. Orders that wait for longer than their start window are void.
-    std::size_t unconfirmedPerWorker { 256 };
+    std::size_t unconfirmedPerWorker { 1024 };
     std::size_t startsPerPlan { 512 }; ///< Tasks; the last unit may exceed it.
     /// `job_table::footprint` from which no further occurrence of a job begins; shared like the others.
     std::size_t jobBytes { std::numeric_limits<std::size_t>::max() };
